--- a/include/seamglade/message.h
+++ b/include/seamglade/message.h
@@ -98,6 +98,8 @@
   std::vector<document_edition> documents;
   /** Whether the receiver is to answer with its own list. */
   bool answer = false;
+  /** Whether the sender itself acts under these documents by now. */
+  bool settled = false;
 };
 
 /** An accepted document, for a peer that has an older one. */
--- a/src/connection/wire.cc
+++ b/src/connection/wire.cc
@@ -110,9 +110,9 @@
       const auto name = b.CreateString(document.name);
       editions.push_back(wire::CreateEdition(b, name, &stamp));
     }
-    return finish(
-        wire::Body::SettingsHave,
-        wire::CreateSettingsHave(b, b.CreateVector(editions), m.answer));
+    return finish(wire::Body::SettingsHave,
+                  wire::CreateSettingsHave(b, b.CreateVector(editions),
+                                           m.answer, m.settled));
   }
   Offset<void> operator()(const settings_push& m) {
     payload = m.text;
@@ -264,6 +264,7 @@
 result<frame> read(const wire::SettingsHave& m) {
   settings_have out;
   out.answer = m.answer();
+  out.settled = m.settled();
   if (m.documents() != nullptr) {
     for (const auto* edition : *m.documents()) {
       out.documents.push_back(
--- a/src/process/controller.cc
+++ b/src/process/controller.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kFactsPerBeat = 24;
 /** A starting instance waits this long for word from a peer. */
 constexpr duration kPeerWait = 3s;
+/** Shortest time between two ticks. */
+constexpr duration kLeastWait = 1ms;
 
 }  // namespace
 
@@ -51,6 +53,7 @@
 
 void controller::impl::run_due() {
   if (documents_changed_) apply_documents();
+  catch_up();
   reader_.on_time();
   if (members_.take_lost()) refresh_first(false);
   for (auto& [id, owner] : owners_) {
@@ -75,28 +78,33 @@
 }
 
 time_point controller::impl::next_wakeup() const {
-  auto next =
-      std::min({reader_.wakeup(), permits_.wakeup(), entry_.wakeup(),
-                served_.wakeup(), next_beat_, members_.next_suspicion()});
+  // A starting instance looks again when it need not wait for peers.
+  const auto peer_wait = started_ + kPeerWait;
+  const bool waits = !caught_up_ && peer_wait > core_.now;
+  auto next = std::min({waits ? peer_wait : time_point::max(), reader_.wakeup(),
+                        permits_.wakeup(), entry_.wakeup(), served_.wakeup(),
+                        next_beat_, members_.next_suspicion()});
   for (const auto& [id, owner] : owners_) {
     next = std::min(next, owner.wakeup());
   }
-  return next;
+  // What is due now has been done: a deadline that stays due must not turn
+  // the loop into a spin.
+  return std::max(next, core_.now + kLeastWait);
 }
 
-bool controller::impl::ready() const {
-  if (core_.draining || !store_.has_fleet() || store_.documents().empty()) {
-    return false;
-  }
-  // Peers may know a newer configuration than a stale service: hear one
-  // first, if any answers in time.
-  return members_.peers_up() > 0 || started_ + kPeerWait <= core_.now ||
-         store_.fleet().instances.size() <= 1;
+bool controller::impl::ready() const { return !core_.draining && caught_up_; }
+
+void controller::impl::catch_up() {
+  if (caught_up_ || !store_.has_fleet() || store_.documents().empty()) return;
+  // A stale service may give less than what is in force: nothing is done
+  // under it before a peer has told what it has, if one answers in time.
+  caught_up_ = heard_peer_ || started_ + kPeerWait <= core_.now ||
+               store_.fleet().instances.size() <= 1;
+  if (caught_up_) refresh_first(true);
 }
 
 void controller::impl::on(event::caller_request&& e) {
-  const bool can_route = store_.has_fleet() && !store_.documents().empty();
-  if (!can_route || finished_) {
+  if (!caught_up_ || finished_) {
     ++core_.counters.refused_not_run;
     core_.act(action::reply_refusal{
         e.caller, {outcome_kind::not_run, refusal_reason::not_ready, 1s}});
@@ -113,7 +121,8 @@
   members_.on_up(e.peer, e.incarnation);
   facts_.forget_peer(e.peer);
   entry_.on_peer_up(e.peer, e.incarnation);
-  core_.act(action::send_peer{e.peer, settings_have{store_.editions(), true}});
+  core_.act(action::send_peer{
+      e.peer, settings_have{store_.editions(), true, caught_up_}});
   next_beat_ = core_.now;
   refresh_first(false);
 }
@@ -248,7 +257,8 @@
   members_.on_heartbeat(from, m);
   for (const auto& fact : m.facts) facts_.learn(fact, from);
   if (m.settings_digest != store_.digest()) {
-    core_.act(action::send_peer{from, settings_have{store_.editions(), true}});
+    core_.act(action::send_peer{
+        from, settings_have{store_.editions(), true, caught_up_}});
   }
   if (was_alive != members_.alive(from)) refresh_first(false);
 }
@@ -258,12 +268,23 @@
     core_.act(action::send_peer{from, std::move(newer)});
   }
   if (m.answer) {
-    core_.act(action::send_peer{from, settings_have{store_.editions(), false}});
+    core_.act(action::send_peer{
+        from, settings_have{store_.editions(), false, caught_up_}});
   }
+  // What the peer has more arrives before this, or is asked for again.
+  const bool behind =
+      std::any_of(m.documents.begin(), m.documents.end(),
+                  [&](const auto& edition) { return store_.lacks(edition); });
+  heard_peer_ = heard_peer_ || (m.settled && !behind);
 }
 
-void controller::impl::take(const instance_id&, settings_push&& m) {
-  if (m.text) offer(m.name, *m.text, m.stamp.index);
+void controller::impl::take(const instance_id& from, settings_push&& m) {
+  if (!m.text) return;
+  offer(m.name, *m.text, m.stamp.index);
+  if (!caught_up_) {
+    core_.act(action::send_peer{
+        from, settings_have{store_.editions(), true, caught_up_}});
+  }
 }
 
 void controller::impl::take(const instance_id& from, permit_request&& m) {
--- a/src/process/controller_impl.h
+++ b/src/process/controller_impl.h
@@ -78,6 +78,7 @@
 
   void submit_here(const instance_id& entry, submit&& m);
   bool ready() const;
+  void catch_up();
   void offer(const std::string& name, const std::string& text,
              std::uint64_t index);
   void apply_documents();
@@ -121,6 +122,10 @@
   bool documents_changed_ = false;
   bool fleet_changed_ = false;
   bool finished_ = false;
+  /** Whether a peer has told of no newer document than those accepted. */
+  bool heard_peer_ = false;
+  /** Whether this instance may act under the documents it has. */
+  bool caught_up_ = false;
   /** Orders the facts that this instance knows first hand. */
   std::uint64_t last_fact_clock_ = 0;
   /** Adapters that were told to be held, by target. */
--- a/src/process/ownership.cc
+++ b/src/process/ownership.cc
@@ -178,7 +178,8 @@
 }
 
 time_point ownership::lease_end() const {
-  return mode_ == owner_mode::listed ? kNever : lease_end_;
+  const bool gated = shared_.options.switches.lease_gate;
+  return mode_ == owner_mode::listed || !gated ? kNever : lease_end_;
 }
 
 time_point ownership::wakeup() const {
--- a/src/process/routing.cc
+++ b/src/process/routing.cc
@@ -121,6 +121,7 @@
 }
 
 void controller::impl::refresh_first(bool list_changed) {
+  if (!caught_up_) return;
   const auto& self = core_.options.self;
   for (auto& [id, owner] : owners_) {
     if (!store_.fleet().targets.contains(id)) continue;
--- a/src/process/target_owner.cc
+++ b/src/process/target_owner.cc
@@ -243,10 +243,14 @@
         order_load(step.adapter);
         progress = true;
         break;
-      case step_kind::evict:
+      case step_kind::evict: {
+        // A step before this one may have started a request on it.
+        const auto* slot = slots_.find(step.adapter);
+        if (slot == nullptr || !may_evict(step.adapter, *slot)) break;
         order_unload(step.adapter);
         progress = true;
         break;
+      }
     }
   }
   return progress;
@@ -404,7 +408,7 @@
     next = std::min(next, oldest->second.started + settings().request_limit);
   }
   if (!settings().plain && ownership_.mode() == owner_mode::listed &&
-      ownership_.held()) {
+      ownership_.held() && !report_pending_) {
     next = std::min(next, next_poll_);
   }
   return next;
--- a/src/version/document_store.cc
+++ b/src/version/document_store.cc
@@ -81,6 +81,12 @@
   return all;
 }
 
+bool document_store::lacks(const document_edition& edition) const {
+  if (edition.name == kFleetDocument) return fleet_.stamp < edition.stamp;
+  const auto it = documents_.find(edition.name);
+  return it == documents_.end() || it->second.stamp < edition.stamp;
+}
+
 std::vector<settings_push> document_store::newer_than(
     const std::vector<document_edition>& theirs) const {
   const auto lacks = [&](const std::string& name, const document_stamp& stamp) {
--- a/src/version/document_store.h
+++ b/src/version/document_store.h
@@ -51,6 +51,8 @@
   /** Returns the highest publication index accepted. */
   std::uint64_t newest_index() const { return newest_index_; }
   std::vector<document_edition> editions() const;
+  /** Whether an edition is newer than the accepted one. */
+  bool lacks(const document_edition& edition) const;
   /** Returns the accepted documents that a peer with these lacks. */
   std::vector<settings_push> newer_than(
       const std::vector<document_edition>& theirs) const;
