Bound control traffic, keep request ids apart, drain without loss

Cause: the new capacity benchmark showed 37.8 KB/s of control traffic an instance at 30 instances under load, and 180 requests of 7505 that ended as unknown in planned stops at 15 instances.

Ruled out: lost links, late heartbeats and the drain itself. The unknown ones came from two instances whose requests had the same ids: the hash mixes its seed weakly into short names.

Change: facts go along a ring to the instances at distances 1, 4, 16..., waits are told in steps of two, a fact takes 24 bytes; two candidates for a target in its failure domain and one elsewhere; a drain is told to all peers, takes callers for two seconds more and ends after two seconds without a submit.

--- a/fakes/targets.cc
+++ b/fakes/targets.cc
@@ -139,6 +139,7 @@
         "{} got a request of former owner {} after its lease", t.id, owner));
   }
   if (!plain) ++it->second.running;
+  note_batch(t, +1);
   auto fresh = std::make_unique<run>();
   fresh->number = ++last_run_;
   fresh->owner = owner;
@@ -191,6 +192,7 @@
   const auto r = std::move(it->second);
   active_.erase(it);
   auto& t = *targets_.at(r->target);
+  note_batch(t, -1);
   const auto a = t.adapters.find(r->model);
   if (a != t.adapters.end() && a->second.running > 0 &&
       r->target_incarnation == t.incarnation) {
@@ -220,6 +222,50 @@
   });
 }
 
+void world::note_batch(target& t, int change) {
+  const double passed =
+      std::chrono::duration<double>(now_ - t.batch_since).count();
+  if (t.running > 0) {
+    t.batch.busy_seconds += passed;
+    t.batch.request_seconds += passed * t.running;
+  }
+  t.batch_since = now_;
+  t.running += static_cast<std::uint32_t>(change);
+}
+
+world::batch_use world::batches(const target_id& id) const {
+  return targets_.at(id)->batch;
+}
+
+void world::set_weight_store(double rate, std::uint32_t parallel) {
+  store_rate_ = rate;
+  store_parallel_ = parallel;
+}
+
+void world::begin_load(std::function<void()> done, duration takes) {
+  if (store_rate_ <= 0) return later(takes, std::move(done));
+  store_queue_.push_back({std::move(done), takes});
+  store_step();
+}
+
+void world::store_step() {
+  if (store_queue_.empty() || store_running_ >= store_parallel_) return;
+  if (now_ < store_next_) {
+    at(store_next_, [this] { store_step(); });
+    return;
+  }
+  auto next = std::move(store_queue_.front());
+  store_queue_.pop_front();
+  ++store_running_;
+  store_next_ = now_ + duration(static_cast<std::int64_t>(1e6 / store_rate_));
+  later(next.takes, [this, done = std::move(next.done)] {
+    --store_running_;
+    done();
+    store_step();
+  });
+  if (!store_queue_.empty()) at(store_next_, [this] { store_step(); });
+}
+
 target_report world::report_of(const target& t) const {
   target_report report;
   report.incarnation = t.incarnation;
@@ -316,15 +362,16 @@
   const auto where = a.target;
   const auto order = a.order;
   const auto life = t.incarnation;
-  later(t.options.load_time * t.slowness, [this, from, incarnation, order,
-                                           where, name, life] {
+  const auto takes = load_time_of ? load_time_of(name) : t.options.load_time;
+  auto done = [this, from, incarnation, order, where, name, life] {
     auto& self = *targets_.at(where);
     if (self.incarnation != life || self.down) return;
     const auto loading = self.adapters.find(name);
     if (loading == self.adapters.end()) return;
     loading->second.ready = true;
     answer_order(from, incarnation, order, where, order_status::done, false);
-  });
+  };
+  begin_load(std::move(done), takes * t.slowness);
 }
 
 }  // namespace seamglade::fakes
--- a/fakes/world.cc
+++ b/fakes/world.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 
 #include "world_impl.h"
 
@@ -20,6 +21,14 @@
 /** A cut link is noticed by its ends after this long. */
 constexpr duration kLinkTimeout = 5s;
 
+duration thread_time() {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::seconds(used.tv_sec) +
+      std::chrono::nanoseconds(used.tv_nsec));
+}
+
 double draw(std::mt19937_64& random) {
   return static_cast<double>(random() >> 11) / 9007199254740992.0;
 }
@@ -204,7 +213,10 @@
 
 void world::handle(instance& who, any_event what) {
   if (who.finished) return;
-  carry_out(who, who.decisions->handle(now_, std::move(what)));
+  const auto before = thread_time();
+  auto actions = who.decisions->handle(now_, std::move(what));
+  who.processor_time += thread_time() - before;
+  carry_out(who, std::move(actions));
   if (who.decisions) arm(who);
 }
 
@@ -560,6 +572,10 @@
   return ids;
 }
 
+duration world::processor_time(const instance_id& id) const {
+  return instances_.at(id)->processor_time;
+}
+
 world::control_traffic world::control_sent(const instance_id& id) const {
   return instances_.at(id)->control;
 }
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -125,6 +125,14 @@
   void heal();
   void disturb(const message_faults& faults) { faults_ = faults; }
 
+  /**
+   * Makes all targets load from one store: loads begin no faster than `rate`
+   * a second, `parallel` at once, in the order in which they were asked for.
+   */
+  void set_weight_store(double rate, std::uint32_t parallel);
+  /** If set, tells how long a load takes on a store without a queue. */
+  std::function<duration(const std::string& adapter)> load_time_of;
+
   /** Whether instances that boot from now on use the naive policy. */
   bool naive_policy = false;
 
@@ -170,9 +178,18 @@
     std::uint64_t bytes = 0;
   };
   control_traffic control_sent(const instance_id& id) const;
+  /** Returns the processor time of an instance's decisions so far. */
+  duration processor_time(const instance_id& id) const;
   /** If set, messages are encoded, so that their bytes can be counted. */
   std::function<std::size_t(const message&)> measure;
 
+  /** How fully a target's batch was used while it ran anything. */
+  struct batch_use {
+    double busy_seconds = 0;
+    double request_seconds = 0;
+  };
+  batch_use batches(const target_id& id) const;
+
   const std::vector<run_record>& runs() const { return runs_; }
   const std::map<caller_id, caller_record>& callers() const { return callers_; }
   /** What broke a guarantee inside a target, in words. */
@@ -238,6 +255,9 @@
   void carry_out_order(const instance_id& from, std::uint64_t incarnation,
                        const action::send_order& a);
   target_report report_of(const target& t) const;
+  void begin_load(std::function<void()> done, duration takes);
+  void store_step();
+  void note_batch(target& t, int change);
   void answer_service(const instance_id& id, std::uint64_t incarnation);
   void wake_watchers();
 
@@ -262,6 +282,16 @@
   std::uint64_t service_index_ = 0;
   std::uint64_t service_calls_ = 0;
   bool service_down_ = false;
+
+  struct store_load {
+    std::function<void()> done;
+    duration takes{};
+  };
+  double store_rate_ = 0;
+  std::uint32_t store_parallel_ = 0;
+  std::uint32_t store_running_ = 0;
+  time_point store_next_;
+  std::deque<store_load> store_queue_;
 };
 
 }  // namespace seamglade::fakes
--- a/fakes/world_impl.h
+++ b/fakes/world_impl.h
@@ -37,6 +37,7 @@
   std::uint64_t stale_index = 0;
   std::int64_t wall_skew_ms = 0;
   control_traffic control;
+  duration processor_time{};
 };
 
 struct world::target {
@@ -56,6 +57,9 @@
   /** When the present holder made its first claim. */
   time_point holder_since;
   std::uint32_t fail_loads = 0;
+  std::uint32_t running = 0;
+  time_point batch_since;
+  batch_use batch;
   int slowness = 1;
   std::optional<target_report> frozen_report;
 };
--- a/include/seamglade/message.h
+++ b/include/seamglade/message.h
@@ -61,13 +61,13 @@
 
 /** Something known of a target, spread from neighbour to neighbour. */
 struct target_fact {
-  /** stable_hash of the target's name. */
-  std::uint64_t target = 0;
+  /** short_hash of the target's name. */
+  std::uint32_t target = 0;
   /** What the fact is about: see fact_subject, else an adapter's hash. */
   std::uint64_t subject = 0;
   /** Orders facts about one subject; the higher one is newer. */
   std::uint64_t stamp = 0;
-  std::uint64_t value = 0;
+  std::uint32_t value = 0;
 
   friend bool operator==(const target_fact&, const target_fact&) = default;
 };
@@ -75,7 +75,7 @@
 /** Subjects of facts that are no adapter. */
 enum fact_subject : std::uint64_t {
   kWaitSubject = 1,  // value: expected wait in milliseconds
-  kOwnerSubject = 2  // value: stable_hash of the owner's name; 0: none
+  kOwnerSubject = 2  // value: short_hash of the owner's name; 0: none
 };
 
 /** To neighbours: the sender lives, and what has changed. */
--- a/include/seamglade/rendezvous.h
+++ b/include/seamglade/rendezvous.h
@@ -14,7 +14,10 @@
 namespace seamglade {
 
 /** Returns a 64-bit hash that is the same on every instance. */
-std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+std::uint64_t stable_hash(std::string_view text);
+
+/** Returns 32 bits of stable_hash, for hints that must be small. */
+std::uint32_t short_hash(std::string_view text);
 
 /** A member that may be responsible for a key. */
 struct candidate {
--- a/src/connection/wire.cc
+++ b/src/connection/wire.cc
@@ -96,7 +96,7 @@
     std::vector<wire::Fact> facts;
     facts.reserve(m.facts.size());
     for (const auto& f : m.facts) {
-      facts.emplace_back(f.target, f.subject, f.stamp, f.value);
+      facts.emplace_back(f.subject, f.stamp, f.target, f.value);
     }
     return finish(
         wire::Body::Heartbeat,
--- a/src/process/controller.cc
+++ b/src/process/controller.cc
@@ -104,10 +104,13 @@
 }
 
 void controller::impl::on(event::caller_request&& e) {
-  if (!caught_up_ || finished_) {
+  const bool stops = core_.draining && core_.now >= drain_since_ + kDrainGrace;
+  if (!caught_up_ || stops) {
     ++core_.counters.refused_not_run;
     core_.act(action::reply_refusal{
-        e.caller, {outcome_kind::not_run, refusal_reason::not_ready, 1s}});
+        e.caller,
+        {outcome_kind::not_run,
+         stops ? refusal_reason::draining : refusal_reason::not_ready, 1s}});
     return;
   }
   entry_.accept(e.caller, std::move(e.spec));
@@ -187,6 +190,10 @@
   for (auto& [id, owner] : owners_) {
     hand_over(owner, members_.successor(id));
   }
+  // All peers route to this instance, not only its neighbours.
+  for (const auto& [id, entry] : store_.fleet().instances) {
+    if (members_.linked(id)) send_heartbeat(id, 0);
+  }
 }
 
 void controller::impl::finish_drain() {
@@ -197,11 +204,14 @@
       std::all_of(owners_.begin(), owners_.end(),
                   [](const auto& o) { return o.second.idle(); });
   if (waits && (!entry_.empty() || served_.open() > 0 || !owners_idle)) return;
+  // Peers that have not heard of the drain may have sent a request just now.
+  if (waits && core_.now < last_submit_ + kDrainGrace) return;
   finished_ = true;
   core_.act(action::finished{});
 }
 
 void controller::impl::take(const instance_id& from, submit&& m) {
+  last_submit_ = core_.now;
   if (!served_.begin(m.id, core_.now)) return;
   submit_here(from, std::move(m));
 }
@@ -300,8 +310,8 @@
   const auto it = owners_.find(m.target);
   if (it == owners_.end() || core_.draining) return;
   it->second.on_handover(m);
-  facts_.set(stable_hash(m.target), kOwnerSubject,
-             stable_hash(core_.options.self), ++last_fact_clock_);
+  facts_.set(short_hash(m.target), kOwnerSubject,
+             short_hash(core_.options.self), ++last_fact_clock_);
 }
 
 void controller::impl::take(const instance_id&, handover_done&& m) {
@@ -336,8 +346,8 @@
   if (successor.empty()) return;
   auto given = owner.hand_over();
   if (!given) return;
-  const auto target = stable_hash(owner.entry().id);
-  facts_.set(target, kOwnerSubject, stable_hash(successor), ++last_fact_clock_);
+  const auto target = short_hash(owner.entry().id);
+  facts_.set(target, kOwnerSubject, short_hash(successor), ++last_fact_clock_);
   tell(successor, std::move(*given));
 }
 
@@ -367,13 +377,19 @@
   for (const auto& [id, owner] : owners_) publish_facts(owner);
   for (const auto& peer : members_.neighbours()) {
     if (!members_.linked(peer)) continue;
-    core_.act(action::send_peer{
-        peer,
-        heartbeat{core_.options.incarnation, core_.draining, store_.digest(),
-                  facts_.next_for(peer, kFactsPerBeat)}});
+    const bool passes_on = members_.fact_receivers().contains(peer);
+    send_heartbeat(peer, passes_on ? kFactsPerBeat : 0);
   }
 }
 
+void controller::impl::send_heartbeat(const instance_id& peer,
+                                      std::size_t most_facts) {
+  heartbeat beat{
+      core_.options.incarnation, core_.draining, store_.digest(), {}};
+  if (most_facts > 0) beat.facts = facts_.next_for(peer, most_facts);
+  core_.act(action::send_peer{peer, std::move(beat)});
+}
+
 controller::controller(controller_options options)
     : impl_(std::make_unique<impl>(std::move(options))) {}
 controller::~controller() = default;
--- a/src/process/controller_impl.h
+++ b/src/process/controller_impl.h
@@ -88,6 +88,7 @@
   void hand_over(detail::target_owner& owner, const instance_id& successor);
   void hand_over_if_due();
   void send_heartbeats();
+  void send_heartbeat(const instance_id& peer, std::size_t most_facts);
   void publish_facts(const detail::target_owner& owner);
   instance_id owner_of(const target_id& target) const;
   duration reported_wait(const target_id& target) const;
@@ -113,11 +114,12 @@
   owner_map owners_;
   /** Targets by service and base model, in order of name. */
   std::map<std::string, std::vector<target_id>> by_service_;
-  std::map<std::uint64_t, instance_id> instance_names_;
-  std::map<std::uint64_t, target_id> target_names_;
+  std::map<std::uint32_t, instance_id> instance_names_;
+  std::map<std::uint32_t, target_id> target_names_;
   std::map<target_id, time_point> misplaced_since_;
   time_point started_ = time_point::min();
   time_point next_beat_ = time_point::min();
+  time_point last_submit_ = time_point::min();
   time_point drain_since_ = time_point::max();
   bool documents_changed_ = false;
   bool fleet_changed_ = false;
--- a/src/process/fact_table.h
+++ b/src/process/fact_table.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_FACT_TABLE_H_
 #define SEAMGLADE_SRC_PROCESS_FACT_TABLE_H_
 
+#include <array>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -26,23 +27,23 @@
   /** Takes a fact from a peer; returns whether it was news. */
   bool learn(const target_fact& fact, const instance_id& from);
   /** Sets a fact that this instance knows first hand. */
-  void set(std::uint64_t target, std::uint64_t subject, std::uint64_t value,
+  void set(std::uint32_t target, std::uint64_t subject, std::uint32_t value,
            std::uint64_t clock);
   /** Returns the next facts for a peer, at most `most`. */
   std::vector<target_fact> next_for(const instance_id& peer, std::size_t most);
   /** A peer that starts anew is told everything again. */
   void forget_peer(const instance_id& peer);
 
-  std::optional<std::uint64_t> value(std::uint64_t target,
+  std::optional<std::uint32_t> value(std::uint32_t target,
                                      std::uint64_t subject) const;
   /** Returns the targets that are reported to hold an adapter. */
-  std::vector<std::uint64_t> holders(std::uint64_t adapter) const;
+  std::vector<std::uint32_t> holders(std::uint64_t adapter) const;
   std::size_t size() const { return records_.size(); }
 
  private:
   struct key {
-    std::uint64_t target;
     std::uint64_t subject;
+    std::uint32_t target;
     friend bool operator==(const key&, const key&) = default;
   };
   struct key_hash {
@@ -52,7 +53,7 @@
   };
   struct record {
     std::uint64_t stamp = 0;
-    std::uint64_t value = 0;
+    std::uint32_t value = 0;
     std::uint64_t change = 0;
     instance_id from;
   };
@@ -60,10 +61,16 @@
   void store(const key& where, record what);
 
   std::unordered_map<key, record, key_hash> records_;
-  /** Records in the order in which they changed. */
-  std::map<std::uint64_t, key> changes_;
-  std::map<instance_id, std::uint64_t> sent_;
-  std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> holders_;
+  /** What a fact is about decides how soon it is passed on. */
+  enum lane : std::uint8_t { kPlacement, kWait, kLanes };
+  static lane lane_of(std::uint64_t subject) {
+    return subject == kWaitSubject ? kWait : kPlacement;
+  }
+
+  /** Records in the order in which they changed, owners and adapters first. */
+  std::array<std::map<std::uint64_t, key>, kLanes> changes_;
+  std::map<instance_id, std::array<std::uint64_t, kLanes>> sent_;
+  std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> holders_;
   std::uint64_t last_change_ = 0;
 };
 
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -13,12 +13,15 @@
 namespace {
 
 /** Candidates for a target in its own failure domain, and elsewhere. */
-constexpr std::size_t kNearCandidates = 3;
-constexpr std::size_t kFarCandidates = 2;
+constexpr std::size_t kNearCandidates = 2;
+constexpr std::size_t kFarCandidates = 1;
 /** Instances of a failure domain that watch the configuration service. */
 constexpr std::size_t kWatchersPerZone = 2;
-/** Ring neighbours, so that facts reach every instance. */
-constexpr std::size_t kRingNeighbours = 2;
+/**
+ * Facts are passed on along a ring to the instances at distances 1, 4, 16 and
+ * so on: each has few receivers, and every other is a few hops away.
+ */
+constexpr std::size_t kRingBase = 4;
 
 std::vector<candidate> live_candidates(
     const std::map<instance_id, instance_entry>& listed) {
@@ -46,6 +49,7 @@
   const auto& self = shared_.options.self;
   candidates_.clear();
   neighbours_.clear();
+  fact_receivers_.clear();
   std::map<std::string,
            std::pair<std::vector<candidate>, std::vector<candidate>>>
       by_zone;
@@ -72,11 +76,12 @@
   const auto count = ring.size();
   if (at != ring.end()) {
     const auto place = static_cast<std::size_t>(at - ring.begin());
-    for (std::size_t i = 1; i <= std::min(kRingNeighbours, count - 1); ++i) {
-      neighbours_.insert(ring[(place + i) % count].second);
-      neighbours_.insert(ring[(place + count - i) % count].second);
+    for (std::size_t step = 1; step < count; step *= kRingBase) {
+      fact_receivers_.insert(ring[(place + step) % count].second);
+      neighbours_.insert(ring[(place + count - step) % count].second);
     }
   }
+  neighbours_.insert(fact_receivers_.begin(), fact_receivers_.end());
   neighbours_.erase(self);
   const auto watchers =
       rendezvous_order("watcher", "", in_zone(all, shared_.options.zone, true),
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -36,6 +36,11 @@
   /** Neighbours: those near this instance in some target's order. */
   const std::set<instance_id>& neighbours() const { return neighbours_; }
 
+  /** Neighbours that facts about targets are passed on to. */
+  const std::set<instance_id>& fact_receivers() const {
+    return fact_receivers_;
+  }
+
   /** Returns the instances that may own a target, best first. */
   const std::vector<instance_id>& candidates(const target_id& target) const;
   /** Returns the first candidate that is alive; empty if none is. */
@@ -70,6 +75,7 @@
   std::map<instance_id, peer_state> peers_;
   std::map<target_id, std::vector<instance_id>> candidates_;
   std::set<instance_id> neighbours_;
+  std::set<instance_id> fact_receivers_;
   std::set<instance_id> fresh_before_;
   bool is_watcher_ = true;
 };
--- a/src/process/routing.cc
+++ b/src/process/routing.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 
 #include "process/controller_impl.h"
 #include "seamglade/rendezvous.h"
@@ -15,11 +16,22 @@
 using detail::route;
 using detail::target_owner;
 
-/** Waits are told in steps, so that small changes cause no messages. */
-constexpr std::int64_t kWaitStepMs = 50;
+/** The shortest wait that is told. */
+constexpr std::uint32_t kLeastWaitMs = 100;
+/** The longest wait that is told. */
+constexpr std::uint32_t kMostWaitMs = 60'000;
 /** A holder this busy makes another copy of its adapter worth a load. */
 constexpr int kBusyLoads = 1;
 
+/** Waits are told in steps of two, so that small changes cause no messages. */
+std::uint32_t wait_step(duration wait) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  if (ms < kLeastWaitMs) return 0;
+  const auto told = std::min<std::int64_t>(ms, kMostWaitMs);
+  return std::bit_floor(static_cast<std::uint32_t>(told));
+}
+
 std::string pool_of(const target_entry& target) {
   return target.service + "/" + target.base;
 }
@@ -67,12 +79,12 @@
   target_names_.clear();
   action::link_peers links;
   for (const auto& [id, entry] : fleet.instances) {
-    instance_names_[stable_hash(id)] = id;
+    instance_names_[short_hash(id)] = id;
     if (id != core_.options.self) links.peers.push_back(entry);
   }
   core_.act(std::move(links));
   for (const auto& [id, entry] : fleet.targets) {
-    target_names_[stable_hash(id)] = id;
+    target_names_[short_hash(id)] = id;
   }
 }
 
@@ -134,19 +146,14 @@
 
 void controller::impl::publish_facts(const target_owner& owner) {
   if (!owner.owner().held()) return;
-  const auto target = stable_hash(owner.entry().id);
+  const auto target = short_hash(owner.entry().id);
   const auto wall = core_.wall();
   last_fact_clock_ =
       std::max(last_fact_clock_ + 1,
                wall ? static_cast<std::uint64_t>(wall->count()) << 8 : 0);
   const auto clock = last_fact_clock_;
-  facts_.set(target, kOwnerSubject, stable_hash(core_.options.self), clock);
-  const auto wait_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(owner.queue_wait())
-          .count();
-  facts_.set(target, kWaitSubject,
-             static_cast<std::uint64_t>(wait_ms / kWaitStepMs * kWaitStepMs),
-             clock);
+  facts_.set(target, kOwnerSubject, short_hash(core_.options.self), clock);
+  facts_.set(target, kWaitSubject, wait_step(owner.queue_wait()), clock);
   auto& known = published_[owner.entry().id];
   std::set<std::uint64_t> held;
   for (const auto& name : owner.loaded()) held.insert(stable_hash(name));
@@ -162,7 +169,7 @@
   if (it != owners_.end() && it->second.owner().held()) {
     return core_.options.self;
   }
-  const auto fact = facts_.value(stable_hash(target), kOwnerSubject);
+  const auto fact = facts_.value(short_hash(target), kOwnerSubject);
   if (fact) {
     const auto name = instance_names_.find(*fact);
     if (name != instance_names_.end() && name->second != core_.options.self &&
@@ -178,7 +185,7 @@
   if (it != owners_.end() && it->second.owner().held()) {
     return it->second.queue_wait();
   }
-  const auto ms = facts_.value(stable_hash(target), kWaitSubject).value_or(0);
+  const auto ms = facts_.value(short_hash(target), kWaitSubject).value_or(0);
   return std::chrono::milliseconds(ms);
 }
 
--- a/src/request/entry_table.cc
+++ b/src/request/entry_table.cc
@@ -27,6 +27,14 @@
 constexpr duration kAnswerMargin = 10s;
 constexpr double kRetryTokensMax = 10;
 
+/**
+ * Hashes the whole text: a seed is mixed too weakly into short names, so that
+ * two instances could be given the same origin.
+ */
+std::uint64_t origin_of(const controller_options& options) {
+  return stable_hash(fmt::format("{}#{:x}", options.self, options.incarnation));
+}
+
 enum class refusal_class : std::uint8_t { final, moved, elsewhere };
 
 refusal_class classify(refusal_reason reason) {
@@ -51,9 +59,7 @@
 }  // namespace
 
 entry_table::entry_table(core& shared, request_router& router)
-    : shared_(shared),
-      router_(router),
-      origin_(stable_hash(shared.options.self, shared.options.incarnation)) {}
+    : shared_(shared), router_(router), origin_(origin_of(shared.options)) {}
 
 const service_settings& entry_table::settings(const request_spec& spec) const {
   if (!spec.adapter) return shared_.tree->at(spec.service);
--- a/src/version/rendezvous.cc
+++ b/src/version/rendezvous.cc
@@ -5,6 +5,7 @@
 
 #include "seamglade/rendezvous.h"
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -12,8 +13,12 @@
 
 namespace seamglade {
 
-std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+std::uint64_t stable_hash(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint32_t short_hash(std::string_view text) {
+  return static_cast<std::uint32_t>(stable_hash(text));
 }
 
 std::vector<std::string> rendezvous_order(std::string_view key,
@@ -30,12 +35,12 @@
              std::tie(other.far, weight, *other.name);
     }
   };
-  const auto seed = stable_hash(key);
   std::vector<scored> order;
   order.reserve(all.size());
   for (const auto& member : all) {
     const bool far = !zone.empty() && member.zone != zone;
-    order.push_back({far, stable_hash(member.name, seed), &member.name});
+    order.push_back({far, stable_hash(fmt::format("{}/{}", key, member.name)),
+                     &member.name});
   }
   const auto wanted = std::min(count, order.size());
   std::partial_sort(order.begin(), order.begin() + wanted, order.end());
