--- a/include/seamglade/message.h
+++ b/include/seamglade/message.h
@@ -114,6 +114,8 @@
   std::string store;
   std::uint32_t urgent = 0;
   std::uint32_t deferred = 0;
+  /** Loads that run at the sender, and permits it has not used yet. */
+  std::uint32_t in_use = 0;
 };
 
 /** Allocator to owner: loads that may begin before the permits expire. */
--- a/src/process/load_budget.h
+++ b/src/process/load_budget.h
@@ -18,6 +18,8 @@
   virtual std::uint32_t available(const std::string& store) = 0;
   /** Uses one of them up. */
   virtual void take(const std::string& store) = 0;
+  /** A load that was begun has ended, well or not. */
+  virtual void ended(const std::string& store) = 0;
   /** Says that a target waits for a load; withdrawn with nullopt. */
   virtual void want(const std::string& store, const target_id& target,
                     std::optional<urgency> kind) = 0;
--- a/src/process/permit_broker.cc
+++ b/src/process/permit_broker.cc
@@ -52,6 +52,7 @@
 }
 
 bool permit_broker::falls_back(const store_state& s) const {
+  if (shared_.options.naive_policy) return true;
   return s.waiting_since != time_point::max() &&
          s.waiting_since + kFallbackAfter <= shared_.now &&
          s.granted_at + kFallbackAfter <= shared_.now;
@@ -66,11 +67,20 @@
 void permit_broker::take(const std::string& store) {
   auto& s = state(store);
   if (s.permits > 0) --s.permits;
+  ++s.loading;
+}
+
+void permit_broker::ended(const std::string& store) {
+  auto& s = state(store);
+  if (s.loading > 0) --s.loading;
+  // The allocator can grant the next load as soon as it knows.
+  s.next_ask = shared_.now;
 }
 
 permit_request permit_broker::request_for(const std::string& store,
                                           const store_state& s) const {
-  permit_request asked{store, 0, 0};
+  permit_request asked{store, 0, 0, s.loading};
+  if (s.permits_expire > shared_.now) asked.in_use += s.permits;
   for (const auto& [target, kind] : s.wants) {
     ++(kind == urgency::urgent ? asked.urgent : asked.deferred);
   }
@@ -99,6 +109,7 @@
 
 void permit_broker::ask(const std::string& store, store_state& s) {
   s.next_ask = shared_.now + kAskInterval;
+  if (shared_.options.naive_policy) return;  // a fixed share, never asked for
   auto request = request_for(store, s);
   const auto allocator = members_.allocator(store);
   if (allocator == shared_.options.self) {
@@ -111,7 +122,7 @@
 void permit_broker::on_request(const instance_id& from,
                                const permit_request& asked) {
   auto& s = state(asked.store);
-  s.demands[from] = {asked.urgent, asked.deferred, shared_.now};
+  s.demands[from] = {asked.urgent, asked.deferred, asked.in_use, shared_.now};
   serve(asked.store, s);
 }
 
@@ -131,13 +142,21 @@
   return &it->second;
 }
 
+std::uint32_t permit_broker::in_use(const store_state& s) const {
+  std::uint32_t sum = 0;
+  for (const auto& [who, d] : s.demands) sum += d.in_use;
+  return sum;
+}
+
 bool permit_broker::serve(const std::string& store, store_state& s) {
   std::erase_if(s.demands, [&](const auto& d) {
     return d.second.heard + kDemandLife <= shared_.now;
   });
   s.bucket.refill(shared_.now, s.limits.rate, s.limits.parallel);
   bool served_self = false;
-  while (s.bucket.tokens() >= 1) {
+  // More loads at once than the store serves at full speed would only queue
+  // there, in an order that knows nothing of urgency.
+  while (s.bucket.tokens() >= 1 && in_use(s) < s.limits.parallel) {
     instance_id whose;
     auto* next = next_demand(s, true, whose);
     const bool urgent = next != nullptr;
@@ -145,6 +164,7 @@
     if (next == nullptr) break;
     s.bucket.take();
     --(urgent ? next->urgent : next->deferred);
+    ++next->in_use;
     s.last_served = whose;
     if (whose == shared_.options.self) {
       receive(s, 1, kPermitLife);
@@ -174,7 +194,8 @@
 bool permit_broker::on_time() {
   bool available = false;
   for (auto& [store, s] : stores_) {
-    if (!s.wants.empty() && s.next_ask <= shared_.now) ask(store, s);
+    const bool tells = !s.wants.empty() || s.loading > 0;
+    if (tells && s.next_ask <= shared_.now) ask(store, s);
     if (!s.demands.empty()) serve(store, s);
     if (!s.wants.empty() && falls_back(s)) {
       const auto share = static_cast<double>(shared_.live_instances);
@@ -194,11 +215,13 @@
 time_point permit_broker::wakeup() const {
   auto next = time_point::max();
   for (const auto& [store, s] : stores_) {
-    if (!s.wants.empty()) next = std::min(next, s.next_ask);
+    if (!s.wants.empty() || s.loading > 0) next = std::min(next, s.next_ask);
     const bool unmet = std::any_of(
         s.demands.begin(), s.demands.end(),
         [](const auto& d) { return d.second.urgent + d.second.deferred > 0; });
-    if (unmet) next = std::min(next, s.bucket.next(s.limits.rate));
+    if (unmet && in_use(s) < s.limits.parallel) {
+      next = std::min(next, s.bucket.next(s.limits.rate));
+    }
   }
   return next;
 }
--- a/src/process/permit_broker.h
+++ b/src/process/permit_broker.h
@@ -18,7 +18,7 @@
 /** What a store gives, as the settings say. */
 struct store_limits {
   double rate = 3;      // loads a second
-  double parallel = 2;  // loads that may begin at once
+  double parallel = 2;  // loads that run at once at full speed
 };
 
 /** Loads that become available with time, up to a most. */
@@ -49,6 +49,7 @@
 
   std::uint32_t available(const std::string& store) override;
   void take(const std::string& store) override;
+  void ended(const std::string& store) override;
   void want(const std::string& store, const target_id& target,
             std::optional<urgency> kind) override;
 
@@ -64,6 +65,7 @@
   struct demand {
     std::uint32_t urgent = 0;
     std::uint32_t deferred = 0;
+    std::uint32_t in_use = 0;
     time_point heard;
   };
   struct store_state {
@@ -71,8 +73,8 @@
     // As a user of permits:
     std::map<target_id, urgency> wants;
     std::uint32_t permits = 0;
+    std::uint32_t loading = 0;
     time_point permits_expire = time_point::min();
-    permit_request asked;
     time_point next_ask = time_point::min();
     time_point granted_at = time_point::min();
     time_point waiting_since = time_point::max();
@@ -88,6 +90,7 @@
   permit_request request_for(const std::string& store,
                              const store_state& s) const;
   void ask(const std::string& store, store_state& s);
+  std::uint32_t in_use(const store_state& s) const;
   bool serve(const std::string& store, store_state& s);
   demand* next_demand(store_state& s, bool urgent, instance_id& whose);
   void receive(store_state& s, std::uint32_t count, duration expires_in);
--- a/src/process/target_orders.cc
+++ b/src/process/target_orders.cc
@@ -116,6 +116,7 @@
   orders_.erase(it);
   switch (order.kind) {
     case order_kind::load:
+      budget_.ended(settings().weight_store);
       finish_load(*order.adapter, reply.status);
       break;
     case order_kind::unload:
