Evict one adapter for each load to come

Cause: engines held 1 to 8 of 8 adapters: between the unload order and its answer the slot still counted as held, so one permit emptied slot after slot.

Ruled out: the window of the demand counters (60 s and 300 s gave the same figures to the digit, as there was never a choice of victims).

Change: both policies count the slots that are being emptied against the permits; a queue's wait counts only requests whose adapter is there.

--- a/include/seamglade/policy.h
+++ b/include/seamglade/policy.h
@@ -54,6 +54,8 @@
   std::uint32_t max_running = 0;
   /** Loads that the store's budget lets this engine begin now. */
   std::uint32_t load_permits = 0;
+  /** Slots that are being emptied for loads to come. */
+  std::uint32_t unloading = 0;
   duration load_estimate{};
   std::uint32_t stall_weight = 0;
   std::uint32_t batch_weight = 0;
--- a/src/process/target_owner.cc
+++ b/src/process/target_owner.cc
@@ -51,7 +51,12 @@
 
 duration target_owner::queue_wait() const {
   const double lanes = std::max<std::uint32_t>(1, settings().max_concurrency);
-  const double ahead = static_cast<double>(queue_.size()) / lanes * mean_run_;
+  // Requests whose adapter is missing wait for its load, not for a place.
+  std::size_t ready = 0;
+  for (const auto& [adapter, group] : queue_.groups()) {
+    if (has_adapter(adapter)) ready += group.size();
+  }
+  const double ahead = static_cast<double>(ready) / lanes * mean_run_;
   const bool full = running_.size() >= settings().max_concurrency;
   return from_seconds(ahead + (full ? mean_run_ / lanes : 0));
 }
@@ -189,6 +194,7 @@
     return it == demand_.end() ? 0.0 : it->second.rate(shared_.now);
   };
   for (const auto& [adapter, slot] : slots_.slots()) {
+    if (slot.state == slot_state::unloading) ++v.unloading;
     const auto group = queue_.groups().find(adapter);
     const auto waiting =
         group == queue_.groups().end() ? 0 : group->second.size();
--- a/src/version/naive_policy.cc
+++ b/src/version/naive_policy.cc
@@ -40,7 +40,8 @@
       free -= count;
     }
     const auto* miss = oldest_miss(view);
-    if (miss == nullptr || view.load_permits == 0) return steps;
+    // A slot that is being emptied will take the load.
+    if (miss == nullptr || view.load_permits <= view.unloading) return steps;
     if (view.held.size() < view.slots) {
       steps.push_back({step_kind::load, *miss->adapter, 1});
     } else if (const auto* victim = least_recently_used(view)) {
--- a/src/version/segmented_policy.cc
+++ b/src/version/segmented_policy.cc
@@ -127,7 +127,9 @@
     start_ready(view, steps);
     const auto* victim = cheapest_victim(view);
     const auto choice = next_load(view, victim);
-    if (view.load_permits == 0 || !can_place(view, victim, choice)) {
+    // A slot that is being emptied will take the load.
+    if (view.load_permits <= view.unloading ||
+        !can_place(view, victim, choice)) {
       return steps;
     }
     if (view.held.size() < view.slots) {
