Load for the oldest urgent request first

Cause: of the groups that miss an adapter, the largest accrued stall was served first, so a lone request could wait behind larger groups for long.

Change: the group whose oldest urgent request has waited longest is next.

--- a/src/version/segmented_policy.cc
+++ b/src/version/segmented_policy.cc
@@ -46,8 +46,7 @@
 
 /** Time that the group's urgent requests have waited and will wait. */
 double stall_if_next(const engine_view& view, const waiting_view& group) {
-  return group.urgent *
-         (seconds(view.now - group.oldest) + seconds(view.load_estimate));
+  return seconds(view.now - group.oldest);
 }
 
 /** Whether a load for deferred work pays now. */
