Grant permits to the request that waited longest in the fleet

Cause: the allocator served instances in turn, so that a request which had waited for long on one instance stood behind fresh ones on others.

Change: a request for permits tells how long its oldest urgent request has waited; the allocator serves the longest wait first, equals in turn.

--- a/include/seamglade/message.h
+++ b/include/seamglade/message.h
@@ -116,6 +116,8 @@
   std::uint32_t deferred = 0;
   /** Loads that run at the sender, and permits it has not used yet. */
   std::uint32_t in_use = 0;
+  /** How long the oldest urgent request has waited. */
+  duration oldest_wait{};
 };
 
 /** Allocator to owner: loads that may begin before the permits expire. */
--- a/include/seamglade/policy.h
+++ b/include/seamglade/policy.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "seamglade/types.h"
@@ -74,6 +75,15 @@
   std::uint32_t count = 1;
 };
 
+/** A load that an engine waits for leave to begin. */
+struct load_want {
+  urgency kind = urgency::urgent;
+  /** Since when the oldest request has waited for it. */
+  time_point since;
+
+  friend bool operator==(const load_want&, const load_want&) = default;
+};
+
 /** Decides the next steps of one engine; keeps no state of its own. */
 class placement_policy {
  public:
@@ -81,7 +91,7 @@
   /** Returns steps that may be taken now, in order. */
   virtual std::vector<placement_step> next(const engine_view& view) const = 0;
   /** Returns whether one more load wants a permit, and how urgently. */
-  virtual std::optional<urgency> wants_permit(
+  virtual std::optional<load_want> wants_permit(
       const engine_view& view) const = 0;
 };
 
--- a/src/connection/wire.cc
+++ b/src/connection/wire.cc
@@ -123,9 +123,9 @@
   }
   Offset<void> operator()(const permit_request& m) {
     const auto store = b.CreateString(m.store);
-    return finish(
-        wire::Body::PermitRequest,
-        wire::CreatePermitRequest(b, store, m.urgent, m.deferred, m.in_use));
+    return finish(wire::Body::PermitRequest,
+                  wire::CreatePermitRequest(b, store, m.urgent, m.deferred,
+                                            m.in_use, m.oldest_wait.count()));
   }
   Offset<void> operator()(const permit_grant& m) {
     const auto store = b.CreateString(m.store);
@@ -353,7 +353,8 @@
     case wire::Body::PermitRequest: {
       const auto* m = h->body_as_PermitRequest();
       return frame(message(permit_request{text_of(m->store()), m->urgent(),
-                                          m->deferred(), m->in_use()}));
+                                          m->deferred(), m->in_use(),
+                                          duration(m->oldest_wait_us())}));
     }
     case wire::Body::PermitGrant: {
       const auto* m = h->body_as_PermitGrant();
--- a/src/process/load_budget.h
+++ b/src/process/load_budget.h
@@ -6,7 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_LOAD_BUDGET_H_
 #define SEAMGLADE_SRC_PROCESS_LOAD_BUDGET_H_
 
-#include "seamglade/types.h"
+#include "seamglade/policy.h"
 
 namespace seamglade::detail {
 
@@ -22,7 +22,7 @@
   virtual void ended(const std::string& store) = 0;
   /** Says that a target waits for a load; withdrawn with nullopt. */
   virtual void want(const std::string& store, const target_id& target,
-                    std::optional<urgency> kind) = 0;
+                    std::optional<load_want> wanted) = 0;
 };
 
 /** Where target owners deliver what became of a request. */
--- a/src/process/permit_broker.cc
+++ b/src/process/permit_broker.cc
@@ -81,21 +81,24 @@
                                           const store_state& s) const {
   permit_request asked{store, 0, 0, s.loading};
   if (s.permits_expire > shared_.now) asked.in_use += s.permits;
-  for (const auto& [target, kind] : s.wants) {
-    ++(kind == urgency::urgent ? asked.urgent : asked.deferred);
+  for (const auto& [target, wanted] : s.wants) {
+    const bool urgent = wanted.kind == urgency::urgent;
+    ++(urgent ? asked.urgent : asked.deferred);
+    if (!urgent) continue;
+    asked.oldest_wait = std::max(asked.oldest_wait, shared_.now - wanted.since);
   }
   return asked;
 }
 
 void permit_broker::want(const std::string& store, const target_id& target,
-                         std::optional<urgency> kind) {
+                         std::optional<load_want> wanted) {
   auto& s = state(store);
   const auto it = s.wants.find(target);
-  const bool same =
-      kind ? it != s.wants.end() && it->second == *kind : it == s.wants.end();
+  const bool same = wanted ? it != s.wants.end() && it->second == *wanted
+                           : it == s.wants.end();
   if (same) return;
-  if (kind) {
-    s.wants[target] = *kind;
+  if (wanted) {
+    s.wants[target] = *wanted;
     s.next_ask = shared_.now;
   } else {
     s.wants.erase(it);
@@ -122,7 +125,8 @@
 void permit_broker::on_request(const instance_id& from,
                                const permit_request& asked) {
   auto& s = state(asked.store);
-  s.demands[from] = {asked.urgent, asked.deferred, asked.in_use, shared_.now};
+  s.demands[from] = {asked.urgent, asked.deferred, asked.in_use,
+                     shared_.now - asked.oldest_wait, shared_.now};
   serve(asked.store, s);
 }
 
@@ -131,12 +135,16 @@
   const auto unmet = [&](const auto& entry) {
     return (urgent ? entry.second.urgent : entry.second.deferred) > 0;
   };
-  // Round robin: the first after the one that was served last.
+  // Urgent: who has waited longest; else, and among equals, in turn.
   auto it = std::find_if(s.demands.upper_bound(s.last_served), s.demands.end(),
                          unmet);
   if (it == s.demands.end()) {
     it = std::find_if(s.demands.begin(), s.demands.end(), unmet);
   }
+  for (auto other = s.demands.begin(); urgent && other != s.demands.end();
+       ++other) {
+    if (unmet(*other) && other->second.oldest < it->second.oldest) it = other;
+  }
   if (it == s.demands.end()) return nullptr;
   whose = it->first;
   return &it->second;
--- a/src/process/permit_broker.h
+++ b/src/process/permit_broker.h
@@ -51,7 +51,7 @@
   void take(const std::string& store) override;
   void ended(const std::string& store) override;
   void want(const std::string& store, const target_id& target,
-            std::optional<urgency> kind) override;
+            std::optional<load_want> wanted) override;
 
   /** Sets a store's limits from the settings. */
   void set_limits(const std::string& store, store_limits limits);
@@ -66,12 +66,14 @@
     std::uint32_t urgent = 0;
     std::uint32_t deferred = 0;
     std::uint32_t in_use = 0;
+    /** Arrival of the oldest urgent request that waits there. */
+    time_point oldest;
     time_point heard;
   };
   struct store_state {
     store_limits limits;
     // As a user of permits:
-    std::map<target_id, urgency> wants;
+    std::map<target_id, load_want> wants;
     std::uint32_t permits = 0;
     std::uint32_t loading = 0;
     time_point permits_expire = time_point::min();
--- a/src/version/naive_policy.cc
+++ b/src/version/naive_policy.cc
@@ -50,12 +50,14 @@
     return steps;
   }
 
-  std::optional<urgency> wants_permit(const engine_view& view) const override {
-    if (oldest_miss(view) == nullptr) return std::nullopt;
+  std::optional<load_want> wants_permit(
+      const engine_view& view) const override {
+    const auto* miss = oldest_miss(view);
+    if (miss == nullptr) return std::nullopt;
     if (view.held.size() >= view.slots && !least_recently_used(view)) {
       return std::nullopt;
     }
-    return urgency::deferred;
+    return load_want{urgency::deferred, miss->oldest};
   }
 };
 
--- a/src/version/segmented_policy.cc
+++ b/src/version/segmented_policy.cc
@@ -139,11 +139,12 @@
     return steps;
   }
 
-  std::optional<urgency> wants_permit(const engine_view& view) const override {
+  std::optional<load_want> wants_permit(
+      const engine_view& view) const override {
     const auto* victim = cheapest_victim(view);
     const auto choice = next_load(view, victim);
     if (!can_place(view, victim, choice)) return std::nullopt;
-    return choice.kind;
+    return load_want{choice.kind, choice.group->oldest};
   }
 };
 
