--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -71,6 +71,19 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void set_dead_peer_timeout(evutil_socket_t fd, duration timeout) {
+  const int on = 1;
+  const auto ms = static_cast<int>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+  const int probe_seconds = std::max(1, ms / 3000);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_seconds,
+             sizeof(probe_seconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds,
+             sizeof(probe_seconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 void run_later(event_base* base, std::function<void()> task) {
   const auto run = [](evutil_socket_t, short, void* arg) {
     const std::unique_ptr<std::function<void()>> owned(
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -61,6 +61,9 @@
 /** Makes small writes leave at once. */
 void set_no_delay(evutil_socket_t fd);
 
+/** Lets the system close a connection whose other end is out of reach. */
+void set_dead_peer_timeout(evutil_socket_t fd, duration timeout);
+
 /** Runs a task on the loop, after the callbacks that run now. */
 void run_later(event_base* base, std::function<void()> task);
 
--- a/src/connection/peer_network.cc
+++ b/src/connection/peer_network.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr duration kReconnectInterval = 300ms;
+/** A peer that does not acknowledge for so long is cut off. */
+constexpr duration kLinkTimeout = 5s;
 /** A connection that has not said hello by then is closed. */
 constexpr duration kHelloWait = 3s;
 /** A peer that does not read is cut off above this many waiting bytes. */
@@ -93,7 +95,10 @@
   fresh->network = this;
   fresh->bev.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
   auto& added = *links_.emplace_back(std::move(fresh));
-  set_no_delay(fd);
+  if (fd >= 0) {
+    set_no_delay(fd);
+    set_dead_peer_timeout(fd, kLinkTimeout);
+  }
   const auto wait = to_timeval(kHelloWait);
   bufferevent_set_timeouts(added.bev.get(), &wait, nullptr);
   bufferevent_setcb(
@@ -107,6 +112,7 @@
         auto& from = *static_cast<link*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
           set_no_delay(bufferevent_getfd(bev));
+          set_dead_peer_timeout(bufferevent_getfd(bev), kLinkTimeout);
           return;
         }
         from.network->close(from);
