--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -111,7 +111,7 @@
   fmt::print(
       "instances\tengines\tadapters\treq/s each\tcontrol B/s sent"
       "\tmost B/s\tmessages/s\tcpu ms/s\tMiB each\tservice calls/min\n");
-  for (const int n : {3, 7, 15, 30, 60}) control_row(n, 1000, 0);
+  for (const int n : {3, 7, 15, 30, 60, 120, 350}) control_row(n, 1000, 0);
   for (const int n : {3, 7, 15, 30}) control_row(n, 1000, 5);
   for (const int a : {1000, 5000, 36000}) control_row(7, a, 0);
 }
