--- a/test/processes-test.sh
+++ b/test/processes-test.sh
@@ -78,6 +78,31 @@
 entry=${others[0]}
 spare=${others[1]}
 
+# refused STATUS TYPE CURL_OPTION...: a typed refusal that says not_run.
+refused() {
+  local status=$1 type=$2 got
+  shift 2
+  got=$(curl -sS --max-time 20 -w '%{http_code}' "$@")
+  [[ $got == *"\"not_run\":true"*"\"type\":\"$type\""*"$status" ]] ||
+    fail "wanted $status $type, got $got"
+}
+
+# What is malformed is refused in words of its type, and reaches no target.
+model_url=http://${address[$entry-callers]}/v1/completions
+refused 400 bad_request -d '{"model":' "$model_url"
+refused 400 bad_request -d '{"model":"llama/a"}' "$model_url"
+refused 404 unknown_adapter -d '{"model":"llama/a@7"}' "$model_url"
+refused 404 unknown_service -d '{"model":"none/a@1"}' "$model_url"
+refused 404 unknown_service "http://${address[$entry-callers]}/nowhere"
+refused 400 bad_request -H 'Seamglade-Deadline-Ms: soon' \
+  -d '{"model":"llama/a@1"}' "$model_url"
+head -c 2000000 /dev/zero | tr '\0' 'x' >"$work/large"
+refused 413 body_too_large --data-binary @"$work/large" \
+  "http://${address[$entry-callers]}/services/s/plain/x"
+[ "$(curl -sf "http://${address[e1]}/log")" = '[]' ] ||
+  fail 'a malformed request reached the engine'
+echo 'ok: malformed requests are refused as not run'
+
 # A planned stop of the owner in the middle of a stream cuts nothing off.
 begin_stream "$entry" stopped "$work/stopped" 60
 kill -TERM "${pid_of[$owner]}"
