Refuse large headers in a typed answer

Cause: headers above 64 KB got libevent's own page, which does not say whether the request ran.

Ruled out: the same for a silent sender; evhttp closes its connection without a hook.

Change: libevent's limit goes up to 1 MB, and the sum of the headers is checked at 64 KB where a refusal can tell its type (431, headers_too_large).

Result: processes-test passed with the new refusal in it.

--- a/include/seamglade/types.h
+++ b/include/seamglade/types.h
@@ -94,6 +94,7 @@
   unknown_service,
   unknown_adapter,
   body_too_large,
+  headers_too_large,
   queue_full,
   deadline,
   service_limit,
--- a/src/connection/caller_protocol.cc
+++ b/src/connection/caller_protocol.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::string_view kServicePrefix = "/services/";
+/** Bytes of names and values of all headers of a request. */
+constexpr std::size_t kMaxHeaderBytes = 64 << 10;
 constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
 
 bool same_name(std::string_view a, std::string_view b) {
@@ -132,6 +134,13 @@
 
 parsed_request parse_request(const raw_request& raw,
                              const settings_tree& tree) {
+  std::size_t header_bytes = 0;
+  for (const auto& header : raw.headers) {
+    header_bytes += header.name.size() + header.value.size();
+  }
+  if (header_bytes > kMaxHeaderBytes) {
+    return bad("headers above 65536 bytes", refusal_reason::headers_too_large);
+  }
   request_spec spec;
   if (auto wrong = take_steering(raw, spec); !wrong.empty()) {
     return bad(std::move(wrong));
--- a/src/connection/caller_server.cc
+++ b/src/connection/caller_server.cc
@@ -12,9 +12,12 @@
 namespace seamglade::detail {
 namespace {
 
-/** Hard limit of libevent; the limit of a service is checked above it. */
+/**
+ * Hard limits of libevent, which answers with a page of its own. Lower ones
+ * are checked where a refusal can tell its type.
+ */
 constexpr ev_ssize_t kMaxBodyBytes = 68 << 20;
-constexpr ev_ssize_t kMaxHeaderBytes = 64 << 10;
+constexpr ev_ssize_t kMaxHeaderBytes = 1 << 20;
 /** A caller that sends or reads nothing for so long is cut off. */
 constexpr int kIdleSeconds = 60;
 
--- a/src/request/types.cc
+++ b/src/request/types.cc
@@ -56,12 +56,14 @@
 }
 
 std::string_view to_string(refusal_reason reason) {
-  static constexpr std::array<std::string_view, 21> names{
-      "bad_request", "unknown_service", "unknown_adapter", "body_too_large",
-      "queue_full",  "deadline",        "service_limit",   "caller_limit",
-      "no_target",   "not_owner",       "target_leaving",  "target_ejected",
-      "draining",    "not_ready",       "load_failed",     "link_lost",
-      "target_lost", "key_seen",        "key_too_old",     "never_received",
+  static constexpr std::array<std::string_view, 22> names{
+      "bad_request",    "unknown_service",   "unknown_adapter",
+      "body_too_large", "headers_too_large", "queue_full",
+      "deadline",       "service_limit",     "caller_limit",
+      "no_target",      "not_owner",         "target_leaving",
+      "target_ejected", "draining",          "not_ready",
+      "load_failed",    "link_lost",         "target_lost",
+      "key_seen",       "key_too_old",       "never_received",
       "cancelled"};
   return names.at(static_cast<std::size_t>(reason));
 }
@@ -75,6 +77,8 @@
       return 404;
     case refusal_reason::body_too_large:
       return 413;
+    case refusal_reason::headers_too_large:
+      return 431;
     case refusal_reason::service_limit:
     case refusal_reason::caller_limit:
       return 429;
--- a/test/processes-test.sh
+++ b/test/processes-test.sh
@@ -99,6 +99,9 @@
 head -c 2000000 /dev/zero | tr '\0' 'x' >"$work/large"
 refused 413 body_too_large --data-binary @"$work/large" \
   "http://${address[$entry-callers]}/services/s/plain/x"
+printf 'X-Long: %s\n' "$(head -c 100000 "$work/large")" >"$work/headers"
+refused 431 headers_too_large -H @"$work/headers" \
+  -d '{"model":"llama/a@1"}' "$model_url"
 [ "$(curl -sf "http://${address[e1]}/log")" = '[]' ] ||
   fail 'a malformed request reached the engine'
 echo 'ok: malformed requests are refused as not run'
