Add a flapping configuration service and failed loads to the tests

Cause: the matrix had a service that is down and one that is stale, none that flaps; the backoff of loads had no test of its own.

--- a/test/fault_matrix-test.cc
+++ b/test/fault_matrix-test.cc
@@ -97,6 +97,12 @@
          w.set_service_down(true);
          w.at(w.now() + 10s, [&w] { w.set_service_down(false); });
        }},
+      {"service_flaps",
+       [](W w, I, T) {
+         for (int i = 0; i < 10; ++i) {
+           w.at(w.now() + i * 1s, [&w, i] { w.set_service_down(i % 2 == 0); });
+         }
+       }},
       {"operators_race",
        [](W w, I, T) {
          w.publish("site", fakes::site_document(3, {}));
--- a/test/recovery-test.cc
+++ b/test/recovery-test.cc
@@ -195,6 +195,24 @@
   EXPECT_EQ(fakes::broken_guarantees(*w, kTokens), std::vector<std::string>{});
 }
 
+TEST_P(recovery, failed_loads_back_off) {
+  start(3);
+  for (const auto& id : {"e0", "e1", "e2"}) w->fail_loads(id, 100000);
+  for (int i = 0; i < 200; ++i) {
+    w->at(w->now() + i * 100ms, [this, i] {
+      w->call("i0", fakes::model_name(0), fmt::format("f{}", i), true, {},
+              urgency::urgent, 1s);
+    });
+  }
+  w->run_for(30s);
+  std::uint64_t loads = 0;
+  for (const auto& id : w->instances()) loads += w->status(id).loads;
+  // Three engines, each with waits that double from half a second.
+  EXPECT_LE(loads, 30U);
+  EXPECT_EQ(count_losses(*w).not_run, 200);
+  EXPECT_EQ(w->runs().size(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, recovery, testing::Values(1, 2, 3));
 
 }  // namespace
