Drop members that nobody reads; hang up in the matrix

Cause: read once more as a newcomer, three modules kept or offered figures that nothing used, and the fakes could hang a caller up without any test that did.

Change: those members are gone; a caller that hangs up is a fault of the matrix at each step.

--- a/src/process/service_reader.h
+++ b/src/process/service_reader.h
@@ -25,8 +25,6 @@
   void on_failed();
   void on_time();
   time_point wakeup() const { return pending_ ? time_point::max() : next_; }
-  bool answered() const { return answered_; }
-  bool failed() const { return failures_ > 0; }
 
  private:
   core& shared_;
--- a/src/request/idempotency.h
+++ b/src/request/idempotency.h
@@ -44,7 +44,6 @@
   void insert(const std::string& key, unix_time now);
   /** Forgets a key whose request is proved not to have run. */
   void erase(const std::string& key);
-  std::size_t size() const { return keys_.size(); }
 
  private:
   void forget_old(unix_time now);
--- a/src/request/served_table.cc
+++ b/src/request/served_table.cc
@@ -34,7 +34,6 @@
                              time_point now) {
   const auto it = records_.find(id);
   if (it == records_.end()) return;
-  kept_bytes_ += piece.data ? piece.data->size() : 0;
   it->second.parts.push_back(piece);
   if (piece.last) finish(id, it->second, now);
 }
@@ -48,9 +47,6 @@
 }
 
 void served_table::drop_parts(record& r) {
-  for (const auto& piece : r.parts) {
-    kept_bytes_ -= piece.data ? piece.data->size() : 0;
-  }
   if (!r.parts.empty()) r.dropped = true;
   r.parts.clear();
   r.parts.shrink_to_fit();
--- a/src/request/served_table.h
+++ b/src/request/served_table.h
@@ -43,8 +43,6 @@
   time_point wakeup() const;
   /** Requests without a final answer. */
   std::size_t open() const { return open_; }
-  /** Bytes of answers that are kept. */
-  std::size_t kept_bytes() const { return kept_bytes_; }
 
  private:
   struct record {
@@ -64,12 +62,11 @@
   };
 
   void finish(const request_id& id, record& r, time_point now);
-  void drop_parts(record& r);
+  static void drop_parts(record& r);
 
   std::unordered_map<request_id, record, id_hash> records_;
   std::multimap<time_point, request_id> expiry_;
   std::size_t open_ = 0;
-  std::size_t kept_bytes_ = 0;
 };
 
 }  // namespace seamglade::detail
--- a/test/fault_matrix-test.cc
+++ b/test/fault_matrix-test.cc
@@ -119,6 +119,10 @@
          w.mark_target(some_target(target), member_state::leaving);
          w.publish_fleet();
        }},
+      {"caller_hangs_up",
+       [](W w, I, T) {
+         if (!w.callers().empty()) w.hang_up(w.callers().rbegin()->first);
+       }},
       {"planned_stop", [](W w, I at, T) { w.drain(at); }},
   };
   return all;
