--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -83,7 +83,9 @@
   std::vector<std::string> engines() const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
+  /** Its entry goes, though it lives; or is back. */
   void lapse_target(const std::string& id);
+  void relist_target(const std::string& id);
   void break_target(const std::string& id, bool broken);
   /** The target runs requests and loses this share of the answers. */
   void lose_answers(const std::string& id, double share);
@@ -97,6 +99,7 @@
   /** Returns how often a request was run. */
   std::size_t runs_of(const std::string& request) const;
   std::size_t loads() const { return loads_; }
+  std::size_t store_calls() const { return store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
 
   /** Every broken rule, in words; empty is good. */
@@ -132,7 +135,10 @@
                                           const gateway::engine_order& order);
   void note_holder(target& at, const gateway::engine_order& order);
   void serve_report(instance& from, const gateway::action::read_report& ask);
-  void serve_store(instance& from, std::uint64_t after, bool whole);
+  void serve_range(instance& from);
+  void serve_watch(instance& from, gateway::store_scope scope,
+                   std::uint64_t after);
+  void answer_store(instance& to, gateway::event::store_read read);
   void put(const std::string& key, std::optional<std::string> value);
   void publish_target(target& which);
   /** Remembers what the target is like now: its reports lag. */
@@ -159,7 +165,9 @@
   struct watcher {
     gateway::member_address who;
     std::uint64_t life;
+    gateway::store_scope scope;
     std::uint64_t after;
+    friend bool operator==(const watcher&, const watcher&) = default;
   };
   std::vector<watcher> watchers_;
   std::mt19937_64 random_;
@@ -169,6 +177,7 @@
   std::vector<std::unique_ptr<gateway_call>> calls_;
   caller_id next_caller_ = 1;
   std::size_t loads_ = 0;
+  std::size_t store_calls_ = 0;
   std::vector<std::string> violations_;
 };
 
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -293,6 +293,12 @@
   put("servers/" + id, std::nullopt);
 }
 
+void gateway_world::relist_target(const std::string& id) {
+  auto& t = *targets_.at(id);
+  t.listed = true;
+  publish_target(t);
+}
+
 void gateway_world::break_target(const std::string& id, bool broken) {
   targets_.at(id)->broken = broken;
 }
--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -46,7 +46,8 @@
       const call_facts& facts) const = 0;
 
   /** Paths of the store: changes behind a revision, all items in pages. */
-  virtual std::string watch_path(std::uint64_t after, duration wait) const = 0;
+  virtual std::string watch_path(store_scope scope, std::uint64_t after,
+                                 duration wait) const = 0;
   virtual std::string range_path(std::string_view after_key) const = 0;
   /** Reads an answer of the store; fails with bad_value. */
   virtual result<store_answer> read_store(std::string_view body) const = 0;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -57,6 +57,7 @@
 };
 /** An answer of the platform's store. */
 struct store_read {
+  store_scope scope = store_scope::everything;
   enum class outcome : std::uint8_t { answered, history_gone, failed };
   outcome how = outcome::failed;
   /** HTTP status; 0: no answer. */
@@ -141,6 +142,7 @@
   std::string address;
 };
 struct watch_store {
+  store_scope scope = store_scope::everything;
   std::uint64_t after = 0;
   duration wait{};
 };
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -24,7 +24,7 @@
 struct member_row {
   member_address address = 0;
   /** Hash of the failure domain. */
-  std::uint32_t zone = 0;
+  std::uint32_t domain = 0;
   /** Rises with every start of the instance. */
   std::uint64_t incarnation = 0;
   /** Rises with every heartbeat of the instance. */
@@ -58,6 +58,8 @@
   std::uint64_t store_revision = 0;
   /** Time since the store last answered the sender. */
   duration store_age{};
+  /** Time since the store was last known to be at the sender's revision. */
+  duration copy_age{};
   bool watching = false;
   /** The sender's own claims, and some it has heard of. */
   std::vector<target_claim> claims;
@@ -113,9 +115,6 @@
                          const residency_message&) = default;
 };
 
-using peer_message =
-    std::variant<heartbeat, interest_message, residency_message>;
-
 /** Changes from one copy of the store to another, or a copy whole. */
 struct store_changes {
   /** The receiver knows everything up to here once it has the items. */
@@ -125,6 +124,16 @@
   std::vector<store_item> items;
 };
 
+/** Items of the store that are not to wait for the next copy. */
+struct news_message {
+  std::vector<store_item> items;
+
+  friend bool operator==(const news_message&, const news_message&) = default;
+};
+
+using peer_message =
+    std::variant<heartbeat, interest_message, residency_message, news_message>;
+
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
 /** Fails with bad_frame. */
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -184,6 +184,8 @@
   std::string key;
   std::uint64_t revision = 0;
   std::optional<std::string> value;
+
+  friend bool operator==(const store_item&, const store_item&) = default;
 };
 
 /** Items in the order of their revisions, and how far they reach. */
@@ -194,6 +196,13 @@
   bool more = false;
 };
 
+/** Which part of the store a watch is told of. */
+enum class store_scope : std::uint8_t {
+  everything,
+  /** What the operators write: seldom, and to be in force soon. */
+  operators
+};
+
 /** What the platform's headers say of a caller's request. */
 struct request_facts {
   std::string id;
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -28,16 +28,16 @@
                                     const heartbeat& from) {
   std::vector<frames::MemberRow> rows;
   for (const auto& r : from.rows) {
-    rows.emplace_back(r.address, r.zone, r.incarnation, r.beat, r.leaving);
+    rows.emplace_back(r.address, r.domain, r.incarnation, r.beat, r.leaving);
   }
   std::vector<frames::TargetClaim> claims;
   for (const auto& c : from.claims)
     claims.emplace_back(c.target, c.fence, c.holder);
   std::vector<frames::TargetLoad> loads;
   for (const auto& l : from.loads) loads.emplace_back(l.target, l.running);
-  return frames::CreateHeartbeatDirect(b, &rows, from.store_revision,
-                                       from.store_age.count(), from.watching,
-                                       &claims, &loads);
+  return frames::CreateHeartbeatDirect(
+      b, &rows, from.store_revision, from.store_age.count(),
+      from.copy_age.count(), from.watching, &claims, &loads);
 }
 
 fb::Offset<frames::Interest> write(fb::FlatBufferBuilder& b,
@@ -63,6 +63,24 @@
                                        from.running, &places);
 }
 
+fb::Offset<frames::StoreItem> write(fb::FlatBufferBuilder& b,
+                                    const store_item& item) {
+  const std::string_view value =
+      item.value ? std::string_view(*item.value) : std::string_view();
+  const auto key = b.CreateString(item.key);
+  const auto bytes = b.CreateVector(
+      reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+  return frames::CreateStoreItem(b, key, item.revision, bytes,
+                                 !item.value.has_value());
+}
+
+fb::Offset<frames::News> write(fb::FlatBufferBuilder& b,
+                               const news_message& from) {
+  std::vector<fb::Offset<frames::StoreItem>> items;
+  for (const auto& item : from.items) items.push_back(write(b, item));
+  return frames::CreateNewsDirect(b, &items);
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -73,10 +91,11 @@
   heartbeat out;
   each(from.rows(), [&](const frames::MemberRow& r) {
     out.rows.push_back(
-        {r.address(), r.zone(), r.incarnation(), r.beat(), r.leaving()});
+        {r.address(), r.domain(), r.incarnation(), r.beat(), r.leaving()});
   });
   out.store_revision = from.store_revision();
   out.store_age = duration(from.store_age_us());
+  out.copy_age = duration(from.copy_age_us());
   out.watching = from.watching();
   each(from.claims(), [&](const frames::TargetClaim& c) {
     out.claims.push_back({c.target(), c.fence(), c.holder()});
@@ -114,6 +133,24 @@
   return out;
 }
 
+store_item read(const frames::StoreItem& from) {
+  store_item out{text(from.key()), from.revision(), std::nullopt};
+  if (from.deleted()) return out;
+  out.value.emplace();
+  if (const auto* value = from.value()) {
+    out.value->assign(reinterpret_cast<const char*>(value->data()),
+                      value->size());
+  }
+  return out;
+}
+
+peer_message read(const frames::News& from) {
+  news_message out;
+  each(from.items(),
+       [&](const frames::StoreItem& item) { out.items.push_back(read(item)); });
+  return out;
+}
+
 }  // namespace
 
 std::string encode_peer_message(const peer_message& message) {
@@ -125,6 +162,8 @@
     finish(frames::Body::Heartbeat, write(b, *beat).Union());
   } else if (const auto* interest = std::get_if<interest_message>(&message)) {
     finish(frames::Body::Interest, write(b, *interest).Union());
+  } else if (const auto* news = std::get_if<news_message>(&message)) {
+    finish(frames::Body::News, write(b, *news).Union());
   } else {
     finish(frames::Body::Residency,
            write(b, std::get<residency_message>(message)).Union());
@@ -140,21 +179,14 @@
   if (const auto* beat = frame->body_as_Heartbeat()) return read(*beat);
   if (const auto* interest = frame->body_as_Interest()) return read(*interest);
   if (const auto* places = frame->body_as_Residency()) return read(*places);
+  if (const auto* news = frame->body_as_News()) return read(*news);
   return bad_frame("datagram of an unknown kind");
 }
 
 std::string encode_store_changes(const store_changes& changes) {
   fb::FlatBufferBuilder b;
   std::vector<fb::Offset<frames::StoreItem>> items;
-  for (const auto& item : changes.items) {
-    const std::string_view value =
-        item.value ? std::string_view(*item.value) : std::string_view();
-    const auto key = b.CreateString(item.key);
-    const auto bytes = b.CreateVector(
-        reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
-    items.push_back(frames::CreateStoreItem(b, key, item.revision, bytes,
-                                            !item.value.has_value()));
-  }
+  for (const auto& item : changes.items) items.push_back(write(b, item));
   const auto list = b.CreateVector(items);
   b.Finish(
       frames::CreateStoreChanges(b, changes.revision, changes.whole, list));
@@ -171,17 +203,8 @@
   store_changes out;
   out.revision = from->revision();
   out.whole = from->whole();
-  each(from->items(), [&](const frames::StoreItem& item) {
-    store_item read{text(item.key()), item.revision(), std::nullopt};
-    if (!item.deleted()) {
-      read.value.emplace();
-      if (const auto* value = item.value()) {
-        read.value->assign(reinterpret_cast<const char*>(value->data()),
-                           value->size());
-      }
-    }
-    out.items.push_back(std::move(read));
-  });
+  each(from->items(),
+       [&](const frames::StoreItem& item) { out.items.push_back(read(item)); });
   return out;
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -16,11 +16,13 @@
 constexpr duration kSuspended = 700ms;
 /** After such a pause, what others say is heard before orders are given. */
 constexpr duration kHearFirst = 700ms;
+/** A new process waits this long for a peer's copy of the store. */
+constexpr duration kAwaitCopy = 250ms;
 
 roster_options roster_options_of(const gateway_options& from) {
   roster_options out;
   out.self = from.self;
-  out.zone = static_cast<std::uint32_t>(hash_of(from.zone));
+  out.domain = static_cast<std::uint32_t>(hash_of(from.zone));
   out.incarnation = from.incarnation;
   out.seeds = from.seeds;
   out.random_seed = from.random_seed;
@@ -75,6 +77,12 @@
   started_ = now_;
   next_beat_ = now_;
   next_read_ = now_;
+  operator_watch_.next = now_;
+  const bool has_peers =
+      std::any_of(options_.seeds.begin(), options_.seeds.end(),
+                  [&](member_address s) { return s != options_.self; });
+  // A peer's copy costs the store nothing.
+  range_not_before_ = has_peers ? now_ + kAwaitCopy : now_;
   next_claim_check_ = now_;
   log("started",
       {{"id", options_.id},
@@ -84,6 +92,7 @@
 
 void gateway_core::impl::tick() {
   if (now_ >= next_beat_) send_heartbeats();
+  announce_claims();
   tick_store();
   if (now_ >= next_claim_check_) tick_claims();
   expire_exchanges();
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -45,14 +45,26 @@
 
   // gateway_store.cc
   void on(event::store_read&& e);
+  void take_range(store_answer&& answer);
+  void take_operator_watch(event::store_read&& e);
   void on(event::peer_changes&& e);
   void apply(const store_changes& changes, std::string_view source);
-  void take_item(const store_item& item);
+  /** Returns whether the item is not to wait for the next copy. */
+  bool take_item(const store_item& item);
+  bool take_deletion(const store_item& item);
+  bool take_entry(target_entry&& entry);
   void accept_configuration(configuration&& news);
   void read_store();
   void tick_store();
-  bool should_watch() const;
+  void watch_operators();
+  bool should_watch();
+  bool is_watcher_of_mesh() const;
+  bool is_watcher_of_large_fleet();
+  std::size_t watch_rank();
+  void confirm_copy(time_point at);
   duration store_age() const;
+  duration copy_age() const;
+  bool was_store_away() const;
 
   // gateway_peers.cc
   void on(event::datagram&& e);
@@ -61,8 +73,16 @@
   void take(member_address from, const target_claim& claimed);
   void take(member_address from, const interest_message& message);
   void take(member_address from, const residency_message& message);
+  void take(member_address from, const news_message& message);
+  void greet(member_address newcomer, bool first_hand);
+  void send_to_all(const peer_message& message);
+  heartbeat own_heartbeat() const;
+  void announce(target_hash target);
+  void announce_claims();
+  void spread_news(const std::vector<store_item>& news);
   void send_heartbeats();
   void add_claims(heartbeat& message);
+  void add_own_claims(heartbeat& message) const;
   target_id target_id_of(target_hash target);
   void send_interests();
   void send_residencies();
@@ -82,6 +102,8 @@
   bool is_my_turn(const target_state& target) const;
   std::optional<time_point> quiet_since(target_hash target) const;
   void claim(const target_state& target);
+  /** After an unanswered order: makes sure that it can't be taken later. */
+  void renew_fence(target_keeper& keeper);
   void release(const target_id& target, std::string_view reason);
   bool has_live_holder(target_hash target) const;
   std::uint64_t next_fence(target_hash target);
@@ -148,8 +170,27 @@
   time_point last_answer_{};
   bool ever_answered_ = false;
   bool store_failing_ = false;
-  time_point read_started_{};
+  duration after_failure_{};
+  time_point range_not_before_{};
+  bool range_spread_ = false;
+  /** The mirror was last known to be the store's state then. */
+  std::optional<time_point> copy_confirmed_;
+  struct watch_rank_cache {
+    std::size_t rank = 0;
+    time_point until;
+  };
+  watch_rank_cache watch_rank_;
+  /** In a large fleet each instance reads what operators write by itself. */
+  struct operator_watch {
+    bool under_way = false;
+    std::uint64_t after = 0;
+    time_point next;
+    duration after_failure{};
+  };
+  operator_watch operator_watch_;
   bool fetching_ = false;
+  /** What the copy being fetched confirms: the store's state then. */
+  time_point fetch_confirms_{};
   time_point next_fetch_{};
 
   // Peers.
@@ -182,6 +223,9 @@
   };
   std::map<target_hash, claim_state> claims_;
   target_hash next_claim_told_ = 0;
+  /** Changed claims that are still to be told to all, and how often. */
+  std::map<target_hash, unsigned> announcements_;
+  time_point next_announcement_{};
   std::map<target_id, std::unique_ptr<target_keeper>> keepers_;
   std::map<target_id, time_point> orders_from_;
   std::map<target_hash, time_point> stepped_back_;
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -20,11 +20,12 @@
 constexpr duration kLeaseMargin = 400ms;
 /** From a claim to its first order, a rival's claim may still be heard. */
 constexpr duration kClaimHeard = 600ms;
-constexpr duration kLargeClaimHeard = 2500ms;
+constexpr duration kLargeClaimHeard = 900ms;
 /** After a time out of touch, what others say is heard before orders. */
 constexpr duration kHearFirst = 700ms;
 /** A new process hears its peers' claims in this time. */
 constexpr duration kSettle = 700ms;
+constexpr duration kLargeSettle = 2s;
 /** After a holder's word that it has given its last order. */
 constexpr duration kHandoverWait = 100ms;
 /** Bits of a fence that tell holders apart; the rest rises. */
@@ -84,11 +85,11 @@
   // Where targets check fences, a new process need not wait for a lease that
   // nobody alive claims: whoever held it before can no longer be obeyed.
   auto since = started_;
-  // A large fleet hears its claims too slowly for that, and one that still
-  // meets its members does not know yet how large it is.
-  if (options_.fenced && !roster_.is_large()) {
+  // Every member greets a newcomer with its claims, in a large fleet once it
+  // has heard of it.
+  if (options_.fenced) {
     since = std::max(since, roster_.last_met().value_or(since));
-    since += kSettle - takeover_wait();
+    since += (roster_.is_large() ? kLargeSettle : kSettle) - takeover_wait();
   }
   if (const auto found = claims_.find(target); found != claims_.end()) {
     since = std::max(since, found->second.heard);
@@ -132,7 +133,7 @@
   std::vector<target_id> lost;
   for (const auto& [id, keeper] : keepers_) {
     const auto* target = targets_.find(id);
-    if (target == nullptr || target->gone || target->entry.draining) {
+    if (target == nullptr || target->has_left(now_)) {
       lost.push_back(id);
     }
   }
@@ -141,7 +142,7 @@
     while (!keepers_.empty()) release(keepers_.begin()->first, kDrainingReason);
     return;
   }
-  for (const auto* target : targets_.listed()) {
+  for (const auto* target : targets_.staying(now_)) {
     const auto* service = config_->find_service(target->entry.service);
     if (service == nullptr || !service->engine) continue;
     const auto found = claims_.find(target->hash);
@@ -167,11 +168,13 @@
   const auto& id = target.entry.id;
   const auto* service = config_->find_service(target.entry.service);
   const auto fence = next_fence(target.hash);
-  keepers_[id] = std::make_unique<target_keeper>(id, *service->engine, fence);
+  const auto check = options_.fenced ? takeover_check::fence_order
+                                     : takeover_check::agreeing_reports;
+  keepers_[id] =
+      std::make_unique<target_keeper>(id, *service->engine, fence, check);
   orders_from_[id] =
       now_ + (roster_.is_large() ? kLargeClaimHeard : kClaimHeard);
   interest_dirty_.insert(id);
-  next_beat_ = now_;
   // Noted last: the log tells how long the target was without a holder.
   log("target_claimed",
       {{"target", id},
@@ -179,6 +182,7 @@
        {"quiet_ms", (now_ - *quiet_since(target.hash)) / 1ms}},
       true);
   claims_[target.hash] = {options_.self, fence, now_};
+  announce(target.hash);
 }
 
 void gateway_core::impl::release(const target_id& target,
@@ -201,7 +205,7 @@
   const auto node = keepers_.extract(found);
   orders_from_.erase(target);
   sent_editions_.erase(target);
-  next_beat_ = now_;
+  announce(hash);
 }
 
 void gateway_core::impl::tick_keepers() {
@@ -235,6 +239,7 @@
       {{"target", keeper.id()},
        {"op", step.order == engine_order_kind::load ? "load" : "unload"},
        {"adapter", step.name.str()},
+       {"version", static_cast<std::int64_t>(step.version.value_or(0))},
        {"fence", static_cast<std::int64_t>(order.fence)}});
   do_act(action::send_order{call, target->entry.address, keeper.id(),
                             std::move(order)});
@@ -263,6 +268,21 @@
     return;
   }
   keeper->second->order_answered(now_, e.status);
+  // The order that asks for the fence changes nothing, however late.
+  const bool may_come_late =
+      e.status == engine_order_status::unanswered && keeper->second->is_known();
+  if (may_come_late && options_.fenced) renew_fence(*keeper->second);
+}
+
+void gateway_core::impl::renew_fence(target_keeper& keeper) {
+  const auto hash = hash_of(keeper.id());
+  const auto fence = next_fence(hash);
+  log("fence_renewed",
+      {{"target", keeper.id()}, {"fence", static_cast<std::int64_t>(fence)}},
+      true);
+  keeper.renew_fence(now_, fence);
+  claims_[hash] = {options_.self, fence, now_};
+  announce(hash);
 }
 
 void gateway_core::impl::on(event::report_answer&& e) {
--- a/src/process/gateway_peers.cc
+++ b/src/process/gateway_peers.cc
@@ -27,6 +27,16 @@
 constexpr duration kTellPause = 100ms;
 constexpr std::size_t kMaxLoads = 40;
 constexpr std::size_t kMaxClaims = 40;
+/** In a large fleet a changed claim is told to all so often. */
+constexpr unsigned kAnnouncements = 2;
+constexpr duration kAnnouncementPause = 250ms;
+/** A copy from another failure domain is asked for when one's own is older. */
+constexpr duration kFarCopyAge = 900ms;
+/** In a large fleet new processes read the store spread over this time. */
+constexpr std::int64_t kRangeSpreadMs = 600;
+/** Items of the store in one datagram, and the size of one, at most. */
+constexpr std::size_t kMostNews = 24;
+constexpr std::size_t kLargestNews = 2000;
 
 bool same_needs(const std::vector<adapter_interest>& a,
                 const std::vector<adapter_interest>& b) {
@@ -51,7 +61,14 @@
 
 void gateway_core::impl::take(member_address from, const heartbeat& message) {
   const bool was_alive = roster_.is_alive(now_, from);
-  roster_.merge(now_, from, message.rows);
+  for (const auto newcomer : roster_.merge(now_, from, message.rows)) {
+    greet(newcomer, newcomer == from);
+  }
+  if (roster_.is_large() && !std::exchange(range_spread_, true)) {
+    range_not_before_ = std::max(
+        range_not_before_,
+        now_ + static_cast<std::int64_t>(random_() % kRangeSpreadMs) * 1ms);
+  }
   if (!was_alive && roster_.is_alive(now_, from)) {
     log("peer_regained", {{"peer", static_cast<std::int64_t>(from)}}, true);
   }
@@ -67,12 +84,79 @@
     }
   }
   const bool behind = message.store_revision > mirror_.revision();
-  if (behind && !fetching_ && now_ >= next_fetch_) {
+  if (!behind) {
+    confirm_copy(now_ - message.copy_age);
+    return;
+  }
+  const bool near = !roster_.is_large() || roster_.is_in_my_domain(from);
+  const bool worth_it = near || copy_age() > kFarCopyAge;
+  if (worth_it && !fetching_ && now_ >= next_fetch_) {
     fetching_ = true;
+    fetch_confirms_ = now_ - message.copy_age;
     do_act(action::fetch_changes{from, mirror_.revision()});
   }
 }
 
+void gateway_core::impl::greet(member_address newcomer, bool first_hand) {
+  auto message = own_heartbeat();
+  if (first_hand) message.rows = roster_.all_rows();
+  add_own_claims(message);
+  do_act(action::send_datagram{newcomer, std::move(message)});
+}
+
+heartbeat gateway_core::impl::own_heartbeat() const {
+  heartbeat message;
+  message.rows.push_back(roster_.own_row());
+  message.store_revision = mirror_.revision();
+  message.store_age = store_age();
+  message.copy_age = copy_age();
+  message.watching = reading_ == reading::watch || now_ < next_read_;
+  return message;
+}
+
+void gateway_core::impl::send_to_all(const peer_message& message) {
+  for (const auto to : roster_.alive(now_)) {
+    if (to == options_.self) continue;
+    do_act(action::send_datagram{to, message});
+  }
+}
+
+void gateway_core::impl::announce(target_hash target) {
+  next_beat_ = now_;
+  if (roster_.is_large()) announcements_[target] = kAnnouncements;
+}
+
+void gateway_core::impl::announce_claims() {
+  if (announcements_.empty() || now_ < next_announcement_) return;
+  next_announcement_ = now_ + kAnnouncementPause;
+  auto message = own_heartbeat();
+  for (auto at = announcements_.begin(); at != announcements_.end();) {
+    const auto& known = claims_[at->first];
+    message.claims.push_back({at->first, known.fence, known.holder});
+    at = --at->second == 0 ? announcements_.erase(at) : std::next(at);
+  }
+  send_to_all(message);
+}
+
+void gateway_core::impl::spread_news(const std::vector<store_item>& news) {
+  if (!roster_.is_large()) return;
+  news_message message;
+  for (const auto& item : news) {
+    if (message.items.size() >= kMostNews) break;
+    if (item.value && item.value->size() > kLargestNews) continue;
+    message.items.push_back(item);
+  }
+  if (!message.items.empty()) send_to_all(message);
+}
+
+void gateway_core::impl::take(member_address from,
+                              const news_message& message) {
+  (void)from;
+  store_changes changes;
+  changes.items = message.items;
+  apply(changes, "news");
+}
+
 void gateway_core::impl::take(member_address from,
                               const target_claim& claimed) {
   auto& known = claims_[claimed.target];
@@ -104,11 +188,15 @@
   return found == nullptr ? target_id() : found->entry.id;
 }
 
-void gateway_core::impl::add_claims(heartbeat& message) {
+void gateway_core::impl::add_own_claims(heartbeat& message) const {
   for (const auto& [id, keeper] : keepers_) {
     if (message.claims.size() >= kMaxClaims) break;
     message.claims.push_back({hash_of(id), keeper->fence(), options_.self});
   }
+}
+
+void gateway_core::impl::add_claims(heartbeat& message) {
+  add_own_claims(message);
   if (claims_.empty()) return;
   auto at = claims_.upper_bound(next_claim_told_);
   const auto count = std::min(kHeardClaims, claims_.size());
@@ -160,12 +248,9 @@
 void gateway_core::impl::send_heartbeats() {
   next_beat_ = now_ + (roster_.is_large() ? kLargeBeatPeriod : kBeatPeriod);
   roster_.beat(now_);
-  heartbeat message;
-  message.store_revision = mirror_.revision();
-  message.store_age = store_age();
-  message.watching = reading_ == reading::watch || now_ < next_read_;
+  auto message = own_heartbeat();
   add_claims(message);
-  for (const auto* target : targets_.listed()) {
+  for (const auto* target : targets_.staying(now_)) {
     if (target->running == 0 || message.loads.size() >= kMaxLoads) continue;
     message.loads.push_back({target->hash, target->running});
   }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -365,15 +365,17 @@
       });
 }
 
-void gateway_shell::read_store(std::string path, duration timeout) {
+void gateway_shell::read_store(gateway::store_scope scope, std::string path,
+                               duration timeout) {
   outgoing_call call;
   call.address = config_.store_address;
   call.method = "GET";
   call.target = std::move(path);
   ask(std::move(call), timeout,
-      [this](std::optional<int> status, const std::string& body) {
+      [this, scope](std::optional<int> status, const std::string& body) {
         using outcome = event::store_read::outcome;
         event::store_read read;
+        read.scope = scope;
         read.status = status.value_or(0);
         if (status == kGone) read.how = outcome::history_gone;
         if (status == kOk) {
@@ -387,11 +389,13 @@
 }
 
 void gateway_shell::carry_out(action::watch_store&& a) {
-  read_store(platform_->watch_path(a.after, a.wait), a.wait + kStoreTimeout);
+  read_store(a.scope, platform_->watch_path(a.scope, a.after, a.wait),
+             a.wait + kStoreTimeout);
 }
 
 void gateway_shell::carry_out(action::range_store&& a) {
-  read_store(platform_->range_path(a.after_key), kStoreTimeout);
+  read_store(gateway::store_scope::everything,
+             platform_->range_path(a.after_key), kStoreTimeout);
 }
 
 void gateway_shell::carry_out(action::fetch_changes&& a) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -1,7 +1,9 @@
 // seamglade - the direct path: what is read from the platform's store
 //
-// Two instances watch the store; the others take what these learned from
-// them. An instance that hears of no fresh contact watches by itself.
+// A few instances watch the whole store; the others take what these learned
+// from them. An instance that hears of no fresh contact watches by itself. In
+// a large fleet each also watches what the operators write, which is seldom,
+// and is told of targets that come and leave as soon as a watcher knows.
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -15,16 +17,38 @@
 namespace {
 
 constexpr std::size_t kWatchers = 2;
+constexpr std::size_t kLargeWatchers = 3;
 /** A watch is held this long; shows how fresh the watcher's contact is. */
 constexpr duration kWatchWait = 1000ms;
 /** Pause after an answer with changes: more of them come in one answer. */
 constexpr duration kGather = 180ms;
+constexpr duration kLargeGather = 350ms;
 constexpr duration kAfterFailure = 400ms;
+constexpr duration kLongestAfterFailure = 2s;
 /** Contact with the store older than this is no longer trusted. */
 constexpr duration kFresh = 1900ms;
+/** In a large fleet news takes longer; one more watches at a time. */
+constexpr duration kLargeFresh = 2200ms;
+constexpr duration kWatcherStep = 50ms;
+constexpr duration kLongestWatcherWait = 4s;
+constexpr duration kWatchRankLife = 500ms;
+/** A watch of what the operators write is held this long. */
+constexpr duration kOperatorWait = 12s;
+/** Entries lapse after three heartbeats without the store, not sooner. */
+constexpr duration kStoreAway = 3s;
 constexpr duration kFetchPause = 40ms;
 constexpr duration kFetchAgain = 300ms;
 constexpr std::string_view kWatchDuty = "watch";
+constexpr std::string_view kFromStore = "store";
+
+std::uint64_t watch_weight(member_address member) {
+  return hash_of(std::string(kWatchDuty) + std::to_string(member));
+}
+
+duration next_pause(duration last) {
+  if (last == duration{}) return kAfterFailure;
+  return std::min(kLongestAfterFailure, last * 2);
+}
 
 }  // namespace
 
@@ -33,7 +57,43 @@
   return now_ - last_answer_;
 }
 
-bool gateway_core::impl::should_watch() const {
+duration gateway_core::impl::copy_age() const {
+  return copy_confirmed_ ? now_ - *copy_confirmed_ : now_ - started_ + 1h;
+}
+
+void gateway_core::impl::confirm_copy(time_point at) {
+  copy_confirmed_ = copy_confirmed_ ? std::max(*copy_confirmed_, at) : at;
+}
+
+bool gateway_core::impl::was_store_away() const {
+  return copy_age() > kStoreAway;
+}
+
+bool gateway_core::impl::should_watch() {
+  return roster_.is_large() ? is_watcher_of_large_fleet()
+                            : is_watcher_of_mesh();
+}
+
+bool gateway_core::impl::is_watcher_of_large_fleet() {
+  const auto rank = watch_rank();
+  if (rank < kLargeWatchers) return true;
+  const auto wait = std::min(kLongestWatcherWait,
+                             static_cast<std::int64_t>(rank) * kWatcherStep);
+  return copy_age() > kLargeFresh + wait;
+}
+
+std::size_t gateway_core::impl::watch_rank() {
+  if (now_ < watch_rank_.until) return watch_rank_.rank;
+  const auto mine = watch_weight(options_.self);
+  const auto members = roster_.staying(now_);
+  const auto before = std::count_if(
+      members.begin(), members.end(),
+      [&](member_address member) { return watch_weight(member) < mine; });
+  watch_rank_ = {static_cast<std::size_t>(before), now_ + kWatchRankLife};
+  return watch_rank_.rank;
+}
+
+bool gateway_core::impl::is_watcher_of_mesh() const {
   struct candidate {
     std::uint64_t weight;
     member_address who;
@@ -41,8 +101,7 @@
   std::vector<candidate> able;
   bool fresh = false;
   for (const auto member : roster_.alive(now_)) {
-    const auto weight =
-        hash_of(std::string(kWatchDuty) + std::to_string(member));
+    const auto weight = watch_weight(member);
     if (member == options_.self) {
       able.push_back({weight, member});
       continue;
@@ -66,15 +125,43 @@
 }
 
 void gateway_core::impl::tick_store() {
-  if (reading_ == reading::idle && now_ >= next_read_ &&
-      (needs_range_ || should_watch())) {
-    read_store();
+  watch_operators();
+  if (reading_ != reading::idle || now_ < next_read_) return;
+  if (needs_range_ ? now_ >= range_not_before_ : should_watch()) read_store();
+}
+
+void gateway_core::impl::watch_operators() {
+  auto& watch = operator_watch_;
+  const bool due = roster_.is_large() && !needs_range_ && now_ >= watch.next;
+  if (!due || watch.under_way || draining_) return;
+  watch.under_way = true;
+  if (watch.after == 0) watch.after = mirror_.revision();
+  ++counts_.store_calls;
+  do_act(
+      action::watch_store{store_scope::operators, watch.after, kOperatorWait});
+}
+
+void gateway_core::impl::take_operator_watch(event::store_read&& e) {
+  using outcome = event::store_read::outcome;
+  auto& watch = operator_watch_;
+  watch.under_way = false;
+  if (e.how == outcome::answered) {
+    watch.after = std::max(watch.after, e.answer.revision);
+    watch.after_failure = {};
+    watch.next = now_;
+    store_changes changes;
+    changes.items = std::move(e.answer.items);
+    apply(changes, kFromStore);
+    return;
   }
+  // What is missed meanwhile comes with the copy of the whole.
+  if (e.how == outcome::history_gone) watch.after = mirror_.revision();
+  watch.after_failure = next_pause(watch.after_failure);
+  watch.next = now_ + watch.after_failure;
 }
 
 void gateway_core::impl::read_store() {
   ++counts_.store_calls;
-  read_started_ = now_;
   if (needs_range_) {
     reading_ = reading::range;
     range_ = {};
@@ -82,11 +169,16 @@
     return;
   }
   reading_ = reading::watch;
-  do_act(action::watch_store{mirror_.revision(), kWatchWait});
+  do_act(action::watch_store{store_scope::everything, mirror_.revision(),
+                             kWatchWait});
 }
 
 void gateway_core::impl::on(event::store_read&& e) {
   using outcome = event::store_read::outcome;
+  if (e.scope == store_scope::operators) {
+    take_operator_watch(std::move(e));
+    return;
+  }
   const auto was = std::exchange(reading_, reading::idle);
   if (e.how == outcome::history_gone) {
     log("store_history_gone",
@@ -98,37 +190,47 @@
   if (e.how == outcome::failed) {
     if (!store_failing_) log("store_lost", {{"status", e.status}}, true);
     store_failing_ = true;
-    next_read_ = now_ + kAfterFailure;
+    after_failure_ =
+        roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
+    next_read_ = now_ + after_failure_;
     return;
   }
   if (store_failing_) log("store_regained", {}, true);
   store_failing_ = false;
+  after_failure_ = {};
   ever_answered_ = true;
   last_answer_ = now_;
   if (was == reading::range) {
-    if (range_.revision == 0) range_.revision = e.answer.revision;
-    for (auto& item : e.answer.items) range_.items.push_back(std::move(item));
-    if (e.answer.more && !range_.items.empty()) {
-      ++counts_.store_calls;
-      reading_ = reading::range;
-      do_act(action::range_store{range_.items.back().key});
-      return;
-    }
-    range_.whole = true;
-    needs_range_ = false;
-    apply(std::exchange(range_, {}), "store");
-    next_read_ = now_;
+    take_range(std::move(e.answer));
     return;
   }
   const bool changed = !e.answer.items.empty();
   store_changes changes;
   changes.revision = e.answer.revision;
   changes.items = std::move(e.answer.items);
-  apply(changes, "store");
-  next_read_ = changed ? now_ + kGather : now_;
+  apply(changes, kFromStore);
+  confirm_copy(now_);
+  const auto gather = roster_.is_large() ? kLargeGather : kGather;
+  next_read_ = changed ? now_ + gather : now_;
   if (changed) next_beat_ = now_;
 }
 
+void gateway_core::impl::take_range(store_answer&& answer) {
+  if (range_.revision == 0) range_.revision = answer.revision;
+  for (auto& item : answer.items) range_.items.push_back(std::move(item));
+  if (answer.more && !range_.items.empty()) {
+    ++counts_.store_calls;
+    reading_ = reading::range;
+    do_act(action::range_store{range_.items.back().key});
+    return;
+  }
+  range_.whole = true;
+  needs_range_ = false;
+  apply(std::exchange(range_, {}), kFromStore);
+  confirm_copy(now_);
+  next_read_ = now_;
+}
+
 void gateway_core::impl::on(event::peer_changes&& e) {
   fetching_ = false;
   if (!e.changes) {
@@ -138,14 +240,21 @@
   next_fetch_ = now_ + kFetchPause;
   apply(*e.changes, "peer");
   // A peer with a revision has the whole copy up to it.
-  if (e.changes->revision > 0) needs_range_ = false;
+  if (e.changes->revision == 0) return;
+  needs_range_ = false;
+  confirm_copy(fetch_confirms_);
 }
 
 void gateway_core::impl::apply(const store_changes& changes,
                                std::string_view source) {
   const auto news = mirror_.apply(changes);
   if (news.empty()) return;
-  for (const auto& item : news) take_item(item);
+  std::vector<store_item> urgent;
+  for (const auto& item : news) {
+    if (take_item(item)) urgent.push_back(item);
+  }
+  const bool first_hand = source == kFromStore && !changes.whole;
+  if (first_hand && !urgent.empty()) spread_news(urgent);
   log("store_changes",
       {{"source", std::string(source)},
        {"items", static_cast<std::int64_t>(news.size())},
@@ -153,36 +262,49 @@
   waiting_dirty_ = true;
 }
 
-void gateway_core::impl::take_item(const store_item& item) {
-  if (!item.value) {
-    if (const auto id = platform_.target_of_key(item.key)) {
-      targets_.unlist(now_, *id);
-      log("target_unlisted", {{"target", *id}});
-    }
-    return;
-  }
+bool gateway_core::impl::take_item(const store_item& item) {
+  if (!item.value) return take_deletion(item);
   auto read = platform_.read_item(item);
   if (!read) {
     log("item_unreadable", {{"key", item.key}}, true);
-    return;
+    return false;
+  }
+  if (auto* entry = std::get_if<target_entry>(&read.value())) {
+    return take_entry(std::move(*entry));
   }
   if (auto* config = std::get_if<configuration>(&read.value())) {
     accept_configuration(std::move(*config));
-  } else if (auto* entry = std::get_if<target_entry>(&read.value())) {
-    const auto* known = targets_.find(entry->id);
-    if (known == nullptr || known->entry.draining != entry->draining) {
-      log("target_listed",
-          {{"target", entry->id},
-           {"service", entry->service},
-           {"draining", static_cast<std::int64_t>(entry->draining)}});
-    }
-    targets_.list(now_, std::move(*entry));
   } else if (const auto* named = std::get_if<adapter_version>(&read.value())) {
     auto& version = versions_[named->name];
     version = std::max(version, named->version);
     log("adapter_version", {{"adapter", named->name.str()},
                             {"version", static_cast<std::int64_t>(version)}});
   }
+  return false;
+}
+
+bool gateway_core::impl::take_deletion(const store_item& item) {
+  const auto id = platform_.target_of_key(item.key);
+  if (!id) return false;
+  const bool lapsed = was_store_away();
+  targets_.unlist(now_, *id, lapsed);
+  log("target_unlisted",
+      {{"target", *id}, {"lapsed", static_cast<std::int64_t>(lapsed)}});
+  return true;
+}
+
+bool gateway_core::impl::take_entry(target_entry&& entry) {
+  const auto* known = targets_.find(entry.id);
+  const bool is_news =
+      known == nullptr || known->entry.draining != entry.draining;
+  if (is_news) {
+    log("target_listed",
+        {{"target", entry.id},
+         {"service", entry.service},
+         {"draining", static_cast<std::int64_t>(entry.draining)}});
+  }
+  targets_.list(now_, std::move(entry));
+  return is_news;
 }
 
 void gateway_core::impl::accept_configuration(configuration&& news) {
--- a/src/process/roster.cc
+++ b/src/process/roster.cc
@@ -14,7 +14,11 @@
 /** Up to this many others, every heartbeat goes to everyone. */
 constexpr std::size_t kFullMesh = 12;
 constexpr std::size_t kFanout = 3;
+/** Of these, one goes anywhere; the rest stay in the failure domain. */
+constexpr std::size_t kFarFanout = 1;
 constexpr std::size_t kSampleRows = 20;
+/** Rows of one datagram at most; 32 bytes each. */
+constexpr std::size_t kMostRows = 400;
 /** Silence after which a member counts as gone, in a full mesh. */
 constexpr duration kPatience = 1300ms;
 /** More patience for each doubling of the fleet beyond a full mesh. */
@@ -40,8 +44,9 @@
   beats_until_seed_ = 0;
 }
 
-void roster::merge(time_point now, member_address from,
-                   const std::vector<member_row>& rows) {
+std::vector<member_address> roster::merge(time_point now, member_address from,
+                                          const std::vector<member_row>& rows) {
+  std::vector<member_address> newcomers;
   for (const auto& row : rows) {
     if (row.address == options_.self) {
       // Another life of this instance is remembered: outdo it.
@@ -56,19 +61,20 @@
     const bool newer_beat =
         row.incarnation == known.row.incarnation && row.beat > known.row.beat;
     if (is_new) {
-      known.first_heard = now;
       known.row = row;
       last_met_ = now;
+      newcomers.push_back(row.address);
       // Hearsay of an unknown member is no sign of life by itself, and its
       // silence none of being cut off.
       known.heard = row.address == from ? now : now - kUnheard;
       continue;
     }
     if (!newer_life && !newer_beat) continue;
-    if (newer_life) known.first_heard = now;
+    if (newer_life) newcomers.push_back(row.address);
     known.row = row;
     known.heard = now;
   }
+  return newcomers;
 }
 
 void roster::beat(time_point now) {
@@ -86,6 +92,10 @@
   }
   if (targets.size() > kFullMesh) {
     std::shuffle(targets.begin(), targets.end(), random_);
+    // News of the store travels with heartbeats: most of it stays near.
+    std::stable_partition(
+        targets.begin() + kFarFanout, targets.end(),
+        [this](member_address who) { return is_in_my_domain(who); });
     targets.resize(kFanout);
   }
   const bool alone = targets.empty();
@@ -103,9 +113,7 @@
 }
 
 std::vector<member_row> roster::sample() {
-  std::vector<member_row> rows;
-  rows.push_back(
-      {options_.self, options_.zone, options_.incarnation, beat_, leaving_});
+  std::vector<member_row> rows{own_row()};
   if (members_.empty()) return rows;
   const auto count = std::min(kSampleRows, members_.size());
   auto at = members_.begin();
@@ -118,6 +126,20 @@
   return rows;
 }
 
+std::vector<member_row> roster::all_rows() const {
+  std::vector<member_row> rows{own_row()};
+  for (const auto& [address, known] : members_) {
+    if (rows.size() >= kMostRows) break;
+    rows.push_back(known.row);
+  }
+  return rows;
+}
+
+member_row roster::own_row() const {
+  return {options_.self, options_.domain, options_.incarnation, beat_,
+          leaving_};
+}
+
 duration roster::patience() const {
   if (members_.size() <= kFullMesh) return kPatience;
   const auto doublings = std::bit_width(members_.size() / kFullMesh);
@@ -153,10 +175,9 @@
   return found != members_.end() && found->second.row.leaving;
 }
 
-std::uint32_t roster::zone_of(member_address who) const {
-  if (who == options_.self) return options_.zone;
+bool roster::is_in_my_domain(member_address who) const {
   const auto found = members_.find(who);
-  return found == members_.end() ? 0 : found->second.row.zone;
+  return found != members_.end() && found->second.row.domain == options_.domain;
 }
 
 std::optional<time_point> roster::heard(member_address who) const {
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -16,7 +16,8 @@
 
 struct roster_options {
   member_address self = 0;
-  std::uint32_t zone = 0;
+  /** Hash of the failure domain. */
+  std::uint32_t domain = 0;
   std::uint64_t incarnation = 0;
   std::vector<member_address> seeds;
   std::uint64_t random_seed = 0;
@@ -32,9 +33,12 @@
  public:
   explicit roster(roster_options options);
 
-  /** Takes rows in; `from` sent them itself. */
-  void merge(time_point now, member_address from,
-             const std::vector<member_row>& rows);
+  /**
+   * Takes rows in; `from` sent them itself. Returns the members that were not
+   * known before, or not in this life.
+   */
+  std::vector<member_address> merge(time_point now, member_address from,
+                                    const std::vector<member_row>& rows);
   /** Takes the next beat of this instance and forgets the long silent. */
   void beat(time_point now);
   void leave() { leaving_ = true; }
@@ -45,13 +49,15 @@
   std::vector<member_address> heartbeat_targets(time_point now);
   /** Returns rows to send along, this instance's first. */
   std::vector<member_row> sample();
+  /** Returns the rows of all members, as far as one datagram takes them. */
+  std::vector<member_row> all_rows() const;
+  member_row own_row() const;
 
   bool is_alive(time_point now, member_address who) const;
   /** Returns the living members, this one included, in order. */
   std::vector<member_address> alive(time_point now) const;
   /** Returns the living members that do not leave, this one included. */
   std::vector<member_address> staying(time_point now) const;
-  std::uint32_t zone_of(member_address who) const;
   /** Returns when a member was last heard of; none: never. */
   std::optional<time_point> heard(member_address who) const;
   /** Returns when a member was last met for the first time; none: never. */
@@ -69,12 +75,12 @@
   /** Returns whether the fleet is too large for everyone to tell everyone. */
   bool is_large() const;
   bool is_leaving(member_address who) const;
+  bool is_in_my_domain(member_address who) const;
 
  private:
   struct member_state {
     member_row row;
     time_point heard;
-    time_point first_heard;
   };
 
   roster_options options_;
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -23,8 +23,12 @@
 constexpr duration kLookAfterFailure = 300ms;
 /** A report may be this much older than its answer. */
 constexpr duration kReportLag = 700ms;
-/** After a claim, two reports this far apart must agree. */
+/** Without fences, two reports this far apart must agree after a claim. */
 constexpr duration kConfirmPause = 400ms;
+/** A report asked this long after an order shows all that came before it. */
+constexpr duration kFenceSettled = 300ms;
+/** So many refusals of the fence order, and reports alone must do. */
+constexpr std::uint32_t kFenceRejections = 2;
 /** Interest that is not renewed for this long is void. */
 constexpr duration kInterestLife = 1500ms;
 /** An adapter used this recently is not unloaded: calls may be on their way. */
@@ -47,8 +51,19 @@
 }  // namespace
 
 target_keeper::target_keeper(target_id id, engine_profile profile,
-                             std::uint64_t fence)
-    : id_(std::move(id)), profile_(std::move(profile)), fence_(fence) {}
+                             std::uint64_t fence, takeover_check check)
+    : id_(std::move(id)),
+      profile_(std::move(profile)),
+      fence_(fence),
+      check_(check) {}
+
+void target_keeper::renew_fence(time_point now, std::uint64_t fence) {
+  fence_ = fence;
+  known_ = false;
+  fence_in_force_.reset();
+  unconfirmed_.reset();
+  next_report_ = now;
+}
 
 void target_keeper::set_interest(time_point now, member_address from,
                                  std::vector<adapter_interest> rows) {
@@ -106,11 +121,18 @@
       [](const auto& pair) { return pair.second.now == phase::loading; }));
 }
 
+std::size_t target_keeper::places_taken() const {
+  return places_.size() +
+         static_cast<std::size_t>(std::count_if(
+             places_.begin(), places_.end(), [](const auto& pair) {
+               return pair.second.replaces.has_value();
+             }));
+}
+
 bool target_keeper::has_room(const adapter_name& name) const {
-  if (places_.contains(name)) return true;
-  if (places_.size() >= profile_.adapter_slots) return false;
+  if (places_taken() >= profile_.adapter_slots) return false;
   double used_mb = 0;
-  for (const auto& [model, ready] : models_) {
+  for (const auto& [model, version] : models_) {
     if (const auto* profile = profile_.find(model)) {
       used_mb += profile->weights_mb;
     }
@@ -119,7 +141,9 @@
     const auto* profile = profile_.find(which.model);
     return profile == nullptr ? 0 : profile->adapter_mb;
   };
-  for (const auto& [held, state] : places_) used_mb += adapter_mb(held);
+  for (const auto& [held, state] : places_) {
+    used_mb += adapter_mb(held) * (state.replaces ? 2 : 1);
+  }
   return used_mb + adapter_mb(name) <= profile_.weights_mb;
 }
 
@@ -145,7 +169,9 @@
 }
 
 keeper_step target_keeper::order_load(time_point now, const wish& wanted) {
-  auto& held = places_[wanted.name];
+  const auto [at, is_new] = places_.try_emplace(wanted.name);
+  auto& held = at->second;
+  if (!is_new) held.replaces = held.version;
   held.now = phase::loading;
   held.version = wanted.version;
   held.since = now;
@@ -205,13 +231,31 @@
   return step;
 }
 
+std::optional<keeper_step> target_keeper::fence_step(time_point now) {
+  if (models_.empty()) return model_step(now);
+  const auto& [model, version] = *models_.begin();
+  keeper_step step;
+  step.what = keeper_step::kind::order;
+  step.order = engine_order_kind::load;
+  step.name = {model, ""};
+  if (version > 0) step.version = version;
+  return step;
+}
+
 keeper_step target_keeper::next_step(time_point now, bool may_order) {
   if (under_way_.what != keeper_step::kind::none) return {};
   if (now >= next_report_) {
     under_way_.what = keeper_step::kind::report;
     return under_way_;
   }
-  if (!known_ || !may_order || now < not_before_) return {};
+  if (!may_order || now < not_before_) return {};
+  const bool wants_fence = !known_ && check_ == takeover_check::fence_order &&
+                           !fence_in_force_ && unconfirmed_;
+  if (wants_fence) {
+    if (const auto step = fence_step(now)) under_way_ = *step;
+    return under_way_;
+  }
+  if (!known_) return {};
   if (const auto step = model_step(now)) {
     under_way_ = *step;
     return under_way_;
@@ -248,9 +292,7 @@
     next_report_ = std::min(next_report_, now + wait);
   };
   if (step.name.adapter.empty()) {
-    if (status == engine_order_status::done) models_[step.name.model] = true;
-    if (status != engine_order_status::started) model_loading_ = false;
-    look(status == engine_order_status::started ? kFirstLook : kBusyPause);
+    model_order_answered(now, step.name, status);
     return;
   }
   const auto found = places_.find(step.name);
@@ -265,6 +307,7 @@
       if (load) {
         held.now = phase::ready;
         held.since = now;
+        held.replaces.reset();
       } else {
         unloaded_[step.name] = now;
         places_.erase(found);
@@ -272,11 +315,14 @@
       break;
     case engine_order_status::busy:
     case engine_order_status::rejected:
-      // Not taken: a load leaves no trace, an unload leaves it there.
-      if (load) {
+      // Not taken: a load leaves no trace but the version it was to replace,
+      // an unload leaves the adapter there.
+      if (load && !held.replaces) {
         places_.erase(found);
       } else {
         held.now = phase::ready;
+        held.version = held.replaces.value_or(held.version);
+        held.replaces.reset();
       }
       not_before_ = now + kBusyPause;
       look(kBusyPause);
@@ -292,6 +338,29 @@
   changed();
 }
 
+void target_keeper::model_order_answered(time_point now,
+                                         const adapter_name& name,
+                                         engine_order_status status) {
+  const bool taken = status == engine_order_status::started ||
+                     status == engine_order_status::done;
+  if (status == engine_order_status::done) models_.try_emplace(name.model, 0U);
+  if (status != engine_order_status::started) model_loading_ = false;
+  if (!taken) not_before_ = now + kBusyPause;
+  const bool is_fence_order = !known_ && !fence_in_force_;
+  if (is_fence_order && taken) {
+    fence_in_force_ = now;
+    next_report_ = now + kFenceSettled;
+    return;
+  }
+  if (is_fence_order && status == engine_order_status::rejected &&
+      ++fence_rejections_ >= kFenceRejections) {
+    check_ = takeover_check::agreeing_reports;
+  }
+  next_report_ = std::min(
+      next_report_,
+      now + (status == engine_order_status::started ? kFirstLook : kBusyPause));
+}
+
 void target_keeper::report_read(time_point now, time_point asked,
                                 const std::optional<engine_report>& report) {
   under_way_ = {};
@@ -300,9 +369,12 @@
     return;
   }
   if (!known_) {
-    known_ = confirms_content(now, *report);
-    next_report_ = now + kConfirmPause;
+    take_models(now, *report);
+    known_ = confirms_content(now, asked, *report);
+    const bool by_fence = check_ == takeover_check::fence_order;
+    next_report_ = now + (by_fence ? kIdleLook : kConfirmPause);
     if (!known_) return;
+    start_places(now, asked, *report);
   }
   take_places(now, asked, *report);
   const bool waiting =
@@ -313,8 +385,14 @@
   next_report_ = now + (waiting ? kNextLook : kIdleLook);
 }
 
-bool target_keeper::confirms_content(time_point now,
+bool target_keeper::confirms_content(time_point now, time_point asked,
                                      const engine_report& report) {
+  const bool agree = reports_agree(now, report);
+  if (check_ == takeover_check::agreeing_reports) return agree;
+  return fence_in_force_ && asked - *fence_in_force_ >= kFenceSettled;
+}
+
+bool target_keeper::reports_agree(time_point now, const engine_report& report) {
   const bool same = unconfirmed_ && unconfirmed_->sequence == report.sequence &&
                     unconfirmed_->adapters == report.adapters &&
                     unconfirmed_->pending == report.pending;
@@ -326,14 +404,32 @@
   return false;
 }
 
-void target_keeper::take_places(time_point now, time_point asked,
-                                const engine_report& report) {
+void target_keeper::take_models(time_point now, const engine_report& report) {
   models_.clear();
-  for (const auto& model : report.models) models_[model.name] = true;
+  for (const auto& model : report.models) models_[model.name] = model.version;
   if (!models_.empty()) model_loading_ = false;
   if (model_loading_ && !report.busy && now >= model_not_before_) {
     model_loading_ = false;
   }
+}
+
+void target_keeper::start_places(time_point now, time_point asked,
+                                 const engine_report& report) {
+  // What was believed under a former fence tells the demand alone.
+  const auto former = std::exchange(places_, {});
+  unloaded_.clear();
+  take_places(now, asked, report);
+  for (auto& [name, held] : places_) {
+    const auto found = former.find(name);
+    if (found == former.end()) continue;
+    held.demand = found->second.demand;
+    held.used = found->second.used;
+  }
+}
+
+void target_keeper::take_places(time_point now, time_point asked,
+                                const engine_report& report) {
+  take_models(now, report);
   std::map<adapter_name, std::uint32_t> held;
   for (const auto& adapter : report.adapters) {
     held[adapter.name] = adapter.version;
@@ -353,6 +449,7 @@
         mine.version = seen->second;
         mine.since = now;
         mine.uncertain = false;
+        mine.replaces.reset();
         changed();
       } else if (settled && !pending.contains(name)) {
         drop = !there;
@@ -360,6 +457,7 @@
           mine.now = phase::ready;
           mine.version = seen->second;
           mine.uncertain = false;
+          mine.replaces.reset();
         }
         changed();
       }
@@ -402,9 +500,16 @@
   std::erase_if(unloaded_, [&](const auto& pair) {
     return now - pair.second > 4 * kReportLag;
   });
-  for (const auto& [name, version] : held) add(name, version, phase::ready);
+  for (const auto& [name, version] : held) {
+    if (!pending.contains(name)) add(name, version, phase::ready);
+  }
   for (const auto& adapter : report.pending) {
     add(adapter.name, adapter.version, phase::loading);
+    const auto old = held.find(adapter.name);
+    const auto found = places_.find(adapter.name);
+    if (old != held.end() && found != places_.end()) {
+      found->second.replaces = old->second;
+    }
   }
 }
 
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -24,24 +24,41 @@
   std::optional<std::uint32_t> version;
 };
 
+/** What makes a new keeper sure that nobody else gives orders. */
+enum class takeover_check : std::uint8_t {
+  /** The target refuses lower fences: an order that changes nothing. */
+  fence_order,
+  /** The target checks no fences: two reports that agree. */
+  agreeing_reports
+};
+
 /**
  * Decides loads and unloads at one target, and knows what it holds.
  *
  * Places are counted so that no order can exceed the target: an adapter
  * counts from before its load is ordered until its unload is known to be
- * done. One call to the target is under way at a time.
+ * done, and a version that replaces another counts beside it. One call to the
+ * target is under way at a time.
+ *
+ * Where fences are checked, the first order under a fence asks for a model
+ * that is there already. Once it is answered, no order of a former holder and
+ * no late one of this instance can be taken any more, so a report asked after
+ * that tells all there is.
  */
 class target_keeper {
  public:
-  target_keeper(target_id id, engine_profile profile, std::uint64_t fence);
+  target_keeper(target_id id, engine_profile profile, std::uint64_t fence,
+                takeover_check check);
 
   const target_id& id() const { return id_; }
   std::uint64_t fence() const { return fence_; }
+  /** The content is known, and nobody else gives orders. */
+  bool is_known() const { return known_; }
   /**
-   * The content is known: two reports since the claim agree, so nobody else
-   * gives orders.
+   * Goes on under a higher fence, and reads anew what is there: an order that
+   * was not answered can then no longer be taken.
    */
-  bool is_known() const { return known_; }
+  void renew_fence(time_point now, std::uint64_t fence);
   void set_profile(engine_profile profile) { profile_ = std::move(profile); }
 
   /** Takes the whole interest of one instance, which replaces its last. */
@@ -82,6 +99,8 @@
     double demand = 0;
     /** An order about it was not answered: only a report can tell. */
     bool uncertain = false;
+    /** The version that is there while a newer one is loading. */
+    std::optional<std::uint32_t> replaces;
   };
   struct wish {
     adapter_name name;
@@ -96,12 +115,21 @@
   };
 
   std::vector<wish> wishes(time_point now) const;
+  std::size_t places_taken() const;
   bool has_room(const adapter_name& name) const;
   std::optional<adapter_name> victim(time_point now) const;
   keeper_step order_load(time_point now, const wish& wanted);
   keeper_step order_unload(time_point now, const adapter_name& name);
   std::optional<keeper_step> model_step(time_point now);
-  bool confirms_content(time_point now, const engine_report& report);
+  std::optional<keeper_step> fence_step(time_point now);
+  void model_order_answered(time_point now, const adapter_name& name,
+                            engine_order_status status);
+  bool reports_agree(time_point now, const engine_report& report);
+  bool confirms_content(time_point now, time_point asked,
+                        const engine_report& report);
+  void start_places(time_point now, time_point asked,
+                    const engine_report& report);
+  void take_models(time_point now, const engine_report& report);
   void take_places(time_point now, time_point asked,
                    const engine_report& report);
   void changed() { ++edition_; }
@@ -110,10 +138,15 @@
   target_id id_;
   engine_profile profile_;
   std::uint64_t fence_;
+  takeover_check check_;
   bool known_ = false;
+  /** When the target first answered an order under this fence. */
+  std::optional<time_point> fence_in_force_;
+  std::uint32_t fence_rejections_ = 0;
   std::optional<engine_report> unconfirmed_;
   time_point unconfirmed_since_{};
-  std::map<std::string, bool, std::less<>> models_;
+  /** Base models that are there, by name, at their versions. */
+  std::map<std::string, std::uint32_t, std::less<>> models_;
   std::map<adapter_name, place> places_;
   std::map<member_address, interest> interests_;
   std::map<adapter_name, time_point> unloaded_;
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -21,6 +21,8 @@
 constexpr duration kEntryLag = 1500ms;
 constexpr duration kPeerLoadLife = 1500ms;
 constexpr duration kGoneKept = 20s;
+/** Entries that lapsed with the store are back within this time. */
+constexpr duration kLapseKept = 2s;
 
 }  // namespace
 
@@ -70,11 +72,12 @@
   state.entry = std::move(entry);
 }
 
-void target_table::unlist(time_point now, const target_id& id) {
+void target_table::unlist(time_point now, const target_id& id, bool lapsed) {
   auto* state = find(id);
   if (state == nullptr || state->gone) return;
   state->gone = true;
   state->gone_since = now;
+  state->lapsed_until = lapsed ? now + kLapseKept : now;
 }
 
 void target_table::expire(time_point now) {
@@ -101,12 +104,9 @@
                                                 std::string_view service) {
   std::vector<target_state*> good;
   std::vector<target_state*> ejected;
-  std::vector<target_state*> gone;
   for (auto& [id, state] : targets_) {
-    if (state.entry.service != service || state.entry.draining) continue;
-    if (state.gone) {
-      gone.push_back(&state);
-    } else if (state.is_ejected(now)) {
+    if (state.entry.service != service || state.has_left(now)) continue;
+    if (state.is_ejected(now)) {
       ejected.push_back(&state);
     } else {
       good.push_back(&state);
@@ -116,14 +116,13 @@
   if (good.size() < ejected.size()) {
     good.insert(good.end(), ejected.begin(), ejected.end());
   }
-  // All entries may lapse with the store while the targets live.
-  return good.empty() ? gone : good;
+  return good;
 }
 
-std::vector<target_state*> target_table::listed() {
+std::vector<target_state*> target_table::staying(time_point now) {
   std::vector<target_state*> out;
   for (auto& [id, state] : targets_) {
-    if (!state.gone && !state.entry.draining) out.push_back(&state);
+    if (!state.has_left(now)) out.push_back(&state);
   }
   return out;
 }
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -24,6 +24,8 @@
   /** The store no longer lists it. */
   bool gone = false;
   time_point gone_since;
+  /** Its entry may have lapsed while the store was away: used until then. */
+  time_point lapsed_until;
 
   /** Requests of this instance that are under way there. */
   std::uint32_t running = 0;
@@ -43,8 +45,6 @@
   std::uint32_t failures_in_a_row = 0;
   time_point ejected_until;
   duration ejection{};
-  /** One request is trying whether an ejected target is back. */
-  bool on_trial = false;
 
   /** Returns whether an adapter is there and ready, at a version or above. */
   bool holds(time_point now, const adapter_name& name,
@@ -52,13 +52,18 @@
   /** Returns the requests of all instances, as last heard. */
   std::uint32_t total_running(time_point now) const;
   bool is_ejected(time_point now) const { return now < ejected_until; }
+  /** Returns whether the target gets no new work any more. */
+  bool has_left(time_point now) const {
+    return entry.draining || (gone && now >= lapsed_until);
+  }
 };
 
 /** The targets by id, and by the service they belong to. */
 class target_table {
  public:
   void list(time_point now, target_entry entry);
-  void unlist(time_point now, const target_id& id);
+  /** `lapsed`: the store was away, so the target may live on. */
+  void unlist(time_point now, const target_id& id, bool lapsed);
   /** Drops what has long been gone and has nothing under way. */
   void expire(time_point now);
 
@@ -66,8 +71,8 @@
   target_state* find(target_hash hash);
   /** Returns the targets that may get new work, in order of their ids. */
   std::vector<target_state*> usable(time_point now, std::string_view service);
-  /** Returns all that are listed and do not leave. */
-  std::vector<target_state*> listed();
+  /** Returns all that have not left. */
+  std::vector<target_state*> staying(time_point now);
 
   void succeeded(target_state& target);
   /** `severe`: it cannot be reached at all. */
