Ask how busy targets are before a request chooses; copy only what is busy itself

An instance of 66 hears of a target's load every few seconds, so two choices were made on no word at all; and any request at a busy target asked for a copy of its adapter, also if it was the only one for it: 1,919 loads for the 1,035 adapters that were asked for once, and the weight store was full of them (1.2 s for a load at p90). Ruled out: too few targets (mean of 5 to 7 of 12 slots in use). Change: in a large fleet a request asks the holders of its two candidates, unless their word is younger than 150 ms, and waits up to 15 ms for it. A holder tells the requests on each adapter; a copy is asked for only where three of a busy target's requests are on that adapter. Requests for a base model count as work too.

--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -97,6 +97,8 @@
 struct adapter_place {
   held_adapter what;
   bool ready = false;
+  /** Requests of all instances that run on it there. */
+  std::uint32_t running = 0;
 
   friend bool operator==(const adapter_place&, const adapter_place&) = default;
 };
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -57,7 +57,7 @@
   for (const auto& p : from.places) {
     places.push_back(frames::CreateAdapterPlaceDirect(
         b, p.what.name.model.c_str(), p.what.name.adapter.c_str(),
-        p.what.version, p.ready));
+        p.what.version, p.ready, p.running));
   }
   return frames::CreateResidencyDirect(b, from.target, from.fence, from.edition,
                                        from.running, &places);
@@ -127,8 +127,9 @@
   out.edition = from.edition();
   out.running = from.running();
   each(from.places(), [&](const frames::AdapterPlace& p) {
-    out.places.push_back(
-        {{{text(p.model()), text(p.adapter())}, p.version()}, p.ready()});
+    out.places.push_back({{{text(p.model()), text(p.adapter())}, p.version()},
+                          p.ready(),
+                          p.running()});
   });
   return out;
 }
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -100,7 +100,14 @@
   waiting_dirty_ = true;
 }
 
-time_point gateway_core::impl::next_wakeup() const { return now_ + kTick; }
+time_point gateway_core::impl::next_wakeup() const {
+  auto next = now_ + kTick;
+  for (const auto& [caller, x] : exchanges_) {
+    const bool asks = x.now == exchange::phase::waiting && x.asked_until;
+    if (asks && *x.asked_until > now_) next = std::min(next, *x.asked_until);
+  }
+  return next;
+}
 
 void gateway_core::impl::log(std::string_view event,
                              std::vector<log_field> fields, bool important) {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -117,6 +117,14 @@
   // gateway_placement.cc
   void place(exchange& x);
   void place_on_engine(exchange& x, const std::vector<target_state*>& targets);
+  /** Returns those of the targets that a request chooses from. */
+  std::vector<target_state*> candidates(
+      const std::vector<target_state*>& targets, const exchange& x) const;
+  /**
+   * Asks the holders of targets how busy these are; returns whether the
+   * request is to wait for their word.
+   */
+  bool asks_for_loads(exchange& x, const std::vector<target_state*>& targets);
   target_state* least_busy(const std::vector<target_state*>& targets,
                            const exchange& x) const;
   target_state* home_of(const std::vector<target_state*>& targets,
--- a/src/process/gateway_peers.cc
+++ b/src/process/gateway_peers.cc
@@ -24,7 +24,7 @@
 /** A copy by demand comes after the loads that requests wait for. */
 constexpr std::uint32_t kCopyRank = 5;
 /** In a large fleet, an instance is told of a target this often at most. */
-constexpr duration kTellPause = 100ms;
+constexpr duration kTellPause = 20ms;
 constexpr std::size_t kMaxLoads = 40;
 constexpr std::size_t kMaxClaims = 40;
 /** In a large fleet a changed claim is told to all so often. */
@@ -264,7 +264,7 @@
     const target_state& target) const {
   std::map<adapter_name, adapter_interest> rows;
   for (const auto& [caller, x] : exchanges_) {
-    if (x.facts.adapter.adapter.empty()) continue;
+    if (x.facts.adapter.model.empty()) continue;
     const bool waits =
         x.now == exchange::phase::waiting && x.home == target.entry.id;
     const bool runs =
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -19,13 +19,19 @@
 constexpr double kCopyAbove = 1.3;
 constexpr double kCopyBeyond = 3;
 constexpr double kCopyLeast = 14;
-constexpr double kCopyFullness = 0.5;
+constexpr double kCopyFullness = 0.6;
+/** ... and where so many of its requests are on the adapter itself. */
+constexpr std::uint32_t kCopyOwnWork = 3;
 /** An adapter's second target loads it where the first is busier than this. */
 constexpr double kHomeBeyond = 6;
 /** In requests: the work of a load under way. */
 constexpr double kLoadWork = 2;
 /** How long the wish for a copy stands. */
 constexpr duration kCopyWanted = 1s;
+/** Word of how busy a target is is good for this long. */
+constexpr duration kFreshWord = 150ms;
+/** A request waits for such word this long at most. */
+constexpr duration kAskWait = 15ms;
 /** Part of a service's slots beyond which a request waits here. */
 constexpr double kFullPart = 1.0;
 
@@ -41,7 +47,8 @@
     place_on_engine(x, targets);
     return;
   }
-  auto* target = least_busy(targets, x);
+  auto* target = least_busy(candidates(targets, x), x);
+  if (target == nullptr) target = least_busy(targets, x);
   if (target == nullptr) {
     wait_for(x, nullptr, "all_tried");
     return;
@@ -55,15 +62,7 @@
   target_state* best = nullptr;
   double least = 0;
   const auto my_zone = options_.zone;
-  // What a large fleet's instances know of loads is old: if all took the least
-  // busy one, they would take the same. Each request looks at two.
-  const bool looks_at_two = roster_.is_large() && targets.size() > 2;
-  const auto first = hash_of(x.facts.id) % targets.size();
-  const auto second = hash_of(x.facts.id + "/") % targets.size();
-  std::size_t index = 0;
   for (auto* target : targets) {
-    const auto at = index++;
-    if (looks_at_two && at != first && at != second) continue;
     if (x.tried.contains(target->entry.id)) continue;
     double load = target->total_running(now_);
     if (target->entry.zone != my_zone) load += kZonePenalty;
@@ -78,6 +77,40 @@
   return best;
 }
 
+std::vector<target_state*> gateway_core::impl::candidates(
+    const std::vector<target_state*>& targets, const exchange& x) const {
+  // What a large fleet's instances know of loads is old: if all took the least
+  // busy one, they would take the same. Each request looks at two.
+  if (!roster_.is_large() || targets.size() <= 2) return targets;
+  const auto first = hash_of(x.facts.id) % targets.size();
+  const auto step = 1 + hash_of(x.facts.id + "/") % (targets.size() - 1);
+  return {targets[first], targets[(first + step) % targets.size()]};
+}
+
+bool gateway_core::impl::asks_for_loads(
+    exchange& x, const std::vector<target_state*>& targets) {
+  if (!roster_.is_large() || targets.size() < 2) return false;
+  if (x.asked_until) {
+    const bool answered = std::all_of(
+        targets.begin(), targets.end(), [&](const target_state* target) {
+          return now_ - target->residency_heard < kFreshWord;
+        });
+    return !answered && now_ < *x.asked_until;
+  }
+  bool asked = false;
+  for (const auto* target : targets) {
+    if (now_ - target->residency_heard < kFreshWord) continue;
+    if (!has_live_holder(target->hash)) continue;
+    if (keepers_.contains(target->entry.id)) continue;
+    const auto holder = claims_[target->hash].holder;
+    do_act(action::send_datagram{
+        holder, interest_message{target->hash, interest_in(*target)}});
+    asked = true;
+  }
+  if (asked) x.asked_until = now_ + kAskWait;
+  return asked;
+}
+
 target_state* gateway_core::impl::home_of(
     const std::vector<target_state*>& targets, const exchange& x) const {
   target_state* best = nullptr;
@@ -124,7 +157,11 @@
       holding.push_back(target);
     }
   }
-  if (auto* target = least_busy(holding, x)) {
+  const auto looked_at = candidates(holding, x);
+  if (asks_for_loads(x, looked_at)) return;
+  auto* target = least_busy(looked_at, x);
+  if (target == nullptr) target = least_busy(holding, x);
+  if (target != nullptr) {
     want_copy(x, *target, targets, holding);
     const auto slots = std::max(1U, x.service->engine->slots);
     if (target->total_running(now_) < slots * kFullPart) {
@@ -146,11 +183,14 @@
   const auto slots = static_cast<double>(x.service->engine->slots);
   const auto least = std::min(kCopyLeast, kCopyFullness * slots);
   if (load < std::max(least, kCopyAbove * mean + kCopyBeyond)) return;
+  // A target that is busy with others is no reason to load this one again.
+  if (best.running_on(x.facts.adapter) < kCopyOwnWork) return;
+  const auto idle = roster_.is_large() ? kCopyFullness * slots : mean + 1;
   std::vector<target_state*> others;
   for (auto* target : targets) {
     const bool holds =
         std::find(holding.begin(), holding.end(), target) != holding.end();
-    if (!holds && target->total_running(now_) < mean + 1) {
+    if (!holds && target->total_running(now_) < idle) {
       others.push_back(target);
     }
   }
@@ -185,6 +225,7 @@
 void gateway_core::impl::dispatch(exchange& x, target_state& target) {
   if (!x.home.empty()) interest_dirty_.insert(x.home);
   x.home.clear();
+  x.asked_until.reset();
   x.now = exchange::phase::calling;
   x.call = next_call_++;
   x.target = target.entry.id;
@@ -197,7 +238,7 @@
   x.answer = {};
   calls_[x.call] = x.caller;
   ++target.running;
-  if (!x.facts.adapter.adapter.empty()) interest_dirty_.insert(x.target);
+  if (!x.facts.adapter.model.empty()) interest_dirty_.insert(x.target);
   call_facts facts;
   facts.target = x.target;
   facts.remaining = x.until - now_;
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -152,7 +152,7 @@
   auto* target = target_of(x);
   if (target == nullptr) return;
   if (target->running > 0) --target->running;
-  if (!x.facts.adapter.adapter.empty()) interest_dirty_.insert(x.target);
+  if (!x.facts.adapter.model.empty()) interest_dirty_.insert(x.target);
   waiting_dirty_ = true;
   if (success) return;
   const bool was_ejected = target->is_ejected(now_);
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -527,9 +527,14 @@
 }
 
 std::vector<adapter_place> target_keeper::places() const {
+  std::map<adapter_name, std::uint32_t> running;
+  for (const auto& [from, known] : interests_) {
+    for (const auto& row : known.rows) running[row.name] += row.running;
+  }
   std::vector<adapter_place> out;
   for (const auto& [name, held] : places_) {
-    out.push_back({{name, held.version}, held.now == phase::ready});
+    out.push_back(
+        {{name, held.version}, held.now == phase::ready, running[name]});
   }
   return out;
 }
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -51,6 +51,13 @@
                      });
 }
 
+std::uint32_t target_state::running_on(const adapter_name& name) const {
+  const auto found = std::find_if(
+      residency.places.begin(), residency.places.end(),
+      [&](const adapter_place& place) { return place.what.name == name; });
+  return found == residency.places.end() ? 0 : found->running;
+}
+
 std::uint32_t target_state::total_running(time_point now) const {
   std::uint32_t total = running;
   for (const auto& [peer, load] : peer_loads) {
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -49,6 +49,8 @@
   /** Returns whether an adapter is there and ready, at a version or above. */
   bool holds(time_point now, const adapter_name& name,
              std::uint32_t version) const;
+  /** Returns the requests of all instances that run on an adapter there. */
+  std::uint32_t running_on(const adapter_name& name) const;
   /** Returns the requests of all instances, as last heard. */
   std::uint32_t total_running(time_point now) const;
   bool is_ejected(time_point now) const { return now < ejected_until; }
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -35,6 +35,8 @@
   /** A request that still waits is refused then. */
   time_point refuse_at;
   phase now = phase::waiting;
+  /** Until then it waits for word of how busy its targets are. */
+  std::optional<time_point> asked_until;
   /** The target that is to load the adapter; empty: none. */
   target_id home;
 
