--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -78,7 +78,7 @@
   gateway_options options;
   options.id = fmt::format("node-{}", who & 0xff);
   options.self = who;
-  options.zone = who % 2 == 0 ? "east" : "west";
+  options.failure_domain = who % 2 == 0 ? "east" : "west";
   options.incarnation =
       static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
   options.random_seed = random_();
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -179,7 +179,7 @@
 struct gateway_options {
   instance_id id;
   member_address self = 0;
-  std::string zone;
+  std::string failure_domain;
   std::uint64_t incarnation = 0;
   std::uint64_t random_seed = 0;
   std::vector<member_address> seeds;
--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -17,7 +17,7 @@
 /** What `serve` needs to know of an instance of the direct path. */
 struct gateway_config {
   instance_id id;
-  std::string zone;
+  std::string failure_domain;
   /** IP:port each. */
   std::string caller_address;
   std::string ready_address;
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -128,7 +128,7 @@
   std::string service;
   /** IP:port. */
   std::string address;
-  std::string zone;
+  std::string failure_domain;
   bool draining = false;
   std::uint32_t slots = 0;
   std::vector<held_model> models;
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -22,7 +22,7 @@
 roster_options roster_options_of(const gateway_options& from) {
   roster_options out;
   out.self = from.self;
-  out.domain = static_cast<std::uint32_t>(hash_of(from.zone));
+  out.domain = static_cast<std::uint32_t>(hash_of(from.failure_domain));
   out.incarnation = from.incarnation;
   out.seeds = from.seeds;
   out.random_seed = from.random_seed;
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -31,7 +31,7 @@
 
 constexpr std::array kSchema{
     file_key("id", value_kind::text, "", "name of the instance"),
-    file_key("zone", value_kind::text, "", "failure domain"),
+    file_key("failure_domain", value_kind::text, "", "where the instance runs"),
     file_key("caller_address", value_kind::address, "",
              "where callers reach it"),
     file_key("ready_address", value_kind::address, "",
@@ -57,7 +57,7 @@
 
 std::string* text_member(gateway_config& config, std::string_view key) {
   if (key == "id") return &config.id;
-  if (key == "zone") return &config.zone;
+  if (key == "failure_domain") return &config.failure_domain;
   if (key == "caller_address") return &config.caller_address;
   if (key == "ready_address") return &config.ready_address;
   if (key == "peer_address") return &config.peer_address;
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -12,7 +12,7 @@
 namespace {
 
 /** In requests: what a target in another failure domain is worse. */
-constexpr double kZonePenalty = 1.5;
+constexpr double kFarPenalty = 1.5;
 /** What is told to targets as rank: the most urgent is 0, the default 5. */
 constexpr std::uint32_t kLowestRank = 9;
 /** A copy more is wanted where the least busy holder's load is beyond this. */
@@ -61,11 +61,11 @@
   if (targets.empty()) return nullptr;
   target_state* best = nullptr;
   double least = 0;
-  const auto my_zone = options_.zone;
+  const auto& mine = options_.failure_domain;
   for (auto* target : targets) {
     if (x.tried.contains(target->entry.id)) continue;
     double load = target->total_running(now_);
-    if (target->entry.zone != my_zone) load += kZonePenalty;
+    if (target->entry.failure_domain != mine) load += kFarPenalty;
     // Equal ones are told apart by the request, so that instances spread.
     const auto tie = hash_of(x.facts.id + target->entry.id) % 1000;
     load += static_cast<double>(tie) / 2000.0;
@@ -260,6 +260,8 @@
                    {"adapter", x.facts.adapter.str()},
                    {"version", static_cast<std::int64_t>(version)},
                    {"waited_ms", to_ms(now_ - x.started)},
+                   {"load", target.total_running(now_)},
+                   {"load_age_ms", to_ms(now_ - target.residency_heard)},
                    {"left_ms", to_ms(facts.remaining)}});
   do_act(std::move(call));
 }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -49,7 +49,7 @@
 gateway_options options_of(const gateway_config& from) {
   gateway_options out;
   out.id = from.id;
-  out.zone = from.zone;
+  out.failure_domain = from.failure_domain;
   if (const auto own = parse_endpoint(from.peer_address)) {
     if (const auto number = parse_member(own.value().host)) {
       out.self = number.value();
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -34,6 +34,8 @@
 constexpr duration kWatchRankLife = 500ms;
 /** A watch of what the operators write is held this long. */
 constexpr duration kOperatorWait = 12s;
+/** Pause after an answer with changes: a storm of them costs few calls. */
+constexpr duration kOperatorGather = 1s;
 /** Entries lapse after three heartbeats without the store, not sooner. */
 constexpr duration kStoreAway = 3s;
 constexpr duration kFetchPause = 40ms;
@@ -148,7 +150,7 @@
   if (e.how == outcome::answered) {
     watch.after = std::max(watch.after, e.answer.revision);
     watch.after_failure = {};
-    watch.next = now_;
+    watch.next = e.answer.items.empty() ? now_ : now_ + kOperatorGather;
     store_changes changes;
     changes.items = std::move(e.answer.items);
     apply(changes, kFromStore);
--- a/test/gateway_checks.h
+++ b/test/gateway_checks.h
@@ -24,6 +24,8 @@
 inline constexpr int kUnavailable = 503;
 /** From the start of a fleet until its targets have holders. */
 inline constexpr duration kSettled = 6s;
+/** The same where the fleet is too large for everyone to tell everyone. */
+inline constexpr duration kLargeSettled = 9s;
 
 inline std::string all(const std::vector<std::string>& lines) {
   std::string out;
--- /dev/null
+++ b/test/gateway_large-test.cc
@@ -0,0 +1,133 @@
+// seamglade - the direct path: a fleet too large for everyone to tell everyone
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "gateway_checks.h"
+
+namespace seamglade {
+namespace {
+
+gateway_world_options large() {
+  gateway_world_options options;
+  options.instances = 24;
+  options.engines = 12;
+  return options;
+}
+
+std::size_t held_in_all(gateway_world& w) {
+  std::size_t held = 0;
+  for (const auto who : w.instances()) held += w.status(who).held;
+  return held;
+}
+
+TEST(large_fleet, meets_and_gives_each_target_one_holder) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  for (const auto who : w.instances()) {
+    EXPECT_EQ(w.status(who).members_alive, 24U);
+  }
+  EXPECT_EQ(held_in_all(w), w.engines().size());
+  expect_rules_kept(w);
+}
+
+TEST(large_fleet, serves_and_loads_an_adapter_once) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  for (const auto who : w.instances()) w.call_engine(who, "a1");
+  w.run_for(3s);
+  EXPECT_EQ(count(w).served, w.instances().size());
+  EXPECT_EQ(w.loads(), 1U);
+  expect_rules_kept(w);
+}
+
+TEST(large_fleet, operators_configuration_is_in_force_soon) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  w.publish_configuration(7, "/other/");
+  w.run_for(1500ms);
+  for (const auto who : w.instances()) {
+    EXPECT_EQ(w.status(who).configuration, 7U);
+  }
+}
+
+TEST(large_fleet, a_configuration_reaches_those_that_the_store_turns_away) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  const auto who = w.instances();
+  for (std::size_t i = 0; i < who.size(); ++i) {
+    if (i % 3 != 0) w.deny_store(who[i], true);
+  }
+  w.run_for(6s);
+  w.publish_configuration(7, "/other/");
+  w.run_for(2500ms);
+  for (const auto each : who) EXPECT_EQ(w.status(each).configuration, 7U);
+}
+
+TEST(large_fleet, a_leaving_target_gets_no_work_after_a_second) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  send_load(w, 6s, 10ms, 6);
+  w.run_for(2s);
+  w.drain_target("plain-0");
+  w.drain_target(w.engines()[0]);
+  w.run_for(1s);
+  const auto before = w.runs_at("plain-0");
+  w.run_for(5s);
+  EXPECT_EQ(w.runs_at("plain-0"), before);
+  expect_rules_kept(w);
+}
+
+TEST(large_fleet, few_instances_read_the_whole_store) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  const auto before = w.store_calls();
+  // Loads change the targets' entries all the time.
+  send_load(w, 10s, 20ms, 40);
+  w.run_for(10s);
+  const auto calls_a_second = (w.store_calls() - before) / 10;
+  EXPECT_LT(calls_a_second, 24U);
+}
+
+TEST(large_fleet, the_targets_of_a_dead_holder_get_another) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  send_load(w, 20s, 20ms, 30);
+  const auto who = w.instances();
+  for (std::size_t i = 0; i < who.size(); i += 2) w.kill(who[i]);
+  w.run_for(500ms);
+  for (std::size_t i = 0; i < who.size(); i += 2) w.start(who[i]);
+  w.run_for(12s);
+  EXPECT_EQ(held_in_all(w), w.engines().size());
+  w.run_for(10s);
+  expect_rules_kept(w);
+}
+
+TEST(large_fleet, all_restarted_at_once_serve_again) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  send_load(w, 2s, 20ms, 30);
+  w.run_for(2s);
+  for (const auto who : w.instances()) w.kill(who);
+  w.run_for(1s);
+  for (const auto who : w.instances()) w.start(who);
+  w.run_for(6s);
+  EXPECT_EQ(held_in_all(w), w.engines().size());
+  auto& call = w.call_engine(w.instances()[0], "a77");
+  w.run_for(2s);
+  EXPECT_EQ(call.status, kOk);
+  expect_rules_kept(w);
+}
+
+TEST(large_fleet, a_planned_stop_hands_targets_over_soon) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  const auto who = w.instances();
+  for (std::size_t i = 0; i < 6; ++i) w.stop(who[i]);
+  w.run_for(2s);
+  EXPECT_EQ(held_in_all(w), w.engines().size());
+  expect_rules_kept(w);
+}
+
+}  // namespace
+}  // namespace seamglade
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -436,7 +436,7 @@
 }
 
 constexpr const char* kSettings =
-    "[gateway]\nid = n1\nzone = z\ncaller_address = 10.0.0.1:1\n"
+    "[gateway]\nid = n1\nfailure_domain = z\ncaller_address = 10.0.0.1:1\n"
     "ready_address = 10.0.0.1:2\npeer_address = 10.0.0.1:3\n"
     "metrics_address = 10.0.0.1:4\nstore_address = 10.0.0.9:5\n";
 
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -23,7 +23,7 @@
   cat >"$work/g$1.ini" <<INI
 [gateway]
 id = g$1
-zone = z$1
+failure_domain = z$1
 caller_address = $ip:$port
 ready_address = $ip:$((port + 1))
 peer_address = $ip:$((port + 2))
--- a/test/gateway_soak-test.cc
+++ b/test/gateway_soak-test.cc
@@ -76,16 +76,9 @@
   }
 }
 
-class gateway_soak : public testing::TestWithParam<int> {};
-
-TEST_P(gateway_soak, keeps_the_rules_under_drawn_faults_and_recovers) {
-  gateway_world_options options;
-  options.seed = static_cast<std::uint64_t>(GetParam());
-  options.adapter_slots = 3;
-  options.fenced = GetParam() % 4 != 3;
-  gateway_world w(options);
-  std::mt19937_64 random(options.seed * 77);
-  w.run_for(kSettled);
+/** Eight drawn faults under load, then time to recover, then load again. */
+void soak(gateway_world& w, std::mt19937_64& random, duration settled) {
+  w.run_for(settled);
   send_load(w, 36s, 50ms, 25);
   for (int i = 0; i < 8; ++i) {
     strike(w, random);
@@ -101,7 +94,33 @@
   EXPECT_EQ(count(w).open, 0U);
 }
 
+class gateway_soak : public testing::TestWithParam<int> {};
+
+TEST_P(gateway_soak, keeps_the_rules_under_drawn_faults_and_recovers) {
+  gateway_world_options options;
+  options.seed = static_cast<std::uint64_t>(GetParam());
+  options.adapter_slots = 3;
+  options.fenced = GetParam() % 4 != 3;
+  gateway_world w(options);
+  std::mt19937_64 random(options.seed * 77);
+  soak(w, random, kSettled);
+}
+
+class large_fleet_soak : public testing::TestWithParam<int> {};
+
+TEST_P(large_fleet_soak, keeps_the_rules_under_drawn_faults_and_recovers) {
+  gateway_world_options options;
+  options.seed = static_cast<std::uint64_t>(GetParam());
+  options.instances = 20;
+  options.engines = 10;
+  options.adapter_slots = 3;
+  gateway_world w(options);
+  std::mt19937_64 random(options.seed * 131);
+  soak(w, random, kLargeSettled);
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, gateway_soak, testing::Range(1, 61));
+INSTANTIATE_TEST_SUITE_P(seeds, large_fleet_soak, testing::Range(1, 31));
 
 }  // namespace
 }  // namespace seamglade
