Count a load's place from its answer; take few entries that go for leaving targets

LIMIT: one holder ordered eleven loads without an unload; the logs show no refused order, so a report made it drop a place. A load's age was counted from its order: one that is a second on its way is dropped by the first report after its answer, which lags. DRAIN: 3,098 ms after the store's word, 2 s of them the grace for lapsed entries, given by an instance whose own copy was old. Ruled out: two holders (one claim in the log), refused orders (none logged). Change: the age of a load counts from its answer; place_dropped is logged; in a large fleet only a quarter of all entries that go at once count as lapsed.

--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -293,6 +293,10 @@
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
   keeper->second->report_read(now_, call.asked, e.report);
+  for (const auto& name : keeper->second->take_dropped()) {
+    log("place_dropped", {{"target", call.target}, {"adapter", name.str()}},
+        true);
+  }
 }
 
 }  // namespace seamglade::gateway
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -255,13 +255,15 @@
   call.headers = platform_.call_headers(x.message.headers, facts);
   call.body = x.message.body;
   call.request_id = x.facts.id;
+  const bool heard = target.residency_heard != time_point{};
+  const auto load_age_ms = heard ? to_ms(now_ - target.residency_heard) : -1;
   log("dispatch", {{"request", x.facts.id},
                    {"target", x.target},
                    {"adapter", x.facts.adapter.str()},
                    {"version", static_cast<std::int64_t>(version)},
                    {"waited_ms", to_ms(now_ - x.started)},
                    {"load", target.total_running(now_)},
-                   {"load_age_ms", to_ms(now_ - target.residency_heard)},
+                   {"load_age_ms", load_age_ms},
                    {"left_ms", to_ms(facts.remaining)}});
   do_act(std::move(call));
 }
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -29,6 +29,8 @@
 /** A request waits for a place at most this part of its time. */
 constexpr int kWaitPart = 4;
 constexpr duration kLongestWait = 2500ms;
+/** ... and this many halves of its objective: callers leave after four. */
+constexpr int kWaitHalfObjectives = 7;
 /** When a request that was not run is worth another try. */
 constexpr duration kComeBackAtOnce = 50ms;
 constexpr duration kComeBackSoon = 300ms;
@@ -48,6 +50,13 @@
          std::to_string(1000 + ms % 1000).substr(1);
 }
 
+/** Returns how long a request may wait for a place. */
+duration longest_wait(const route& way, duration allowed) {
+  const auto wait = std::min(kLongestWait, allowed / kWaitPart);
+  if (way.objective <= duration{}) return wait;
+  return std::min(wait, way.objective * kWaitHalfObjectives / 2);
+}
+
 /** Picks a service by weight; the same request id picks the same one. */
 const service_share& pick_share(const route& way, std::string_view id) {
   std::uint64_t total = 0;
@@ -111,7 +120,7 @@
   auto allowed = x.way->timeout;
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
   x.until = now_ + allowed;
-  x.refuse_at = now_ + std::min(kLongestWait, allowed / kWaitPart);
+  x.refuse_at = now_ + longest_wait(*x.way, allowed);
   const auto& share = pick_share(*x.way, x.facts.id);
   x.service = config_->find_service(share.service);
   if (x.service == nullptr) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -38,6 +38,8 @@
 constexpr duration kOperatorGather = 1s;
 /** Entries lapse after three heartbeats without the store, not sooner. */
 constexpr duration kStoreAway = 3s;
+/** ... and in a large fleet one in so many targets' at once. */
+constexpr std::size_t kLapsePart = 4;
 constexpr duration kFetchPause = 40ms;
 constexpr duration kFetchAgain = 300ms;
 constexpr std::string_view kWatchDuty = "watch";
@@ -252,8 +254,9 @@
   const auto news = mirror_.apply(changes);
   if (news.empty()) return;
   std::vector<store_item> urgent;
+  const bool lapsed = lapsed_with_store(news);
   for (const auto& item : news) {
-    if (take_item(item)) urgent.push_back(item);
+    if (take_item(item, lapsed)) urgent.push_back(item);
   }
   const bool first_hand = source == kFromStore && !changes.whole;
   if (first_hand && !urgent.empty()) spread_news(urgent);
@@ -264,8 +267,21 @@
   waiting_dirty_ = true;
 }
 
-bool gateway_core::impl::take_item(const store_item& item) {
-  if (!item.value) return take_deletion(item);
+bool gateway_core::impl::lapsed_with_store(
+    const std::vector<store_item>& news) const {
+  if (!was_store_away()) return false;
+  // In a large fleet a copy may also be old since word came late: what lapses
+  // with the store are many entries at once.
+  if (!roster_.is_large()) return true;
+  const auto deleted =
+      std::count_if(news.begin(), news.end(), [this](const store_item& item) {
+        return !item.value && platform_.target_of_key(item.key);
+      });
+  return static_cast<std::size_t>(deleted) * kLapsePart >= targets_.size();
+}
+
+bool gateway_core::impl::take_item(const store_item& item, bool lapsed) {
+  if (!item.value) return take_deletion(item, lapsed);
   auto read = platform_.read_item(item);
   if (!read) {
     log("item_unreadable", {{"key", item.key}}, true);
@@ -285,10 +301,9 @@
   return false;
 }
 
-bool gateway_core::impl::take_deletion(const store_item& item) {
+bool gateway_core::impl::take_deletion(const store_item& item, bool lapsed) {
   const auto id = platform_.target_of_key(item.key);
   if (!id) return false;
-  const bool lapsed = was_store_away();
   targets_.unlist(now_, *id, lapsed);
   log("target_unlisted",
       {{"target", *id}, {"lapsed", static_cast<std::int64_t>(lapsed)}});
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -301,6 +301,8 @@
   const bool load = step.order == engine_order_kind::load;
   switch (status) {
     case engine_order_status::started:
+      // The order may have been long on its way: reports show it from now on.
+      held.since = now;
       look(kFirstLook);
       break;
     case engine_order_status::done:
@@ -475,6 +477,7 @@
       }
     }
     if (drop) {
+      dropped_.push_back(name);
       changed();
       at = places_.erase(at);
     } else {
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "process/roster.h"
@@ -86,6 +87,10 @@
   std::vector<adapter_place> places() const;
   /** Rises whenever places() changes. */
   std::uint64_t edition() const { return edition_; }
+  /** Returns the adapters that reports no longer showed, once. */
+  std::vector<adapter_name> take_dropped() {
+    return std::exchange(dropped_, {});
+  }
   std::uint64_t loads() const { return loads_; }
   std::uint64_t unloads() const { return unloads_; }
 
@@ -150,6 +155,7 @@
   std::map<adapter_name, place> places_;
   std::map<member_address, interest> interests_;
   std::map<adapter_name, time_point> unloaded_;
+  std::vector<adapter_name> dropped_;
   keeper_step under_way_;
   time_point next_report_{};
   time_point not_before_{};
--- a/test/gateway_large-test.cc
+++ b/test/gateway_large-test.cc
@@ -78,6 +78,23 @@
   expect_rules_kept(w);
 }
 
+TEST(large_fleet, an_entry_that_goes_is_gone_also_for_one_with_an_old_copy) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  const auto late = w.instances()[7];
+  w.cut(late, true);
+  w.deny_store(late, true);
+  w.run_for(5s);
+  w.lapse_target("plain-1");
+  w.run_for(100ms);
+  w.cut(late, false);
+  w.run_for(1500ms);
+  const auto before = w.runs_at("plain-1");
+  for (int i = 0; i < 20; ++i) w.call_plain(late, false);
+  w.run_for(1s);
+  EXPECT_EQ(w.runs_at("plain-1"), before);
+}
+
 TEST(large_fleet, few_instances_read_the_whole_store) {
   gateway_world w(large());
   w.run_for(kLargeSettled);
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -271,6 +271,20 @@
   EXPECT_TRUE(c.keeper.places().empty());
 }
 
+TEST(target_keeper, a_load_that_was_long_on_its_way_keeps_its_place) {
+  confirmed_keeper c(1);
+  c.keeper.set_interest(c.now, 1, {wants("a"), wants("b")});
+  c.keeper.next_step(c.now, true);
+  // The answer takes a second; a report just after it lags behind the order.
+  c.now += 1s;
+  c.keeper.order_answered(c.now, engine_order_status::started);
+  c.now += 130ms;
+  EXPECT_EQ(c.keeper.next_step(c.now, true).what, keeper_step::kind::report);
+  c.keeper.report_read(c.now, c.now, report(1, {}));
+  EXPECT_EQ(c.keeper.places().size(), 1U);
+  EXPECT_TRUE(c.keeper.take_dropped().empty());
+}
+
 TEST(target_keeper, a_lagging_report_does_not_bring_back_what_was_unloaded) {
   confirmed_keeper c(1, {"x"});
   c.now += 1s;
