--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -70,6 +70,30 @@
   EXPECT_EQ(headers.size(), 6U);
 }
 
+/** Headers that a caller may not set, in letters of either case. */
+class reserved_header : public testing::TestWithParam<const char*> {
+ protected:
+  std::unique_ptr<dialect> d_ = make_platform_dialect();
+};
+
+TEST_P(reserved_header, is_not_passed_on_from_a_caller) {
+  for (const bool resumed : {false, true}) {
+    call_facts facts;
+    facts.target = "i-7f";
+    if (resumed) facts.last_event = "3";
+    const auto headers = d_->call_headers(
+        {{"X-Request-Id", "9c41"}, {GetParam(), "10.0.0.9:80/forged"}}, facts);
+    for (const auto& header : headers) {
+      EXPECT_NE(header.value, "10.0.0.9:80/forged") << header.name;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(all, reserved_header,
+                         testing::Values("X-Hold", "x-hold", "X-Pin-Ms",
+                                         "x-pin-ms", "X-Kv-Backup",
+                                         "x-kv-backup", "Kv-From", "kv-from"));
+
 TEST_F(platform, knows_which_answers_say_that_nothing_ran) {
   EXPECT_TRUE(d_->read_answer(503, {{"X-Not-Executed", "1"}}).not_run);
   EXPECT_TRUE(d_->read_answer(421, {}).not_run);
