Learn from a repeated order that a load has ended, not from late reports

Cause: a request that waits for its adapter waits for a report that lags by 100 ms and is asked for each 50 ms: p50 of the waits 376 ms, loads take 250. Ruled out: more reports (a probe is priced as five orders and lags the same). Change: from nine tenths of the time that loads have been seen to take, the load is ordered again every 40 ms; its answer `done` is the end. What the target held lately is asked about after 25 ms. Reports remain for what a repeated order does not tell (unanswered, replaced versions, after 600 ms). The fake target no longer counts a repeat of a load under way as a new load.

--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -214,6 +214,11 @@
   if (held != at.adapters.end() && held->second >= newest) {
     return engine_order_status::done;
   }
+  // An order for what is under way changes nothing.
+  const auto pending = at.pending.find(name);
+  if (pending != at.pending.end() && pending->second.second >= newest) {
+    return engine_order_status::started;
+  }
   if (at.pending.size() >= kParallelLoads) return engine_order_status::busy;
   if (held == at.adapters.end() && !at.pending.contains(name) &&
       at.places_taken() >= options_.adapter_slots) {
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -12,6 +12,8 @@
 
 /** The decisions are looked at this often at least. */
 constexpr duration kTick = 50ms;
+/** Looks for the sake of one load or report are this far apart at least. */
+constexpr duration kLeastPause = 5ms;
 /** A pause of the process longer than this makes what it believes doubtful. */
 constexpr duration kSuspended = 700ms;
 /** After such a pause, what others say is heard before orders are given. */
@@ -106,6 +108,10 @@
     const bool asks = x.now == exchange::phase::waiting && x.asked_until;
     if (asks && *x.asked_until > now_) next = std::min(next, *x.asked_until);
   }
+  if (!may_give_orders()) return next;
+  for (const auto& [id, keeper] : keepers_) {
+    next = std::min(next, std::max(keeper->next_wakeup(), now_ + kLeastPause));
+  }
   return next;
 }
 
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -237,7 +237,9 @@
   order.fence = keeper.fence();
   log("order",
       {{"target", keeper.id()},
-       {"op", step.order == engine_order_kind::load ? "load" : "unload"},
+       {"op", step.repeated                           ? "load_again"
+              : step.order == engine_order_kind::load ? "load"
+                                                      : "unload"},
        {"adapter", step.name.str()},
        {"version", static_cast<std::int64_t>(step.version.value_or(0))},
        {"fence", static_cast<std::int64_t>(order.fence)}});
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -15,9 +15,29 @@
 
 /** Loads of adapters that a target takes side by side. */
 constexpr std::size_t kParallelLoads = 4;
-/** First look at a target after a load was ordered, and the pause after. */
-constexpr duration kFirstLook = 130ms;
+/**
+ * First look at a target by report after a load was ordered, and the pause
+ * after. Reports lag by 100 ms and cost five orders, so this is for loads whose
+ * repeated order brought no word.
+ */
+constexpr duration kFirstLook = 600ms;
 constexpr duration kNextLook = 50ms;
+/** How long a load is taken to last before one has been seen. */
+constexpr duration kFirstLoadTime = 250ms;
+/** The part of the usual time after which a load is asked about. */
+constexpr double kAskAfterPart = 0.9;
+/** Pause between two questions about one load. */
+constexpr duration kAskPause = 40ms;
+/** A load of what the target still has in its memory is asked about then. */
+constexpr duration kAskRecent = 25ms;
+/** Weight of the newest load in the usual time. */
+constexpr double kLoadTimeWeight = 0.15;
+/** The part of its time after which a load had ended that was asked once. */
+constexpr double kEndedEarlier = 0.8;
+/** A load that lasts longer is left to reports. */
+constexpr duration kAskNoLonger = 2500ms;
+/** Adapters that a target has in memory after their unload, at least. */
+constexpr std::size_t kHeldLately = 100;
 /** Looks without any known change. */
 constexpr duration kIdleLook = 4s;
 constexpr duration kLookAfterFailure = 300ms;
@@ -55,7 +75,8 @@
     : id_(std::move(id)),
       profile_(std::move(profile)),
       fence_(fence),
-      check_(check) {}
+      check_(check),
+      load_time_(kFirstLoadTime) {}
 
 void target_keeper::renew_fence(time_point now, std::uint64_t fence) {
   fence_ = fence;
@@ -178,6 +199,9 @@
   held.used = now;
   held.demand = std::max(held.demand, 1.0);
   held.uncertain = false;
+  held.asked = now;
+  held.questions = 0;
+  held.was_there = held_lately_.contains(wanted.name);
   ++loads_;
   changed();
   keeper_step step;
@@ -202,6 +226,66 @@
   return step;
 }
 
+std::optional<time_point> target_keeper::repeat_at(const place& held) const {
+  // A replacement may be refused while the older version runs: reports tell.
+  const bool asks = held.now == phase::loading && !held.uncertain &&
+                    !held.replaces && held.asked != time_point{};
+  if (!asks || held.asked - held.since > kAskNoLonger) return std::nullopt;
+  const auto usual = std::chrono::duration_cast<duration>(
+      kAskAfterPart * std::chrono::duration<double>(load_time_));
+  const auto first = held.since + (held.was_there ? kAskRecent : usual);
+  return std::max(first, held.asked + kAskPause);
+}
+
+std::optional<keeper_step> target_keeper::repeat_load(time_point now) {
+  for (auto& [name, held] : places_) {
+    const auto at = repeat_at(held);
+    if (!at || now < *at) continue;
+    held.asked = now;
+    ++held.questions;
+    keeper_step step;
+    step.what = keeper_step::kind::order;
+    step.order = engine_order_kind::load;
+    step.name = name;
+    if (held.version > 0) step.version = held.version;
+    step.repeated = true;
+    return step;
+  }
+  return std::nullopt;
+}
+
+bool target_keeper::is_unsettled() const {
+  return model_loading_ ||
+         std::any_of(places_.begin(), places_.end(), [](const auto& pair) {
+           return pair.second.now != phase::ready || pair.second.uncertain;
+         });
+}
+
+void target_keeper::load_ended(time_point now, place& held) {
+  if (held.now == phase::loading && !held.was_there && !held.replaces) {
+    // One that had ended by the first question may have ended long before.
+    const bool at_first = held.questions <= 1;
+    const auto took = (at_first ? kEndedEarlier : 1.0) *
+                      std::chrono::duration<double>(now - held.since);
+    const auto usual = std::chrono::duration<double>(load_time_);
+    load_time_ = std::chrono::duration_cast<duration>(
+        usual + kLoadTimeWeight * (took - usual));
+  }
+  held.now = phase::ready;
+  held.since = now;
+  held.uncertain = false;
+  held.replaces.reset();
+}
+
+void target_keeper::note_unloaded(time_point now, const adapter_name& name) {
+  unloaded_[name] = now;
+  held_lately_[name] = now;
+  if (held_lately_.size() <= kHeldLately) return;
+  held_lately_.erase(std::min_element(
+      held_lately_.begin(), held_lately_.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
 std::optional<keeper_step> target_keeper::model_step(time_point now) {
   if (!models_.empty() || model_loading_ || now < model_not_before_) {
     return std::nullopt;
@@ -260,6 +344,10 @@
     under_way_ = *step;
     return under_way_;
   }
+  if (const auto step = repeat_load(now)) {
+    under_way_ = *step;
+    return under_way_;
+  }
   if (loading_count() >= kParallelLoads) return {};
   for (const auto& wanted : wishes(now)) {
     if (!models_.contains(wanted.name.model)) continue;
@@ -283,7 +371,11 @@
 
 time_point target_keeper::next_wakeup() const {
   if (under_way_.what != keeper_step::kind::none) return time_point::max();
-  return next_report_;
+  auto next = next_report_;
+  for (const auto& [name, held] : places_) {
+    if (const auto at = repeat_at(held)) next = std::min(next, *at);
+  }
+  return std::max(next, not_before_);
 }
 
 void target_keeper::order_answered(time_point now, engine_order_status status) {
@@ -299,6 +391,9 @@
   if (found == places_.end()) return;
   auto& held = found->second;
   const bool load = step.order == engine_order_kind::load;
+  const bool goes_on = status == engine_order_status::started ||
+                       status == engine_order_status::busy;
+  if (step.repeated && goes_on) return;
   switch (status) {
     case engine_order_status::started:
       // The order may have been long on its way: reports show it from now on.
@@ -307,11 +402,10 @@
       break;
     case engine_order_status::done:
       if (load) {
-        held.now = phase::ready;
-        held.since = now;
-        held.replaces.reset();
+        load_ended(now, held);
+        if (!is_unsettled()) next_report_ = now + kIdleLook;
       } else {
-        unloaded_[step.name] = now;
+        note_unloaded(now, step.name);
         places_.erase(found);
       }
       break;
@@ -379,12 +473,7 @@
     start_places(now, asked, *report);
   }
   take_places(now, asked, *report);
-  const bool waiting =
-      model_loading_ ||
-      std::any_of(places_.begin(), places_.end(), [](const auto& pair) {
-        return pair.second.now != phase::ready || pair.second.uncertain;
-      });
-  next_report_ = now + (waiting ? kNextLook : kIdleLook);
+  next_report_ = now + (is_unsettled() ? kNextLook : kIdleLook);
 }
 
 bool target_keeper::confirms_content(time_point now, time_point asked,
@@ -447,11 +536,8 @@
     bool drop = false;
     if (mine.now == phase::loading) {
       if (there && seen->second >= mine.version && !pending.contains(name)) {
-        mine.now = phase::ready;
+        load_ended(now, mine);
         mine.version = seen->second;
-        mine.since = now;
-        mine.uncertain = false;
-        mine.replaces.reset();
         changed();
       } else if (settled && !pending.contains(name)) {
         drop = !there;
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -23,6 +23,8 @@
   engine_order_kind order = engine_order_kind::load;
   adapter_name name;
   std::optional<std::uint32_t> version;
+  /** Asks for a load that is under way, to learn whether it has ended. */
+  bool repeated = false;
 };
 
 /** What makes a new keeper sure that nobody else gives orders. */
@@ -93,6 +95,8 @@
   }
   std::uint64_t loads() const { return loads_; }
   std::uint64_t unloads() const { return unloads_; }
+  /** Returns how long a load of an adapter takes, as learned here. */
+  duration load_time() const { return load_time_; }
 
  private:
   enum class phase : std::uint8_t { loading, ready, unloading };
@@ -106,6 +110,11 @@
     bool uncertain = false;
     /** The version that is there while a newer one is loading. */
     std::optional<std::uint32_t> replaces;
+    /** When its load was last ordered or asked about. */
+    time_point asked;
+    std::uint32_t questions = 0;
+    /** The target held it lately, so the load is a matter of moments. */
+    bool was_there = false;
   };
   struct wish {
     adapter_name name;
@@ -125,6 +134,14 @@
   std::optional<adapter_name> victim(time_point now) const;
   keeper_step order_load(time_point now, const wish& wanted);
   keeper_step order_unload(time_point now, const adapter_name& name);
+  /** Orders a load once more that should have ended by now; none: not yet. */
+  std::optional<keeper_step> repeat_load(time_point now);
+  /** Returns when a load under way is to be asked about; none: not at all. */
+  std::optional<time_point> repeat_at(const place& held) const;
+  void load_ended(time_point now, place& held);
+  /** Returns whether a report would tell something not yet known. */
+  bool is_unsettled() const;
+  void note_unloaded(time_point now, const adapter_name& name);
   std::optional<keeper_step> model_step(time_point now);
   std::optional<keeper_step> fence_step(time_point now);
   void model_order_answered(time_point now, const adapter_name& name,
@@ -155,6 +172,9 @@
   std::map<adapter_name, place> places_;
   std::map<member_address, interest> interests_;
   std::map<adapter_name, time_point> unloaded_;
+  /** What the target held lately and still has in its memory. */
+  std::map<adapter_name, time_point> held_lately_;
+  duration load_time_;
   std::vector<adapter_name> dropped_;
   keeper_step under_way_;
   time_point next_report_{};
