--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -124,8 +124,8 @@
     // What others did meanwhile is heard before the next order. Where fences
     // are not checked, whoever held a target meanwhile may have given its last
     // order only when it heard of this instance's claim.
-    const auto pause = options_.fenced ? duration(kHearFirst)
-                                       : options_.lease + kLeaseMargin;
+    const auto pause =
+        options_.fenced ? duration(kHearFirst) : options_.lease + kLeaseMargin;
     if (!isolated) orders_suspended_until_ = now_ + pause;
   }
   was_isolated_ = isolated;
