After a silent store, hear the operators again at once

The watchers of everything came back late too: each try took 2.5 s and was followed by a pause of up to 2 s, and all had begun at the same moment. Change: a watch that was sent before the copy was older than 3 s is given up once a peer's copy is fresh again; after a failure a watch is held 50 ms, not 1 s; pauses are 1 s at most and drawn between half and one and a half. Test: operators_are_heard_at_once_again_after_a_silent_store, first failing. The fake store can be silent.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -200,8 +200,16 @@
   } else if (const auto* ask = std::get_if<action::read_report>(&any)) {
     serve_report(from, *ask);
   } else if (const auto* watch = std::get_if<action::watch_store>(&any)) {
+    if (store_silent_) {
+      lose_store_call(from.address, from.life, watch->scope, watch->wait);
+      return;
+    }
     serve_watch(from, watch->scope, watch->after);
   } else if (std::holds_alternative<action::range_store>(any)) {
+    if (store_silent_) {
+      lose_store_call(from.address, from.life, store_scope::everything, 0ms);
+      return;
+    }
     serve_range(from);
   } else if (const auto* fetch = std::get_if<action::fetch_changes>(&any)) {
     const auto who = from.address;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -77,6 +77,8 @@
   void cut(gateway::member_address who, bool is_cut);
   /** Turns an instance away at the store, or serves it again. */
   void deny_store(gateway::member_address who, bool denied);
+  /** The store answers nobody, also nobody that waits already; or again. */
+  void silence_store(bool silent);
   void stop(gateway::member_address who);
   gateway::gateway_status status(gateway::member_address who);
 
@@ -139,6 +141,9 @@
   void serve_watch(instance& from, gateway::store_scope scope,
                    std::uint64_t after);
   void answer_store(instance& to, gateway::event::store_read read);
+  /** A call that gets no answer: its caller gives it up after `wait`. */
+  void lose_store_call(gateway::member_address who, std::uint64_t life,
+                       gateway::store_scope scope, duration wait);
   void put(const std::string& key, std::optional<std::string> value);
   void publish_target(target& which);
   /** Remembers what the target is like now: its reports lag. */
@@ -170,6 +175,7 @@
     friend bool operator==(const watcher&, const watcher&) = default;
   };
   std::vector<watcher> watchers_;
+  bool store_silent_ = false;
   std::mt19937_64 random_;
   std::map<std::string, std::uint32_t> versions_;
   std::map<std::string, std::size_t> runs_;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -11,6 +11,8 @@
 constexpr duration kStoreDelay = 4ms;
 constexpr duration kWatchWait = 1s;
 constexpr duration kLongWait = 12s;
+/** A caller gives up so long after the time its call was to be held. */
+constexpr duration kStoreTimeout = 1500ms;
 
 }  // namespace
 
@@ -28,6 +30,26 @@
   }
 }
 
+void gateway_world::silence_store(bool silent) {
+  store_silent_ = silent;
+  if (!silent) return;
+  for (const auto& w : std::exchange(watchers_, {})) {
+    const bool is_long = w.scope == store_scope::operators;
+    lose_store_call(w.who, w.life, w.scope, is_long ? kLongWait : kWatchWait);
+  }
+}
+
+void gateway_world::lose_store_call(member_address who, std::uint64_t life,
+                                    store_scope scope, duration wait) {
+  ++store_calls_;
+  later(wait + kStoreTimeout, [this, who, life, scope] {
+    event::store_read lost;
+    lost.scope = scope;
+    auto& i = *instances_.at(who);
+    if (i.life == life) post(i, lost);
+  });
+}
+
 void gateway_world::answer_store(instance& to, event::store_read read) {
   const auto who = to.address;
   const auto life = to.life;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -60,6 +60,8 @@
   void read_store();
   void tick_store();
   void watch_operators();
+  /** Returns a pause between half and one and a half of one. */
+  duration spread(duration pause);
   bool should_watch();
   bool is_watcher_of_mesh() const;
   bool is_watcher_of_large_fleet();
@@ -225,6 +227,11 @@
     bool under_way = false;
     std::uint64_t after = 0;
     time_point next;
+    time_point sent;
+    /** When the store was last taken to be away. */
+    time_point doubted;
+    /** Watches that were given up before they ended. */
+    unsigned given_up = 0;
     duration after_failure{};
   };
   operator_watch operator_watch_;
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -24,7 +24,9 @@
 constexpr duration kGather = 180ms;
 constexpr duration kLargeGather = 350ms;
 constexpr duration kAfterFailure = 400ms;
-constexpr duration kLongestAfterFailure = 2s;
+constexpr duration kLongestAfterFailure = 1s;
+/** After a failure a watch is held this long: silence is to be seen soon. */
+constexpr duration kProbeWait = 50ms;
 /** Contact with the store older than this is no longer trusted. */
 constexpr duration kFresh = 1900ms;
 /** In a large fleet news takes longer; one more watches at a time. */
@@ -34,6 +36,8 @@
 constexpr duration kWatchRankLife = 500ms;
 /** A watch of what the operators write is held this long. */
 constexpr duration kOperatorWait = 12s;
+/** A copy so fresh says that the store answers somebody. */
+constexpr duration kStoreBack = 1500ms;
 /** Pause after an answer with changes: a storm of them costs few calls. */
 constexpr duration kOperatorGather = 1s;
 /** Entries lapse after three heartbeats without the store, not sooner. */
@@ -56,6 +60,14 @@
 
 }  // namespace
 
+duration gateway_core::impl::spread(duration pause) {
+  // A store that falls silent does so for all at once; they are not to come
+  // back all at once, so that some come soon after it does.
+  const auto part = static_cast<double>(random_() % 1000) / 1000.0;
+  return duration(static_cast<std::int64_t>(static_cast<double>(pause.count()) *
+                                            (0.5 + part)));
+}
+
 duration gateway_core::impl::store_age() const {
   if (!ever_answered_) return now_ - started_ + 1h;
   return now_ - last_answer_;
@@ -136,18 +148,33 @@
 
 void gateway_core::impl::watch_operators() {
   auto& watch = operator_watch_;
+  if (was_store_away()) watch.doubted = now_;
+  // A store that went silent has forgotten the watch that it was to answer.
+  const bool is_lost =
+      watch.under_way && watch.sent <= watch.doubted && copy_age() < kStoreBack;
+  if (is_lost) {
+    watch.under_way = false;
+    ++watch.given_up;
+  }
   const bool due = roster_.is_large() && !needs_range_ && now_ >= watch.next;
   if (!due || watch.under_way || draining_) return;
   watch.under_way = true;
+  watch.sent = now_;
   if (watch.after == 0) watch.after = mirror_.revision();
   ++counts_.store_calls;
-  do_act(
-      action::watch_store{store_scope::operators, watch.after, kOperatorWait});
+  const bool probes = watch.after_failure > duration{};
+  do_act(action::watch_store{store_scope::operators, watch.after,
+                             probes ? kProbeWait : kOperatorWait});
 }
 
 void gateway_core::impl::take_operator_watch(event::store_read&& e) {
   using outcome = event::store_read::outcome;
   auto& watch = operator_watch_;
+  const bool is_late = watch.given_up > 0 && e.how == outcome::failed;
+  if (is_late) {
+    --watch.given_up;
+    return;
+  }
   watch.under_way = false;
   if (e.how == outcome::answered) {
     watch.after = std::max(watch.after, e.answer.revision);
@@ -161,7 +188,7 @@
   // What is missed meanwhile comes with the copy of the whole.
   if (e.how == outcome::history_gone) watch.after = mirror_.revision();
   watch.after_failure = next_pause(watch.after_failure);
-  watch.next = now_ + watch.after_failure;
+  watch.next = now_ + spread(watch.after_failure);
 }
 
 void gateway_core::impl::read_store() {
@@ -174,7 +201,7 @@
   }
   reading_ = reading::watch;
   do_act(action::watch_store{store_scope::everything, mirror_.revision(),
-                             kWatchWait});
+                             store_failing_ ? kProbeWait : kWatchWait});
 }
 
 void gateway_core::impl::on(event::store_read&& e) {
@@ -196,7 +223,7 @@
     store_failing_ = true;
     after_failure_ =
         roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
-    next_read_ = now_ + after_failure_;
+    next_read_ = now_ + spread(after_failure_);
     return;
   }
   if (store_failing_) log("store_regained", {}, true);
--- a/test/gateway_large-test.cc
+++ b/test/gateway_large-test.cc
@@ -52,6 +52,21 @@
   }
 }
 
+TEST(large_fleet, operators_are_heard_at_once_again_after_a_silent_store) {
+  gateway_world w(large());
+  w.run_for(kLargeSettled);
+  w.silence_store(true);
+  w.run_for(7s);
+  w.silence_store(false);
+  w.run_for(3s);
+  w.publish_configuration(7, "/other/");
+  // Sooner than word of mouth could bring it.
+  w.run_for(100ms);
+  for (const auto who : w.instances()) {
+    EXPECT_EQ(w.status(who).configuration, 7U);
+  }
+}
+
 TEST(large_fleet, a_configuration_reaches_those_that_the_store_turns_away) {
   gateway_world w(large());
   w.run_for(kLargeSettled);
