Let an adapter be loaded beyond the first four targets of its order

Only the first four targets of its rendezvous order could load an adapter; once these held it and were full, nobody else could. Waits are three objectives at most.

--- a/src/process/engine_choice.cc
+++ b/src/process/engine_choice.cc
@@ -37,8 +37,8 @@
 constexpr duration kOrderCost = 250ms;
 /** Bytes between failure domains are priced, and take their time. */
 constexpr duration kFarCost = 25ms;
-/** For each request that runs there. */
-constexpr duration kRunningCost = 2ms;
+/** For a full target; in part for one that is full in part. */
+constexpr duration kFullCost = 150ms;
 /** What a change of the home has to gain. */
 constexpr duration kHomeGain = 80ms;
 
@@ -93,7 +93,7 @@
                                 const choice_facts& facts) {
   auto cost = expected_start(option, facts);
   if (!cost) return cost;
-  *cost += kRunningCost * option.work.running;
+  *cost += kFullCost * option.work.running / option.slots;
   if (!option.is_near) *cost += kFarCost;
   if (option.is_home) *cost -= kHomeGain;
   if (option.adapter == residence::recent) *cost += kRecentLoadCost;
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -107,7 +107,9 @@
 time_point gateway_core::impl::next_wakeup() const {
   auto next = now_ + kTick;
   for (const auto& [caller, x] : exchanges_) {
-    const bool asks = x.now == exchange::phase::waiting && x.asked_until;
+    if (x.now != exchange::phase::waiting) continue;
+    if (waiting_dirty_) next = std::min(next, now_ + kLeastPause);
+    const bool asks = x.asked_until.has_value();
     if (asks && *x.asked_until > now_) next = std::min(next, *x.asked_until);
   }
   if (!may_give_orders()) return next;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -166,6 +166,8 @@
   /** Returns targets without the adapter on which it might be loaded. */
   std::vector<valued_target> homes(
       const exchange& x, const std::vector<target_state*>& targets) const;
+  /** Returns how many requests run on a target of its service, as a mean. */
+  double mean_running(const exchange& x);
   /** Asks for one more copy where those that there are have too much to do. */
   void want_copy(const exchange& x, const valued_target& best,
                  const std::vector<valued_target>& homes);
@@ -298,6 +300,8 @@
   std::map<std::string, retry_budget, std::less<>> budgets_;
   std::map<std::string, reading_habits, std::less<>> habits_;
   bool waiting_dirty_ = false;
+  /** When requests that wait were last looked at. */
+  time_point placed_at_{};
   /** Requests wait for the first configuration. */
   bool has_unrouted_ = false;
   /** Copies asked for by demand, and until when. */
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -19,16 +19,24 @@
 constexpr double kCopyLeast = 14;
 /** ... or so large a part of its slots ... */
 constexpr double kCopyFullness = 0.6;
+/** ... while it is so far above the mean of all ... */
+constexpr double kCopyAbove = 1.3;
+constexpr double kCopyBeyond = 3;
 /** ... or reads so large a part of the objective before the request. */
 constexpr double kCopyBehind = 0.8;
 /** The copy goes where at most this part of the holder's requests run. */
 constexpr double kCopyIdler = 0.7;
 /** ... and where so many of its requests are on the adapter itself. */
 constexpr std::uint32_t kCopyOwnWork = 2;
-/** Targets from the start of its rendezvous order that may load an adapter. */
+/** Of the targets without it, the first in rendezvous order may load it. */
 constexpr std::size_t kHomes = 4;
+/** Targets from there that may have it on its way or in memory. */
+constexpr std::size_t kLookedAt = 12;
 /** Microseconds for a token of a prompt before anything was seen. */
 constexpr double kFirstPace = 40;
+/** Requests that wait are looked at anew so far apart. */
+constexpr duration kPlacePause = 5ms;
+constexpr duration kLargePlacePause = 15ms;
 /** How long the wish for a copy stands. */
 constexpr duration kCopyWanted = 1s;
 /** Word of how busy a target is is good for this long. */
@@ -126,16 +134,17 @@
   using residence = engine_option::residence;
   engine_option out;
   const auto& name = x.facts.adapter;
-  const auto& places = target.residency.places;
   std::uint32_t in_use = 0;
-  for (const auto& place : places) {
-    if (!place.ready || place.running > 0) ++in_use;
-    if (!place.ready) ++out.loads;
-  }
-  if (const auto load = target.loading.find(name);
-      load != target.loading.end()) {
-    out.adapter = residence::loading;
-    out.loading_for = now_ - load->second;
+  if (target.is_residency_fresh(now_)) {
+    for (const auto& place : target.residency.places) {
+      if (!place.ready || place.running > 0) ++in_use;
+      if (!place.ready) ++out.loads;
+    }
+    if (const auto load = target.loading.find(name);
+        load != target.loading.end()) {
+      out.adapter = residence::loading;
+      out.loading_for = now_ - load->second;
+    }
   }
   if (target.holds(now_, name, version_of(name))) {
     out.adapter = residence::ready;
@@ -193,19 +202,22 @@
   };
   std::vector<ranked> order;
   const auto adapter = hash_of(x.facts.adapter.str());
+  const auto version = version_of(x.facts.adapter);
   for (auto* target : targets) {
+    if (target->holds(now_, x.facts.adapter, version)) continue;
     order.push_back({mix(adapter ^ target->hash), target});
   }
-  std::sort(order.begin(), order.end(), [](const ranked& a, const ranked& b) {
-    return a.weight > b.weight;
-  });
+  const auto looked_at = std::min(order.size(), kLookedAt);
+  std::partial_sort(
+      order.begin(), order.begin() + static_cast<std::ptrdiff_t>(looked_at),
+      order.end(),
+      [](const ranked& a, const ranked& b) { return a.weight > b.weight; });
   const auto facts = facts_of(x);
   std::vector<valued_target> out;
-  for (std::size_t i = 0; i < order.size(); ++i) {
+  for (std::size_t i = 0; i < looked_at; ++i) {
     auto* target = order[i].target;
     if (x.tried.contains(target->entry.id)) continue;
     auto option = option_of(x, *target);
-    if (option.adapter == residence::ready) continue;
     if (option.adapter == residence::absent && i >= kHomes) continue;
     option.order = i;
     const auto cost = cost_of(option, facts);
@@ -236,17 +248,26 @@
       std::min_element(elsewhere.begin(), elsewhere.end(), cheaper);
   const bool has_home = home != elsewhere.end();
   if (best != ready.end() && (!has_home || best->cost <= home->cost)) {
-    want_copy(x, *best, elsewhere);
     if (best->option.work.running < best->option.slots) {
+      want_copy(x, *best, elsewhere);
       dispatch(x, *best->target);
-    } else {
-      wait_for(x, best->target, "slots");
+      return;
     }
+    // Whatever comes first: a slot there, or a copy elsewhere.
+    wait_for(x, has_home ? home->target : best->target, "slots");
     return;
   }
   wait_for(x, has_home ? home->target : nullptr, "adapter");
 }
 
+double gateway_core::impl::mean_running(const exchange& x) {
+  const auto targets = targets_.usable(now_, x.service->name);
+  std::uint32_t total = 0;
+  for (const auto* target : targets) total += target->work(now_).running;
+  return static_cast<double>(total) /
+         static_cast<double>(std::max<std::size_t>(1, targets.size()));
+}
+
 void gateway_core::impl::want_copy(const exchange& x, const valued_target& best,
                                    const std::vector<valued_target>& homes) {
   // A target that is busy with others is no reason to load this one again.
@@ -258,6 +279,9 @@
   const bool is_behind =
       reading_ahead(best.option, facts) > kCopyBehind * x.way->objective;
   if (!is_full && !is_behind) return;
+  if (!is_behind && running < kCopyAbove * mean_running(x) + kCopyBeyond) {
+    return;
+  }
   const valued_target* home = nullptr;
   for (const auto& other : homes) {
     const bool idle = other.option.has_room &&
@@ -346,6 +370,9 @@
 }
 
 void gateway_core::impl::place_waiting() {
+  const auto pause = roster_.is_large() ? kLargePlacePause : kPlacePause;
+  if (now_ - placed_at_ < pause) return;
+  placed_at_ = now_;
   waiting_dirty_ = false;
   std::erase_if(copies_wanted_,
                 [&](const auto& pair) { return now_ > pair.second; });
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -30,7 +30,7 @@
 constexpr int kWaitPart = 4;
 constexpr duration kLongestWait = 2500ms;
 /** ... and this many halves of its objective: callers leave after four. */
-constexpr int kWaitHalfObjectives = 4;
+constexpr int kWaitHalfObjectives = 6;
 /**
  * A request that comes before the first configuration waits this long for it:
  * a peer's copy or the store's answer takes 0.3 s after a start.
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -38,10 +38,7 @@
                        [&](const auto& m) { return m.name == name.model; });
   }
   // The store's entries lag: a holder's word of the same time is newer.
-  const bool word_is_fresh = residency.fence != 0 &&
-                             now - residency_heard < kResidencyLife &&
-                             entry_heard - residency_heard < kEntryLag;
-  if (word_is_fresh) {
+  if (is_residency_fresh(now) && entry_heard - residency_heard < kEntryLag) {
     return std::any_of(residency.places.begin(), residency.places.end(),
                        [&](const adapter_place& place) {
                          return place.ready && place.what.name == name &&
@@ -54,6 +51,10 @@
                      });
 }
 
+bool target_state::is_residency_fresh(time_point now) const {
+  return residency.fence != 0 && now - residency_heard < kResidencyLife;
+}
+
 std::uint32_t target_state::running_on(const adapter_name& name) const {
   const auto found = std::find_if(
       residency.places.begin(), residency.places.end(),
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -64,6 +64,8 @@
   target_work work(time_point now) const;
   /** Takes a holder's word on what is there. */
   void take_residency(time_point now, residency_message word);
+  /** Returns whether its holder's word still holds. */
+  bool is_residency_fresh(time_point now) const;
   bool is_ejected(time_point now) const { return now < ejected_until; }
   /** Returns whether the target gets no new work any more. */
   bool has_left(time_point now) const {
