Stand-in: an order for a load that is under way changes nothing

Cause: gateway_processes-test failed, "engine-2 beyond its places": the stand-in took a repeated order as a load of its own, and counted its place twice. Ruled out: an order without room; the log of the holder shows one load and its repeats for each adapter. Change: the stand-in answers 202 and does nothing more; its check of places stands.

--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -243,6 +243,8 @@
       return 200;
     }
     if (name.empty() || adapters_.contains(name)) return 200;
+    // An order for a load that is under way changes nothing.
+    if (pending_.contains(name)) return 202;
     if (adapters_.size() + pending_.size() >= kAdapterSlots) {
       std::cout << "BROKEN " << id_ << " beyond its places" << std::endl;
     }
