Large fleets: find dead members by probes, not by beats passed on

Cause: in a fleet of 195 a row of the member list was passed on by each instance in a fixed order, 20 of 194 a beat of 400 ms, so once in 4 s, with a patience of 3.3 s. 28,555 members were found silent and back in 30 s of calm; quiet_since() took the last silence of anyone, so after the first second no claim became due and half of 78 engines had no holder.

Change: each heartbeat beyond the full mesh is a probe that wants an answer. What answers neither it nor three others is suspected, the suspicion is told on first, and it may be denied. Rows that are news go first, some times each. An instance most of whose probes fail blames itself. Where fences are checked, a claim waits for the silence of those alone that come before the claimant in the target's order, and a new process for claims from its first contact, not from each later one.

gateway_processes-test looked for a claim in the log of one instance, which held by the order of a hash; it now waits for the claim that the last instance left must make.

--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -20,6 +20,15 @@
 /** Hash of a target's id. */
 using target_hash = std::uint64_t;
 
+/** What is believed of a member; of equal beats the greater standing counts. */
+enum class member_standing : std::uint8_t {
+  alive,
+  /** It answered neither a probe nor those that others sent it. */
+  suspect,
+  /** It has not denied the suspicion in time. */
+  gone
+};
+
 /** What one instance tells of another. */
 struct member_row {
   member_address address = 0;
@@ -27,9 +36,13 @@
   std::uint32_t domain = 0;
   /** Rises with every start of the instance. */
   std::uint64_t incarnation = 0;
-  /** Rises with every heartbeat of the instance. */
+  /**
+   * Rises with every heartbeat of the instance where all tell all; in a larger
+   * fleet only to outdo what is believed of it.
+   */
   std::uint64_t beat = 0;
   bool leaving = false;
+  member_standing standing = member_standing::alive;
 
   friend bool operator==(const member_row&, const member_row&) = default;
 };
@@ -72,6 +85,8 @@
 struct heartbeat {
   /** The sender's own row first. */
   std::vector<member_row> rows;
+  /** How many members the sender knows, itself included. */
+  std::uint32_t members = 0;
   std::uint64_t store_revision = 0;
   /** Time since the store last answered the sender. */
   duration store_age{};
@@ -159,9 +174,27 @@
   friend bool operator==(const loads_message&, const loads_message&) = default;
 };
 
+/** Asks a member to probe another, or the subject itself to answer. */
+struct probe_request {
+  /** Who wants to know. */
+  member_address origin = 0;
+  member_address subject = 0;
+
+  friend bool operator==(const probe_request&, const probe_request&) = default;
+};
+
+/** A member's sign of life; goes back the way that the probe came. */
+struct probe_answer {
+  member_address origin = 0;
+  /** The subject's own row first. */
+  std::vector<member_row> rows;
+
+  friend bool operator==(const probe_answer&, const probe_answer&) = default;
+};
+
 using peer_message =
     std::variant<heartbeat, interest_message, residency_message, news_message,
-                 loads_message>;
+                 loads_message, probe_request, probe_answer>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/include/seamglade/rendezvous.h
+++ b/include/seamglade/rendezvous.h
@@ -16,6 +16,9 @@
 /** Returns a 64-bit hash that is the same on every instance. */
 std::uint64_t stable_hash(std::string_view text);
 
+/** Returns a number whose bits all depend on all bits (splitmix64). */
+std::uint64_t mix(std::uint64_t value);
+
 /** Returns 32 bits of stable_hash, for hints that must be small. */
 std::uint32_t short_hash(std::string_view text);
 
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -3,6 +3,8 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
+
 #include "gateway_wire_generated.h"
 #include "seamglade/gateway_peers.h"
 
@@ -38,18 +40,24 @@
   return out;
 }
 
+std::vector<frames::MemberRow> write(const std::vector<member_row>& from) {
+  std::vector<frames::MemberRow> out;
+  for (const auto& r : from) {
+    out.emplace_back(r.address, r.domain, r.incarnation, r.beat, r.leaving,
+                     static_cast<std::uint8_t>(r.standing));
+  }
+  return out;
+}
+
 fb::Offset<frames::Heartbeat> write(fb::FlatBufferBuilder& b,
                                     const heartbeat& from) {
-  std::vector<frames::MemberRow> rows;
-  for (const auto& r : from.rows) {
-    rows.emplace_back(r.address, r.domain, r.incarnation, r.beat, r.leaving);
-  }
+  const auto rows = write(from.rows);
   std::vector<frames::TargetClaim> claims;
   for (const auto& c : from.claims)
     claims.emplace_back(c.target, c.fence, c.holder);
   const auto loads = write(from.loads);
   return frames::CreateHeartbeatDirect(
-      b, &rows, from.store_revision, from.store_age.count(),
+      b, &rows, from.members, from.store_revision, from.store_age.count(),
       from.copy_age.count(), from.watching, &claims, &loads);
 }
 
@@ -102,18 +110,37 @@
   return frames::CreateLoadsDirect(b, &loads);
 }
 
+fb::Offset<frames::ProbeRequest> write(fb::FlatBufferBuilder& b,
+                                       const probe_request& from) {
+  return frames::CreateProbeRequest(b, from.origin, from.subject);
+}
+
+fb::Offset<frames::ProbeAnswer> write(fb::FlatBufferBuilder& b,
+                                      const probe_answer& from) {
+  const auto rows = write(from.rows);
+  return frames::CreateProbeAnswerDirect(b, from.origin, &rows);
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
   for (const auto* row : *rows) read(*row);
 }
 
+member_row read(const frames::MemberRow& from) {
+  // What a later release may call worse than gone is no less than that.
+  const auto worst = static_cast<std::uint8_t>(member_standing::gone);
+  const auto standing =
+      static_cast<member_standing>(std::min(from.standing(), worst));
+  return {from.address(), from.domain(),  from.incarnation(),
+          from.beat(),    from.leaving(), standing};
+}
+
 peer_message read(const frames::Heartbeat& from) {
   heartbeat out;
-  each(from.rows(), [&](const frames::MemberRow& r) {
-    out.rows.push_back(
-        {r.address(), r.domain(), r.incarnation(), r.beat(), r.leaving()});
-  });
+  each(from.rows(),
+       [&](const frames::MemberRow& r) { out.rows.push_back(read(r)); });
+  out.members = from.members();
   out.store_revision = from.store_revision();
   out.store_age = duration(from.store_age_us());
   out.copy_age = duration(from.copy_age_us());
@@ -182,6 +209,18 @@
   return out;
 }
 
+peer_message read(const frames::ProbeRequest& from) {
+  return probe_request{from.origin(), from.subject()};
+}
+
+peer_message read(const frames::ProbeAnswer& from) {
+  probe_answer out;
+  out.origin = from.origin();
+  each(from.rows(),
+       [&](const frames::MemberRow& r) { out.rows.push_back(read(r)); });
+  return out;
+}
+
 }  // namespace
 
 std::string encode_peer_message(const peer_message& message) {
@@ -197,6 +236,10 @@
     finish(frames::Body::News, write(b, *news).Union());
   } else if (const auto* loads = std::get_if<loads_message>(&message)) {
     finish(frames::Body::Loads, write(b, *loads).Union());
+  } else if (const auto* probe = std::get_if<probe_request>(&message)) {
+    finish(frames::Body::ProbeRequest, write(b, *probe).Union());
+  } else if (const auto* answer = std::get_if<probe_answer>(&message)) {
+    finish(frames::Body::ProbeAnswer, write(b, *answer).Union());
   } else {
     finish(frames::Body::Residency,
            write(b, std::get<residency_message>(message)).Union());
@@ -214,6 +257,8 @@
   if (const auto* places = frame->body_as_Residency()) return read(*places);
   if (const auto* news = frame->body_as_News()) return read(*news);
   if (const auto* loads = frame->body_as_Loads()) return read(*loads);
+  if (const auto* probe = frame->body_as_ProbeRequest()) return read(*probe);
+  if (const auto* answer = frame->body_as_ProbeAnswer()) return read(*answer);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -95,6 +95,7 @@
 }
 
 void gateway_core::impl::tick() {
+  check_probes();
   if (now_ >= next_beat_) send_heartbeats();
   announce_claims();
   tick_store();
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -71,27 +71,34 @@
   duration copy_age() const;
   bool was_store_away() const;
 
-  // gateway_peers.cc
-  void on(event::datagram&& e);
+  // gateway_members.cc
   void on(event::new_seeds&& e);
   void take(member_address from, const heartbeat& message);
   void take(member_address from, const target_claim& claimed);
-  void take(member_address from, const interest_message& message);
-  void take(member_address from, const residency_message& message);
-  void take(member_address from, const news_message& message);
-  void take(member_address from, const loads_message& message);
-  void take(member_address from, target_state& target, const target_work& work);
-  void send_loads();
+  void take(member_address from, const probe_request& message);
+  void take(member_address from, const probe_answer& message);
+  void merge_rows(member_address from, const std::vector<member_row>& rows);
+  void check_probes();
+  void note_silent_members();
   void greet(member_address newcomer, bool first_hand);
-  void send_to_all(const peer_message& message);
   heartbeat own_heartbeat() const;
   void announce(target_hash target);
   void announce_claims();
-  void spread_news(const std::vector<store_item>& news);
   void send_heartbeats();
   void add_claims(heartbeat& message);
   void add_own_claims(heartbeat& message) const;
   target_id target_id_of(target_hash target);
+
+  // gateway_peers.cc
+  void on(event::datagram&& e);
+  void take(member_address from, const interest_message& message);
+  void take(member_address from, const residency_message& message);
+  void take(member_address from, const news_message& message);
+  void take(member_address from, const loads_message& message);
+  void take(member_address from, target_state& target, const target_work& work);
+  void send_loads();
+  void send_to_all(const peer_message& message);
+  void spread_news(const std::vector<store_item>& news);
   void send_interests();
   void send_residencies();
   residency_message residency_of(const target_keeper& keeper) const;
@@ -106,6 +113,8 @@
   void run_keeper(target_keeper& keeper, bool may_order);
   bool may_give_orders() const;
   duration takeover_wait() const;
+  /** Returns whether a member comes before this one in a target's order. */
+  bool precedes_me(member_address member, target_hash target) const;
   bool is_handed_over(target_hash target) const;
   bool is_my_turn(const target_state& target) const;
   std::optional<time_point> quiet_since(target_hash target) const;
@@ -252,6 +261,7 @@
   roster roster_;
   std::map<member_address, peer_state> peers_;
   time_point next_beat_{};
+  std::set<member_address> silent_members_;
   struct sent_interest {
     std::vector<adapter_interest> rows;
     time_point at;
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "seamglade/rendezvous.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -34,8 +35,9 @@
 /** After a refusal, how much further up the next fence is. */
 constexpr std::uint64_t kFenceStep = 64;
 
+/** The member with the greatest weight is the first to claim a target. */
 std::uint64_t duty_weight(member_address member, target_hash target) {
-  return hash_of(std::to_string(member) + "/" + std::to_string(target));
+  return mix(target ^ mix(member));
 }
 
 }  // namespace
@@ -52,17 +54,16 @@
          (roster_.is_alive(now_, holder) && !roster_.is_leaving(holder));
 }
 
+bool gateway_core::impl::precedes_me(member_address member,
+                                     target_hash target) const {
+  return duty_weight(member, target) > duty_weight(options_.self, target);
+}
+
 bool gateway_core::impl::is_my_turn(const target_state& target) const {
-  std::uint64_t best = 0;
-  member_address first = 0;
-  for (const auto member : roster_.staying(now_)) {
-    const auto weight = duty_weight(member, target.hash);
-    if (first == 0 || weight > best) {
-      best = weight;
-      first = member;
-    }
-  }
-  return first == options_.self;
+  const auto members = roster_.staying(now_);
+  return std::none_of(
+      members.begin(), members.end(),
+      [&](member_address member) { return precedes_me(member, target.hash); });
 }
 
 bool gateway_core::impl::is_handed_over(target_hash target) const {
@@ -75,9 +76,13 @@
 }
 
 duration gateway_core::impl::takeover_wait() const {
-  // A holder that is cut off notices within its patience and then stops; the
-  // first order of the new one comes some time after its claim.
-  return options_.lease + roster_.patience() + kLeaseMargin - kClaimHeard;
+  // The first order of the new holder comes some time after its claim.
+  const auto wait = options_.lease + kLeaseMargin - kClaimHeard;
+  // A holder that is cut off notices within its patience and then stops. In a
+  // large fleet the silence is counted from when others failed to reach it, and
+  // where fences are checked, a late order of its is refused.
+  const bool counted_late = roster_.is_large() && options_.fenced;
+  return counted_late ? wait : wait + roster_.patience();
 }
 
 std::optional<time_point> gateway_core::impl::quiet_since(
@@ -85,21 +90,29 @@
   // Where targets check fences, a new process need not wait for a lease that
   // nobody alive claims: whoever held it before can no longer be obeyed.
   auto since = started_;
-  // Every member greets a newcomer with its claims, in a large fleet once it
-  // has heard of it.
-  if (options_.fenced) {
+  if (options_.fenced && !roster_.is_large()) {
+    // Every member greets a newcomer with its claims.
     since = std::max(since, roster_.last_met().value_or(since));
-    since += (roster_.is_large() ? kLargeSettle : kSettle) - takeover_wait();
+    since += kSettle - takeover_wait();
+  } else if (options_.fenced) {
+    // Holders greet a newcomer once they have heard of it, and all pass claims
+    // on: to wait from the last member met would let each that starts hold up
+    // all claims of the fleet.
+    since = std::max(since, roster_.first_met().value_or(since));
+    since += kLargeSettle - takeover_wait();
   }
   if (const auto found = claims_.find(target); found != claims_.end()) {
     since = std::max(since, found->second.heard);
-    const auto heard = roster_.heard(found->second.holder);
-    if (heard) since = std::max(since, *heard);
+    const auto silent = roster_.silent_since(now_, found->second.holder);
+    if (silent) since = std::max(since, *silent);
   }
   // Whoever fell silent may have claimed the target unheard, and given orders
-  // until it noticed that it was out of touch.
-  if (const auto silence = roster_.last_silence(now_)) {
-    since = std::max(since, *silence);
+  // until it noticed that it was out of touch. Where fences are checked, only
+  // those would have that come before this one in the target's order: with the
+  // silence of any member, half of 78 targets got no holder among 195 members.
+  for (const auto& member : roster_.silent(now_)) {
+    if (options_.fenced && !precedes_me(member.who, target)) continue;
+    since = std::max(since, member.since);
   }
   if (const auto found = stepped_back_.find(target);
       found != stepped_back_.end()) {
--- a/src/process/gateway_peers.cc
+++ b/src/process/gateway_peers.cc
@@ -1,4 +1,4 @@
-// seamglade - the direct path: what instances tell each other
+// seamglade - the direct path: what instances tell each other of targets
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -10,10 +10,6 @@
 namespace seamglade::gateway {
 namespace {
 
-constexpr duration kBeatPeriod = 250ms;
-constexpr duration kLargeBeatPeriod = 400ms;
-/** Claims of others that a heartbeat carries on. */
-constexpr std::size_t kHeardClaims = 24;
 /** Interest in a target is renewed this often while there is any. */
 constexpr duration kInterestRenewal = 400ms;
 /** Changes of interest within this time go in one message. */
@@ -30,15 +26,6 @@
 constexpr std::uint32_t kCopyRank = 5;
 /** In a large fleet, an instance is told of a target this often at most. */
 constexpr duration kTellPause = 20ms;
-constexpr std::size_t kMaxLoads = 40;
-constexpr std::size_t kMaxClaims = 40;
-/** In a large fleet a changed claim is told to all so often. */
-constexpr unsigned kAnnouncements = 2;
-constexpr duration kAnnouncementPause = 250ms;
-/** A copy from another failure domain is asked for when one's own is older. */
-constexpr duration kFarCopyAge = 900ms;
-/** In a large fleet new processes read the store spread over this time. */
-constexpr std::int64_t kRangeSpreadMs = 600;
 /** Items of the store in one datagram, and the size of one, at most. */
 constexpr std::size_t kMostNews = 24;
 constexpr std::size_t kLargestNews = 2000;
@@ -54,54 +41,10 @@
 
 }  // namespace
 
-void gateway_core::impl::on(event::new_seeds&& e) {
-  log("settings_reloaded",
-      {{"seeds", static_cast<std::int64_t>(e.seeds.size())}}, true);
-  roster_.set_seeds(std::move(e.seeds));
-}
-
 void gateway_core::impl::on(event::datagram&& e) {
   std::visit([&](const auto& message) { take(e.from, message); }, e.message);
 }
 
-void gateway_core::impl::take(member_address from, const heartbeat& message) {
-  const bool was_alive = roster_.is_alive(now_, from);
-  for (const auto newcomer : roster_.merge(now_, from, message.rows)) {
-    greet(newcomer, newcomer == from);
-  }
-  if (roster_.is_large() && !std::exchange(range_spread_, true)) {
-    range_not_before_ = std::max(
-        range_not_before_,
-        now_ + static_cast<std::int64_t>(random_() % kRangeSpreadMs) * 1ms);
-  }
-  if (!was_alive && roster_.is_alive(now_, from)) {
-    log("peer_regained", {{"peer", static_cast<std::int64_t>(from)}}, true);
-  }
-  auto& peer = peers_[from];
-  peer.store_revision = message.store_revision;
-  peer.store_age = message.store_age;
-  peer.watching = message.watching;
-  peer.heard = now_;
-  for (const auto& claimed : message.claims) take(from, claimed);
-  for (const auto& load : message.loads) {
-    if (auto* target = targets_.find(load.target)) {
-      take(from, *target, load.work);
-    }
-  }
-  const bool behind = message.store_revision > mirror_.revision();
-  if (!behind) {
-    confirm_copy(now_ - message.copy_age);
-    return;
-  }
-  const bool near = !roster_.is_large() || roster_.is_in_my_domain(from);
-  const bool worth_it = near || copy_age() > kFarCopyAge;
-  if (worth_it && !fetching_ && now_ >= next_fetch_) {
-    fetching_ = true;
-    fetch_confirms_ = now_ - message.copy_age;
-    do_act(action::fetch_changes{from, mirror_.revision()});
-  }
-}
-
 void gateway_core::impl::take(member_address from, target_state& target,
                               const target_work& work) {
   auto& known = target.peers[from];
@@ -133,23 +76,6 @@
   if (!roster_.is_large() && !message.loads.empty()) send_to_all(message);
 }
 
-void gateway_core::impl::greet(member_address newcomer, bool first_hand) {
-  auto message = own_heartbeat();
-  if (first_hand) message.rows = roster_.all_rows();
-  add_own_claims(message);
-  do_act(action::send_datagram{newcomer, std::move(message)});
-}
-
-heartbeat gateway_core::impl::own_heartbeat() const {
-  heartbeat message;
-  message.rows.push_back(roster_.own_row());
-  message.store_revision = mirror_.revision();
-  message.store_age = store_age();
-  message.copy_age = copy_age();
-  message.watching = reading_ == reading::watch || now_ < next_read_;
-  return message;
-}
-
 void gateway_core::impl::send_to_all(const peer_message& message) {
   for (const auto to : roster_.alive(now_)) {
     if (to == options_.self) continue;
@@ -157,23 +83,6 @@
   }
 }
 
-void gateway_core::impl::announce(target_hash target) {
-  next_beat_ = now_;
-  if (roster_.is_large()) announcements_[target] = kAnnouncements;
-}
-
-void gateway_core::impl::announce_claims() {
-  if (announcements_.empty() || now_ < next_announcement_) return;
-  next_announcement_ = now_ + kAnnouncementPause;
-  auto message = own_heartbeat();
-  for (auto at = announcements_.begin(); at != announcements_.end();) {
-    const auto& known = claims_[at->first];
-    message.claims.push_back({at->first, known.fence, known.holder});
-    at = --at->second == 0 ? announcements_.erase(at) : std::next(at);
-  }
-  send_to_all(message);
-}
-
 void gateway_core::impl::spread_news(const std::vector<store_item>& news) {
   if (!roster_.is_large()) return;
   news_message message;
@@ -193,58 +102,6 @@
   apply(changes, "news");
 }
 
-void gateway_core::impl::take(member_address from,
-                              const target_claim& claimed) {
-  auto& known = claims_[claimed.target];
-  const bool first_hand = claimed.holder == from;
-  if (claimed.fence == known.fence) {
-    if (known.holder == claimed.holder) {
-      if (first_hand) known.heard = now_;
-      return;
-    }
-    // Given up: the last order may be as late as this word.
-    if (claimed.holder == 0) known = {0, claimed.fence, now_, true};
-    return;
-  }
-  // Of two claims the higher counts, also when its holder is out of sight: the
-  // other learns of it, steps back and comes again under a higher fence.
-  if (claimed.fence < known.fence) return;
-  if (claimed.holder == options_.self &&
-      !keepers_.contains(target_id_of(claimed.target))) {
-    // Word of this instance's former life.
-    known = {0, claimed.fence, known.heard};
-    return;
-  }
-  known = {claimed.holder, claimed.fence, now_};
-  waiting_dirty_ = true;
-}
-
-target_id gateway_core::impl::target_id_of(target_hash target) {
-  const auto* found = targets_.find(target);
-  return found == nullptr ? target_id() : found->entry.id;
-}
-
-void gateway_core::impl::add_own_claims(heartbeat& message) const {
-  for (const auto& [id, keeper] : keepers_) {
-    if (message.claims.size() >= kMaxClaims) break;
-    message.claims.push_back({hash_of(id), keeper->fence(), options_.self});
-  }
-}
-
-void gateway_core::impl::add_claims(heartbeat& message) {
-  add_own_claims(message);
-  if (claims_.empty()) return;
-  auto at = claims_.upper_bound(next_claim_told_);
-  const auto count = std::min(kHeardClaims, claims_.size());
-  for (std::size_t i = 0; i < count; ++i, ++at) {
-    if (at == claims_.end()) at = claims_.begin();
-    next_claim_told_ = at->first;
-    const auto& known = at->second;
-    if (known.fence == 0 || known.holder == options_.self) continue;
-    message.claims.push_back({at->first, known.fence, known.holder});
-  }
-}
-
 void gateway_core::impl::take(member_address from,
                               const interest_message& message) {
   const auto* target = targets_.find(message.target);
@@ -281,22 +138,6 @@
   waiting_dirty_ = true;
 }
 
-void gateway_core::impl::send_heartbeats() {
-  next_beat_ = now_ + (roster_.is_large() ? kLargeBeatPeriod : kBeatPeriod);
-  roster_.beat(now_);
-  auto message = own_heartbeat();
-  add_claims(message);
-  for (const auto* target : targets_.staying(now_)) {
-    if (message.loads.size() >= kMaxLoads) break;
-    if (target->own.running == 0) continue;
-    message.loads.push_back({target->hash, target->own});
-  }
-  for (const auto to : roster_.heartbeat_targets(now_)) {
-    message.rows = roster_.sample();
-    do_act(action::send_datagram{to, message});
-  }
-}
-
 std::vector<adapter_interest> gateway_core::impl::interest_in(
     const target_state& target) const {
   std::map<adapter_name, adapter_interest> rows;
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "process/gateway_impl.h"
+#include "seamglade/rendezvous.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -44,14 +45,6 @@
 /** A request waits for such word this long at most. */
 constexpr duration kAskWait = 15ms;
 
-/** Returns a number whose bits all depend on all bits (splitmix64). */
-std::uint64_t mix(std::uint64_t value) {
-  value += 0x9e3779b97f4a7c15ULL;
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
-}
-
 }  // namespace
 
 void gateway_core::impl::place(exchange& x) {
--- a/src/process/roster.cc
+++ b/src/process/roster.cc
@@ -21,8 +21,29 @@
 constexpr std::size_t kMostRows = 400;
 /** Silence after which a member counts as gone, in a full mesh. */
 constexpr duration kPatience = 1300ms;
-/** More patience for each doubling of the fleet beyond a full mesh. */
-constexpr duration kPatienceStep = 400ms;
+/** Members that probe one which did not answer. */
+constexpr std::size_t kHelpers = 3;
+/** Heartbeats at a time while this instance doubts its own links. */
+constexpr std::size_t kDoubtFanout = 8;
+/** After so long the others are believed to be gone, not this one cut off. */
+constexpr duration kLongestDoubt = 6s;
+/**
+ * A suspicion may be denied for so long, for each doubling of the fleet: word
+ * of it and of its denial take about two rounds of heartbeats for three
+ * doublings.
+ */
+constexpr duration kDenialStep = 200ms;
+/** News of a member is told so often for each doubling of the fleet. */
+constexpr unsigned kTellingsPart = 1;
+/** Rows that are news in one message, and rows in all at least. */
+constexpr std::size_t kNewsRows = 16;
+constexpr std::size_t kLeastRows = 4;
+/**
+ * More rows for each member that the receiver does not know: after a start of
+ * all at once each knows a few.
+ */
+constexpr std::size_t kRowsForUnknown = 50;
+constexpr std::size_t kRowsForNew = 100;
 /** A silent member counts for the question of isolation this long. */
 constexpr duration kCounted = 6s;
 /** Alone, an instance waits longer until it believes the others gone. */
@@ -49,46 +70,106 @@
   std::vector<member_address> newcomers;
   for (const auto& row : rows) {
     if (row.address == options_.self) {
-      // Another life of this instance is remembered: outdo it.
-      if (row.incarnation > options_.incarnation) {
-        options_.incarnation = row.incarnation + 1;
-      }
-      continue;
-    }
-    const auto [at, is_new] = members_.try_emplace(row.address);
-    auto& known = at->second;
-    const bool newer_life = row.incarnation > known.row.incarnation;
-    const bool newer_beat =
-        row.incarnation == known.row.incarnation && row.beat > known.row.beat;
-    if (is_new) {
-      known.row = row;
-      last_met_ = now;
-      newcomers.push_back(row.address);
-      // Hearsay of an unknown member is no sign of life by itself, and its
-      // silence none of being cut off.
-      known.heard = row.address == from ? now : now - kUnheard;
-      continue;
+      take_own_row(row);
+    } else {
+      take_row(now, from, row, newcomers);
     }
-    if (!newer_life && !newer_beat) continue;
-    if (newer_life) newcomers.push_back(row.address);
-    known.row = row;
-    known.heard = now;
   }
+  answered(now, from);
   return newcomers;
 }
 
+void roster::take_own_row(const member_row& row) {
+  // Another life of this instance is remembered: outdo it.
+  if (row.incarnation > options_.incarnation) {
+    options_.incarnation = row.incarnation + 1;
+    must_deny_ = true;
+    return;
+  }
+  const bool accused = row.incarnation == options_.incarnation &&
+                       row.standing != member_standing::alive &&
+                       row.beat >= beat_;
+  if (!accused) return;
+  beat_ = row.beat + 1;
+  must_deny_ = true;
+}
+
+void roster::take_row(time_point now, member_address from,
+                      const member_row& row,
+                      std::vector<member_address>& newcomers) {
+  const bool is_known = members_.contains(row.address);
+  // One that is gone before it was met is not worth to be known.
+  if (!is_known && row.standing == member_standing::gone) return;
+  auto& known = members_[row.address];
+  if (!is_known) {
+    known.row = row;
+    known.tellings = tellings();
+    known.silent_since = now;
+    last_met_ = now;
+    if (!first_met_) first_met_ = now;
+    newcomers.push_back(row.address);
+    // Hearsay of an unknown member is no sign of life by itself, and its
+    // silence none of being cut off.
+    known.heard = row.address == from ? now : now - kUnheard;
+    return;
+  }
+  const bool newer_life = row.incarnation > known.row.incarnation;
+  const bool same_life = row.incarnation == known.row.incarnation;
+  const bool newer_beat = same_life && row.beat > known.row.beat;
+  const bool worse = same_life && row.beat == known.row.beat &&
+                     row.standing > known.row.standing;
+  if (!newer_life && !newer_beat && !worse) return;
+  if (newer_life) newcomers.push_back(row.address);
+  const auto standing = std::exchange(known.row, row).standing;
+  known.row.standing = standing;
+  set_standing(now, known, row.standing);
+  known.tellings = tellings();
+  if (row.standing == member_standing::alive) known.heard = now;
+}
+
+void roster::set_standing(time_point now, member_state& known,
+                          member_standing standing) {
+  const bool was_alive = known.row.standing == member_standing::alive;
+  if (standing == known.row.standing) return;
+  if (was_alive) known.silent_since = now;
+  known.row.standing = standing;
+  known.tellings = tellings();
+}
+
+void roster::answered(time_point now, member_address who) {
+  probes_.answered(who);
+  const auto found = members_.find(who);
+  if (found == members_.end()) return;
+  const bool is_accused = found->second.row.standing != member_standing::alive;
+  // Where beats do not rise, any message is a sign of life.
+  if (is_large() && !is_accused) found->second.heard = now;
+}
+
 void roster::beat(time_point now) {
-  ++beat_;
+  if (!is_large()) ++beat_;
   if (!started_) started_ = now;
   std::erase_if(members_, [&](const auto& pair) {
-    return now - pair.second.heard > kForgotten;
+    const auto& known = pair.second;
+    if (is_large() && known.row.standing != member_standing::gone) return false;
+    return now - known.heard > kForgotten;
   });
 }
 
+void roster::leave() {
+  leaving_ = true;
+  ++beat_;
+}
+
 std::vector<member_address> roster::heartbeat_targets(time_point now) {
   std::vector<member_address> targets;
+  std::vector<member_address> gone;
   for (const auto& [address, known] : members_) {
-    if (now - known.heard < kForgotten / 2) targets.push_back(address);
+    if (is_large() ? is_alive(now, known)
+                   : now - known.heard < kForgotten / 2) {
+      targets.push_back(address);
+    } else if (now - known.silent_since < kForgotten / 2) {
+      gone.push_back(address);
+    }
   }
   if (targets.size() > kFullMesh) {
     std::shuffle(targets.begin(), targets.end(), random_);
@@ -96,7 +177,13 @@
     std::stable_partition(
         targets.begin() + kFarFanout, targets.end(),
         [this](member_address who) { return is_in_my_domain(who); });
-    targets.resize(kFanout);
+    targets.resize(probes_.is_in_doubt()
+                       ? std::min(kDoubtFanout, targets.size())
+                       : kFanout);
+  }
+  // Two parts of a fleet that were cut from each other meet again.
+  if (is_large() && !gone.empty()) {
+    targets.push_back(gone[random_() % gone.size()]);
   }
   const bool alone = targets.empty();
   if (alone || beats_until_seed_ == 0) {
@@ -109,13 +196,51 @@
     }
   }
   --beats_until_seed_;
+  if (is_large()) {
+    for (const auto to : targets) {
+      if (is_alive(now, to)) probes_.sent(now, to);
+    }
+  }
   return targets;
 }
 
-std::vector<member_row> roster::sample() {
+std::vector<member_row> roster::news_rows() {
+  std::vector<member_state*> news;
+  for (auto& [address, known] : members_) {
+    if (known.tellings > 0) news.push_back(&known);
+  }
+  const auto count = std::min(kNewsRows, news.size());
+  std::partial_sort(
+      news.begin(), news.begin() + static_cast<std::ptrdiff_t>(count),
+      news.end(),
+      [](const auto* a, const auto* b) { return a->tellings > b->tellings; });
+  news.resize(count);
+  std::vector<member_row> rows;
+  for (auto* known : news) {
+    --known->tellings;
+    rows.push_back(known->row);
+  }
+  return rows;
+}
+
+std::vector<member_row> roster::sample(member_address to,
+                                       std::size_t known_there) {
   std::vector<member_row> rows{own_row()};
   if (members_.empty()) return rows;
-  const auto count = std::min(kSampleRows, members_.size());
+  auto wanted = kSampleRows;
+  if (is_large()) {
+    const auto receiver = members_.find(to);
+    const bool is_accused =
+        receiver != members_.end() &&
+        receiver->second.row.standing != member_standing::alive;
+    if (is_accused) rows.push_back(receiver->second.row);
+    const auto news = news_rows();
+    rows.insert(rows.end(), news.begin(), news.end());
+    const auto unknown = present() - std::min(present(), known_there);
+    wanted = kLeastRows + std::min(kRowsForNew, kRowsForUnknown * unknown);
+  }
+  const auto count =
+      std::min(wanted - std::min(wanted, rows.size() - 1), members_.size());
   auto at = members_.begin();
   std::advance(at, static_cast<long>(next_sample_ % members_.size()));
   for (std::size_t i = 0; i < count; ++i) {
@@ -126,6 +251,62 @@
   return rows;
 }
 
+std::vector<member_address> roster::helpers(member_address subject) {
+  std::vector<member_address> able;
+  for (const auto& [address, known] : members_) {
+    const bool alive = known.row.standing == member_standing::alive;
+    if (alive && address != subject) able.push_back(address);
+  }
+  std::shuffle(able.begin(), able.end(), random_);
+  able.resize(std::min(kHelpers, able.size()));
+  return able;
+}
+
+roster::probe_step roster::check_probes(time_point now) {
+  probe_step out;
+  const auto due = probes_.overdue(now);
+  if (!is_large()) return out;
+  for (const auto subject : due.ask_others) {
+    for (const auto helper : helpers(subject)) {
+      out.ask_others.push_back({helper, subject});
+    }
+  }
+  // Where most probes fail the fault may be here: nobody is accused, unless it
+  // goes on so long that the others must be gone.
+  const auto doubt = probes_.doubt_since();
+  const bool accuses = !doubt || now - *doubt > kLongestDoubt;
+  for (const auto subject : due.failed) {
+    const auto found = members_.find(subject);
+    if (!accuses || found == members_.end()) continue;
+    auto& known = found->second;
+    if (known.row.standing != member_standing::alive) continue;
+    set_standing(now, known, member_standing::suspect);
+    out.accuse.push_back(subject);
+  }
+  for (auto& [address, known] : members_) {
+    const bool is_over = known.row.standing == member_standing::suspect &&
+                         now - known.silent_since > denial_time();
+    if (is_over) set_standing(now, known, member_standing::gone);
+  }
+  return out;
+}
+
+std::size_t roster::present() const {
+  const auto gone =
+      std::count_if(members_.begin(), members_.end(), [](const auto& pair) {
+        return pair.second.row.standing == member_standing::gone;
+      });
+  return size() - static_cast<std::size_t>(gone);
+}
+
+duration roster::denial_time() const {
+  return kDenialStep * std::bit_width(size());
+}
+
+unsigned roster::tellings() const {
+  return kTellingsPart * static_cast<unsigned>(std::bit_width(size()));
+}
+
 std::vector<member_row> roster::all_rows() const {
   std::vector<member_row> rows{own_row()};
   for (const auto& [address, known] : members_) {
@@ -141,23 +322,27 @@
 }
 
 duration roster::patience() const {
-  if (members_.size() <= kFullMesh) return kPatience;
-  const auto doublings = std::bit_width(members_.size() / kFullMesh);
-  return kPatience + kPatienceStep * doublings;
+  if (!is_large()) return kPatience;
+  return 2 * probe_log::kAnswerTime + denial_time();
 }
 
 bool roster::is_large() const { return members_.size() > kFullMesh; }
 
+bool roster::is_alive(time_point now, const member_state& known) const {
+  if (known.row.standing == member_standing::gone) return false;
+  return is_large() || now - known.heard < kPatience;
+}
+
 bool roster::is_alive(time_point now, member_address who) const {
   if (who == options_.self) return true;
   const auto found = members_.find(who);
-  return found != members_.end() && now - found->second.heard < patience();
+  return found != members_.end() && is_alive(now, found->second);
 }
 
 std::vector<member_address> roster::alive(time_point now) const {
   std::vector<member_address> out{options_.self};
   for (const auto& [address, known] : members_) {
-    if (now - known.heard < patience()) out.push_back(address);
+    if (is_alive(now, known)) out.push_back(address);
   }
   std::sort(out.begin(), out.end());
   return out;
@@ -180,31 +365,37 @@
   return found != members_.end() && found->second.row.domain == options_.domain;
 }
 
-std::optional<time_point> roster::heard(member_address who) const {
+std::optional<time_point> roster::silent_since(time_point now,
+                                               member_address who) const {
   const auto found = members_.find(who);
   if (found == members_.end()) return std::nullopt;
-  return found->second.heard;
+  const auto& known = found->second;
+  if (!is_large()) return known.heard;
+  return known.row.standing == member_standing::alive ? now
+                                                      : known.silent_since;
 }
 
-std::optional<time_point> roster::last_silence(time_point now) const {
-  std::optional<time_point> latest;
+std::vector<roster::silent_member> roster::silent(time_point now) const {
+  std::vector<silent_member> out;
   for (const auto& [address, known] : members_) {
-    if (known.row.leaving || now - known.heard < patience()) continue;
-    if (!latest || known.heard > *latest) latest = known.heard;
+    if (known.row.leaving || is_alive(now, known)) continue;
+    out.push_back({address, *silent_since(now, address)});
   }
-  return latest;
+  return out;
 }
 
 bool roster::is_isolated(time_point now) const {
+  if (is_large() && probes_.is_in_doubt()) return true;
   std::size_t counted = 1;
   std::size_t heard = 1;
   std::size_t counted_alone = 0;
   for (const auto& [address, known] : members_) {
     if (known.row.leaving) continue;
-    const auto silent = now - known.heard;
-    if (silent < kCounted) ++counted;
+    const bool alive = is_alive(now, known);
+    const auto silent = now - *silent_since(now, address);
+    if (alive || silent < kCounted) ++counted;
     if (silent < kCountedAlone) ++counted_alone;
-    if (silent < patience()) ++heard;
+    if (alive) ++heard;
   }
   if (heard == 1) {
     // Seeds that do not answer may be out of reach, not dead.
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <vector>
 
+#include "process/probe_log.h"
 #include "seamglade/gateway_peers.h"
 
 namespace seamglade::gateway {
@@ -26,8 +27,13 @@
 /**
  * The members and when each was last heard of, directly or through others.
  *
- * A member is alive while its beat goes on. Its silence is counted from the
- * time its beat was last seen to rise, by this instance's own clock.
+ * Where all tell all, a member is alive while its beat goes on; its silence is
+ * counted from the time its beat was last seen to rise, by this instance's own
+ * clock. In a larger fleet each heartbeat is a probe that wants an answer. A
+ * member that answers neither it nor those that others send is suspected; the
+ * suspicion is told on, and unless the member denies it in time, it is gone.
+ * Passing on beats instead took 4 s a round at 195 members with a patience of
+ * 3.3 s: 220 false silences a second in a calm fleet.
  */
 class roster {
  public:
@@ -41,14 +47,34 @@
                                     const std::vector<member_row>& rows);
   /** Takes the next beat of this instance and forgets the long silent. */
   void beat(time_point now);
-  void leave() { leaving_ = true; }
+  void leave();
   /** Takes new seeds in. */
   void set_seeds(std::vector<member_address> seeds);
 
-  /** Returns where the next heartbeat goes. */
+  /** Returns where the next heartbeat goes; these are then probed. */
   std::vector<member_address> heartbeat_targets(time_point now);
-  /** Returns rows to send along, this instance's first. */
-  std::vector<member_row> sample();
+  /**
+   * Returns rows to send along, this instance's first; with what is held
+   * against the receiver, and more rows for one that knows fewer members.
+   */
+  std::vector<member_row> sample(member_address to = 0,
+                                 std::size_t known_there = SIZE_MAX);
+  /** Takes a sign of life that came through another member. */
+  void answered(time_point now, member_address who);
+  /** What is to be sent after a look at the probes. */
+  struct probe_step {
+    struct detour {
+      member_address helper = 0;
+      member_address subject = 0;
+    };
+    std::vector<detour> ask_others;
+    /** Newly suspected: to be told so. */
+    std::vector<member_address> accuse;
+  };
+  /** Looks at the probes under way and at suspicions whose time is up. */
+  probe_step check_probes(time_point now);
+  /** Returns whether this instance has something to deny, once. */
+  bool take_denial() { return std::exchange(must_deny_, false); }
   /** Returns the rows of all members, as far as one datagram takes them. */
   std::vector<member_row> all_rows() const;
   member_row own_row() const;
@@ -58,12 +84,22 @@
   std::vector<member_address> alive(time_point now) const;
   /** Returns the living members that do not leave, this one included. */
   std::vector<member_address> staying(time_point now) const;
-  /** Returns when a member was last heard of; none: never. */
-  std::optional<time_point> heard(member_address who) const;
+  /**
+   * Returns the time from which a member may have been silent; `now` for one
+   * that is alive, none for one never known.
+   */
+  std::optional<time_point> silent_since(time_point now,
+                                         member_address who) const;
   /** Returns when a member was last met for the first time; none: never. */
   std::optional<time_point> last_met() const { return last_met_; }
-  /** Returns when the last member to fall silent was last heard of. */
-  std::optional<time_point> last_silence(time_point now) const;
+  /** Returns when a member was first met; none: never. */
+  std::optional<time_point> first_met() const { return first_met_; }
+  struct silent_member {
+    member_address who = 0;
+    time_point since;
+  };
+  /** Returns the members that fell silent without having said that they go. */
+  std::vector<silent_member> silent(time_point now) const;
   /**
    * Returns whether too few of the members of the last seconds are heard: this
    * instance may be the one that is cut off.
@@ -72,6 +108,8 @@
   /** Returns how long a member may be silent before it counts as gone. */
   duration patience() const;
   std::size_t size() const { return members_.size() + 1; }
+  /** Returns how many of them are not known to be gone. */
+  std::size_t present() const;
   /** Returns whether the fleet is too large for everyone to tell everyone. */
   bool is_large() const;
   bool is_leaving(member_address who) const;
@@ -81,12 +119,31 @@
   struct member_state {
     member_row row;
     time_point heard;
+    /** When it ceased to be alive, where its standing says that it has. */
+    time_point silent_since;
+    /** How often its row is still to be told first of all. */
+    unsigned tellings = 0;
   };
 
+  bool is_alive(time_point now, const member_state& known) const;
+  void take_row(time_point now, member_address from, const member_row& row,
+                std::vector<member_address>& newcomers);
+  void take_own_row(const member_row& row);
+  void set_standing(time_point now, member_state& known,
+                    member_standing standing);
+  std::vector<member_row> news_rows();
+  std::vector<member_address> helpers(member_address subject);
+  /** Returns how long a suspicion may be denied. */
+  duration denial_time() const;
+  unsigned tellings() const;
+
   roster_options options_;
   std::uint64_t beat_ = 0;
   std::optional<time_point> started_;
   std::optional<time_point> last_met_;
+  std::optional<time_point> first_met_;
+  probe_log probes_;
+  bool must_deny_ = false;
   bool leaving_ = false;
   std::map<member_address, member_state> members_;
   std::mt19937_64 random_;
--- a/src/version/rendezvous.cc
+++ b/src/version/rendezvous.cc
@@ -17,6 +17,13 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+std::uint64_t mix(std::uint64_t value) {
+  value += 0x9e3779b97f4a7c15ULL;
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31U);
+}
+
 std::uint32_t short_hash(std::string_view text) {
   return static_cast<std::uint32_t>(stable_hash(text));
 }
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -108,5 +108,7 @@
 if grep BROKEN "$work/platform.out"; then fail 'a rule was broken'; fi
 duplicates=$(grep '^run' "$work/platform.out" | cut -d' ' -f2 | sort | uniq -d)
 [ -z "$duplicates" ] || fail "ran more than once: $duplicates"
-grep -q '"event":"target_claimed"' "$work/g1.log" || fail 'no claim was logged'
+# The only one left claims what the others held, and logs it.
+wait_for "$work/g1.log" '"event":"target_claimed"' >/dev/null ||
+  fail 'no claim was logged'
 echo 'all checks passed'
