Load first what can be in time, fewer side by side where loads are slow

In their order of waiting, what came first was late, and so was all behind it.

Ruled out: copies (their share went from 1,416 of 4,062 loads to 460 of 1,790 by asking the homes; copies asked for by demand are 280 of these).

Change: each instance tells with its interest how much of the objective is left; a holder orders the loads that can be in time before the others, and no more at once than lets loads take half as long again as the quickest it has seen, one at least.

--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -111,6 +111,11 @@
   std::uint32_t rank = 0;
   /** How long the first has waited when this was sent. */
   duration waited{};
+  /**
+   * What was left of its objective to the request that has most left; none is
+   * left to a wish that no request waits for.
+   */
+  duration slack{};
 
   friend bool operator==(const adapter_interest&,
                          const adapter_interest&) = default;
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -67,7 +67,7 @@
   for (const auto& r : from.rows) {
     rows.push_back(frames::CreateAdapterInterestDirect(
         b, r.name.model.c_str(), r.name.adapter.c_str(), r.version, r.waiting,
-        r.running, r.rank, r.waited.count()));
+        r.running, r.rank, r.waited.count(), r.slack.count()));
   }
   const auto work = write(from.work);
   return frames::CreateInterestDirect(b, from.target, &rows, &work);
@@ -171,7 +171,8 @@
                         r.waiting(),
                         r.running(),
                         r.rank(),
-                        duration(r.waited_us())});
+                        duration(r.waited_us()),
+                        duration(r.slack_us())});
   });
   if (const auto* work = from.work()) out.work = read(*work);
   return out;
--- a/src/process/gateway_peers.cc
+++ b/src/process/gateway_peers.cc
@@ -163,6 +163,7 @@
     ++row.waiting;
     row.rank = std::min(row.rank, x.way->rank);
     row.waited = std::max(row.waited, now_ - x.started);
+    row.slack = std::max(row.slack, x.started + x.way->objective - now_);
   }
   const auto first = copies_wanted_.lower_bound({target.entry.id, {}});
   for (auto at = first; at != copies_wanted_.end(); ++at) {
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -32,6 +32,10 @@
 constexpr duration kAskRecent = 25ms;
 /** Weight of the newest load in the usual time. */
 constexpr double kLoadTimeWeight = 0.15;
+/** With each load, the quickest time seen is taken to be so much longer. */
+constexpr std::int64_t kQuickForgotten = 100;
+/** Loads that take so many times the quickest wait for the weight store. */
+constexpr double kSlowLoads = 1.5;
 /** The part of its time after which a load had ended that was asked once. */
 constexpr double kEndedEarlier = 0.8;
 /** A load that lasts longer is left to reports. */
@@ -76,7 +80,8 @@
       profile_(std::move(profile)),
       fence_(fence),
       check_(check),
-      load_time_(kFirstLoadTime) {}
+      load_time_(kFirstLoadTime),
+      quick_load_time_(kFirstLoadTime) {}
 
 void target_keeper::renew_fence(time_point now, std::uint64_t fence) {
   fence_ = fence;
@@ -114,12 +119,15 @@
       if (row.waiting == 0) continue;
       const auto since = known.heard - row.waited;
       auto [at, is_new] = by_name.try_emplace(
-          row.name, wish{row.name, row.version, row.rank, 0, since});
+          row.name, wish{row.name, row.version, row.rank, 0, since, false});
       auto& wanted = at->second;
       wanted.waiting += row.waiting;
       wanted.version = std::max(wanted.version, row.version);
       wanted.rank = std::min(wanted.rank, row.rank);
       wanted.since = std::min(wanted.since, since);
+      if (row.slack - (now - known.heard) > load_time_) {
+        wanted.is_hopeful = true;
+      }
     }
   }
   std::vector<wish> out;
@@ -131,8 +139,11 @@
     }
     out.push_back(std::move(wanted));
   }
+  // Where the weight store is at its limit, what came first would be late, and
+  // all that comes after it: loads that can be in time go before.
   std::sort(out.begin(), out.end(), [](const wish& a, const wish& b) {
-    return std::tie(a.rank, a.since) < std::tie(b.rank, b.since);
+    return std::tie(b.is_hopeful, a.rank, a.since) <
+           std::tie(a.is_hopeful, b.rank, b.since);
   });
   return out;
 }
@@ -271,6 +282,8 @@
     const auto usual = std::chrono::duration<double>(load_time_);
     load_time_ = std::chrono::duration_cast<duration>(
         usual + kLoadTimeWeight * (took - usual));
+    quick_load_time_ += quick_load_time_ / kQuickForgotten;
+    quick_load_time_ = std::min(quick_load_time_, load_time_);
   }
   held.now = phase::ready;
   held.since = now;
@@ -278,6 +291,14 @@
   held.replaces.reset();
 }
 
+std::size_t target_keeper::parallel_loads() const {
+  const auto allowed =
+      kSlowLoads * std::chrono::duration<double>(quick_load_time_);
+  const auto part = allowed / std::chrono::duration<double>(load_time_);
+  const auto most = static_cast<double>(kParallelLoads);
+  return static_cast<std::size_t>(std::clamp(most * part, 1.0, most));
+}
+
 void target_keeper::note_unloaded(time_point now, const adapter_name& name) {
   unloaded_[name] = now;
   held_lately_[name] = now;
@@ -349,7 +370,7 @@
     under_way_ = *step;
     return under_way_;
   }
-  if (loading_count() >= kParallelLoads) return {};
+  if (loading_count() >= parallel_loads()) return {};
   for (const auto& wanted : wishes(now)) {
     if (!models_.contains(wanted.name.model)) continue;
     if (wanted.name.adapter.empty()) continue;
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -122,6 +122,8 @@
     std::uint32_t rank = 0;
     std::uint32_t waiting = 0;
     time_point since;
+    /** A request that waits can still be in time if the load begins now. */
+    bool is_hopeful = false;
   };
   struct interest {
     time_point heard;
@@ -140,6 +142,8 @@
   /** Returns when a load under way is to be asked about; none: not at all. */
   std::optional<time_point> repeat_at(const place& held) const;
   void load_ended(time_point now, place& held);
+  /** Returns how many loads this target may have under way. */
+  std::size_t parallel_loads() const;
   /** Returns whether a report would tell something not yet known. */
   bool is_unsettled() const;
   void note_unloaded(time_point now, const adapter_name& name);
@@ -176,6 +180,8 @@
   /** What the target held lately and still has in its memory. */
   std::map<adapter_name, time_point> held_lately_;
   duration load_time_;
+  /** How long loads take where the weight store is not at its limit. */
+  duration quick_load_time_;
   std::vector<adapter_name> dropped_;
   keeper_step under_way_;
   time_point next_report_{};
