Name file, line and type where changed settings are refused

Cause: settings_refused told the accepted range alone, so an operator who changed a file on many instances had to search for the key. What was in force stays, as before; gateway_processes-test fails without the fields.

--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -228,8 +228,13 @@
   config_text_ = text.value();
   const auto checked = check_gateway_config(config_text_);
   if (!checked.failures.empty()) {
+    // The settings before stay in force; the same text is not refused twice.
+    const auto& why = checked.failures.front();
     log_.write(boot_now(), {"settings_refused",
-                            {{"detail", checked.failures.front().detail}},
+                            {{"file", config_file_},
+                             {"line", why.line},
+                             {"type", std::string(to_string(why.code))},
+                             {"detail", why.detail}},
                             true});
     return;
   }
