--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -99,6 +100,16 @@
   duration load_time() const { return load_time_; }
 
  private:
+  /** A report may be this much older than its answer. */
+  static constexpr duration kReportLag = 700ms;
+  /** An adapter used this recently is not unloaded: calls may be on their way.
+   */
+  static constexpr duration kRecentUse = 250ms;
+  /** A report asked this long after an order shows all that came before it. */
+  static constexpr duration kFenceSettled = 300ms;
+  /** Without fences, two reports this far apart must agree after a claim. */
+  static constexpr duration kConfirmPause = 400ms;
+
   enum class phase : std::uint8_t { loading, ready, unloading };
   struct place {
     phase now = phase::loading;
@@ -159,6 +170,18 @@
   void take_models(time_point now, const engine_report& report);
   void take_places(time_point now, time_point asked,
                    const engine_report& report);
+  /** A report, as it is compared with what was believed. */
+  struct report_facts {
+    time_point now;
+    time_point asked;
+    std::map<adapter_name, std::uint32_t> held;
+    std::set<adapter_name> pending;
+  };
+  /** Returns whether the adapter still has its place. */
+  bool settle_place(place& mine, const report_facts& told,
+                    const adapter_name& name);
+  void add_place(const report_facts& told, const adapter_name& name,
+                 std::uint32_t version, phase now_in);
   void changed() { ++edition_; }
   std::size_t loading_count() const;
 
