--- a/fakes/world.cc
+++ b/fakes/world.cc
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 
 #include "world_impl.h"
 
@@ -21,14 +20,6 @@
 /** A cut link is noticed by its ends after this long. */
 constexpr duration kLinkTimeout = 5s;
 
-duration thread_time() {
-  timespec used{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
-  return std::chrono::duration_cast<duration>(
-      std::chrono::seconds(used.tv_sec) +
-      std::chrono::nanoseconds(used.tv_nsec));
-}
-
 double draw(std::mt19937_64& random) {
   return static_cast<double>(random() >> 11) / 9007199254740992.0;
 }
@@ -38,13 +29,6 @@
   return a < b ? std::pair(a, b) : std::pair(b, a);
 }
 
-bool is_control(const message& body) {
-  return !std::holds_alternative<submit>(body) &&
-         !std::holds_alternative<part>(body) &&
-         !std::holds_alternative<refuse>(body) &&
-         !std::holds_alternative<acknowledge>(body);
-}
-
 }  // namespace
 
 std::string_view to_string(step which) {
@@ -213,10 +197,7 @@
 
 void world::handle(instance& who, any_event what) {
   if (who.finished) return;
-  const auto before = thread_time();
-  auto actions = who.decisions->handle(now_, std::move(what));
-  who.processor_time += thread_time() - before;
-  carry_out(who, std::move(actions));
+  carry_out(who, who.decisions->handle(now_, std::move(what)));
   if (who.decisions) arm(who);
 }
 
@@ -309,10 +290,6 @@
   const auto key = key_of(who.id, a.to);
   const auto link = links_.find(key);
   if (link == links_.end() || !link->second.up) return;
-  if (is_control(a.body)) {
-    ++who.control.messages;
-    if (measure) who.control.bytes += measure(a.body);
-  }
   const auto epoch = link->second.epoch;
   const auto from = who.id;
   const auto to = a.to;
@@ -572,12 +549,4 @@
   return ids;
 }
 
-duration world::processor_time(const instance_id& id) const {
-  return instances_.at(id)->processor_time;
-}
-
-world::control_traffic world::control_sent(const instance_id& id) const {
-  return instances_.at(id)->control;
-}
-
 }  // namespace seamglade::fakes
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -172,17 +172,6 @@
   /** Returns who renewed the target's claim last; empty if nobody did. */
   std::string holder(const target_id& id) const;
   std::uint64_t service_calls() const { return service_calls_; }
-  /** Bytes and messages sent by an instance, without request payloads. */
-  struct control_traffic {
-    std::uint64_t messages = 0;
-    std::uint64_t bytes = 0;
-  };
-  control_traffic control_sent(const instance_id& id) const;
-  /** Returns the processor time of an instance's decisions so far. */
-  duration processor_time(const instance_id& id) const;
-  /** If set, messages are encoded, so that their bytes can be counted. */
-  std::function<std::size_t(const message&)> measure;
-
   /** How fully a target's batch was used while it ran anything. */
   struct batch_use {
     double busy_seconds = 0;
--- a/fakes/world_impl.h
+++ b/fakes/world_impl.h
@@ -36,8 +36,6 @@
   std::map<std::string, published_entry> stale_entries;
   std::uint64_t stale_index = 0;
   std::int64_t wall_skew_ms = 0;
-  control_traffic control;
-  duration processor_time{};
 };
 
 struct world::target {
