--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -27,7 +27,9 @@
   for (std::size_t i = 0; i < options_.plain_targets; ++i) {
     add("plain", false, i);
   }
-  publish_configuration(1, "/llm/");
+  workspaces_ = options_.workspaces;
+  engine_prefix_ = "/llm/";
+  publish_workspaces();
   for (std::size_t i = 0; i < options_.instances; ++i) {
     auto made = std::make_unique<instance>();
     made->address = static_cast<member_address>(0x0a000001 + i);
@@ -83,6 +85,8 @@
       static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
   options.random_seed = random_();
   options.fenced = options_.fenced;
+  options.key_bound = options_.key_bound;
+  options.quota = options_.quota;
   options.seeds = {instances_.begin()->first};
   if (instances_.size() > 1) {
     options.seeds.push_back(std::next(instances_.begin())->first);
@@ -145,7 +149,14 @@
 }
 
 bool gateway_world::reachable(member_address from, member_address to) {
-  return !instances_.at(from)->cut && !instances_.at(to)->cut;
+  const auto& a = *instances_.at(from);
+  const auto& b = *instances_.at(to);
+  return !a.cut && !b.cut && a.side == b.side;
+}
+
+void gateway_world::split(const std::vector<member_address>& side) {
+  for (auto& [address, i] : instances_) i->side = 0;
+  for (const auto who : side) instances_.at(who)->side = 1;
 }
 
 void gateway_world::post(instance& to, any_event event) {
@@ -204,7 +215,7 @@
       lose_store_call(from.address, from.life, watch->scope, watch->wait);
       return;
     }
-    serve_watch(from, watch->scope, watch->after);
+    serve_watch(from, watch->scope, watch->after, watch->wait);
   } else if (std::holds_alternative<action::range_store>(any)) {
     if (store_silent_) {
       lose_store_call(from.address, from.life, store_scope::everything, 0ms);
@@ -254,6 +265,7 @@
   calls_.push_back(std::make_unique<gateway_call>());
   auto& made = *calls_.back();
   made.id = fmt::format("r{}", calls_.size());
+  calls_by_id_[made.id] = &made;
   made.entry = entry;
   made.repeatable = repeatable;
   made.adapter = adapter;
@@ -290,6 +302,24 @@
   return submit(entry, repeatable ? "/get/x" : "/set/x", {}, repeatable, "");
 }
 
+gateway_call& gateway_world::call_with_key(member_address entry,
+                                           const std::string& key,
+                                           std::uint32_t tokens) {
+  auto& call = call_with_headers(
+      entry, {{"Authorization", "Bearer " + key},
+              {"X-Token-Count", fmt::format("{},0", tokens)}});
+  call.key = key;
+  call.tokens = tokens;
+  return call;
+}
+
+gateway_call& gateway_world::call_with_headers(member_address entry,
+                                               std::vector<http_header> headers,
+                                               bool is_public) {
+  return submit(entry, is_public ? "/open/x" : "/set/x", std::move(headers),
+                is_public, "");
+}
+
 void gateway_world::leave(gateway_call& call) {
   for (auto at = open_calls_.begin(); at != open_calls_.end(); ++at) {
     if (at->second != &call) continue;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -19,6 +19,14 @@
 
 namespace seamglade::fakes {
 
+/** A workspace as the operators publish it; its limit counts tokens. */
+struct fake_workspace {
+  std::string name;
+  std::set<std::string> keys;
+  double rate = 0;
+  double burst = 0;
+};
+
 /** What a world is made of. */
 struct gateway_world_options {
   std::size_t instances = 5;
@@ -27,6 +35,11 @@
   std::uint32_t adapter_slots = 4;
   bool fenced = true;
   std::uint64_t seed = 1;
+  /** None: callers need no keys. */
+  std::vector<fake_workspace> workspaces;
+  /** How long a key may run that was taken away. */
+  duration key_bound = 5s;
+  gateway::quota_bounds quota = {8s, 0.25, 11000};
 };
 
 /** One request of a caller and what became of it. */
@@ -35,6 +48,8 @@
   gateway::member_address entry = 0;
   bool repeatable = false;
   std::string adapter;
+  std::string key;
+  std::uint32_t tokens = 0;
   int status = 0;
   std::string body;
   bool complete = false;
@@ -67,6 +82,13 @@
                             const std::string& adapter,
                             bool repeatable = false);
   gateway_call& call_plain(gateway::member_address entry, bool repeatable);
+  /** Calls a plain service; the workspace's limit counts so many tokens. */
+  gateway_call& call_with_key(gateway::member_address entry,
+                              const std::string& key, std::uint32_t tokens);
+  /** The same with headers that show keys in any form. */
+  gateway_call& call_with_headers(gateway::member_address entry,
+                                  std::vector<http_header> headers,
+                                  bool is_public = false);
   void leave(gateway_call& call);
 
   std::vector<gateway::member_address> instances() const;
@@ -75,6 +97,8 @@
   void freeze(gateway::member_address who, duration time);
   /** Cuts an instance off from the other instances, or heals it. */
   void cut(gateway::member_address who, bool is_cut);
+  /** These reach nobody but each other, until the next split; none: all. */
+  void split(const std::vector<gateway::member_address>& side);
   /** Turns an instance away at the store, or serves it again. */
   void deny_store(gateway::member_address who, bool denied);
   /** The store answers nobody, also nobody that waits already; or again. */
@@ -93,6 +117,12 @@
   void lose_answers(const std::string& id, double share);
   void publish_configuration(std::uint64_t version,
                              const std::string& engine_prefix);
+  /** Publish the next version of the configuration. */
+  void add_key(const std::string& workspace, const std::string& key);
+  void take_key(const std::string& key);
+  void set_limit(const std::string& workspace, double rate, double burst);
+  /** Returns the tokens of a workspace that ran in the last `span`. */
+  double spent(const std::string& workspace, duration span) const;
   void publish_version(const std::string& adapter, std::uint32_t version);
   /** Lets the store forget its history: the next watch is told so. */
   void forget_history();
@@ -139,7 +169,12 @@
   void serve_report(instance& from, const gateway::action::read_report& ask);
   void serve_range(instance& from);
   void serve_watch(instance& from, gateway::store_scope scope,
-                   std::uint64_t after);
+                   std::uint64_t after, duration wait);
+  void publish_workspaces();
+  std::string workspaces_text() const;
+  /** Judges a run by its caller's key, and what the target was told of it. */
+  void judge_key(const gateway::action::call_target& call);
+  void judge_quota(const std::string& workspace, const gateway_call& call);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
   void lose_store_call(gateway::member_address who, std::uint64_t life,
@@ -172,12 +207,28 @@
     std::uint64_t life;
     gateway::store_scope scope;
     std::uint64_t after;
+    duration wait;
     friend bool operator==(const watcher&, const watcher&) = default;
   };
   std::vector<watcher> watchers_;
   bool store_silent_ = false;
   std::mt19937_64 random_;
   std::map<std::string, std::uint32_t> versions_;
+  std::vector<fake_workspace> workspaces_;
+  std::uint64_t configuration_ = 0;
+  std::string engine_prefix_;
+  /** When a key was taken away. */
+  std::map<std::string, time_point> taken_keys_;
+  /** Every key that there was, and its workspace. */
+  std::map<std::string, std::string> key_holders_;
+  struct spending {
+    time_point when;
+    double tokens;
+  };
+  std::map<std::string, std::vector<spending>> spent_;
+  /** The highest limit of a workspace so far. */
+  std::map<std::string, std::pair<double, double>> limits_;
+  std::map<std::string, gateway_call*> calls_by_id_;
   std::map<std::string, std::size_t> runs_;
   std::map<caller_id, gateway_call*> open_calls_;
   std::vector<std::unique_ptr<gateway_call>> calls_;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -28,6 +28,8 @@
   std::unique_ptr<gateway_core> core;
   std::uint64_t life = 0;
   bool cut = false;
+  /** Instances of different sides do not reach each other. */
+  int side = 0;
   bool store_denied = false;
   time_point frozen_until;
   time_point disturbed;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr duration kStoreDelay = 4ms;
-constexpr duration kWatchWait = 1s;
-constexpr duration kLongWait = 12s;
 /** A caller gives up so long after the time its call was to be held. */
 constexpr duration kStoreTimeout = 1500ms;
 
@@ -26,7 +24,7 @@
   const auto waiting = std::exchange(watchers_, {});
   for (const auto& w : waiting) {
     auto& i = *instances_.at(w.who);
-    if (i.life == w.life) serve_watch(i, w.scope, w.after);
+    if (i.life == w.life) serve_watch(i, w.scope, w.after, w.wait);
   }
 }
 
@@ -34,8 +32,7 @@
   store_silent_ = silent;
   if (!silent) return;
   for (const auto& w : std::exchange(watchers_, {})) {
-    const bool is_long = w.scope == store_scope::operators;
-    lose_store_call(w.who, w.life, w.scope, is_long ? kLongWait : kWatchWait);
+    lose_store_call(w.who, w.life, w.scope, w.wait);
   }
 }
 
@@ -76,7 +73,7 @@
 }
 
 void gateway_world::serve_watch(instance& from, store_scope scope,
-                                std::uint64_t after) {
+                                std::uint64_t after, duration wait) {
   ++store_calls_;
   using outcome = event::store_read::outcome;
   event::store_read read;
@@ -97,9 +94,8 @@
     return;
   }
   --store_calls_;  // It is counted when it is answered.
-  const auto ticket = watcher{from.address, from.life, scope, after};
+  const auto ticket = watcher{from.address, from.life, scope, after, wait};
   watchers_.push_back(ticket);
-  const auto wait = scope == store_scope::everything ? kWatchWait : kLongWait;
   later(wait, [this, ticket] {
     const auto found = std::find(watchers_.begin(), watchers_.end(), ticket);
     if (found == watchers_.end()) return;
@@ -139,6 +135,8 @@
 
 void gateway_world::publish_configuration(std::uint64_t version,
                                           const std::string& engine_prefix) {
+  configuration_ = version;
+  engine_prefix_ = engine_prefix;
   const auto engine = fmt::format(
       R"({{"slots":64,"weights_mb":45000,"lora_slots":{},"loads_per_s":3,)"
       R"("models":[{{"name":"{}","weights_mb":40000,"load_s":0.6,)"
@@ -154,9 +152,61 @@
           R"({{"host":"h","prefix":"/get/","type":"idempotent",)"
           R"("timeout_ms":1500,"svc":"plain","attempts":2}},)"
           R"({{"host":"h","prefix":"/set/","type":"mutating",)"
-          R"("timeout_ms":1500,"svc":"plain","attempts":2}}],)"
-          R"("svcs":[{{"name":"llm","engine":{}}},{{"name":"plain"}}]}})",
-          version, engine_prefix, engine));
+          R"("timeout_ms":1500,"svc":"plain","attempts":2}},)"
+          R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
+          R"("public":true,"timeout_ms":1500,"svc":"plain"}}],)"
+          R"("svcs":[{{"name":"llm","engine":{}}},{{"name":"plain"}}]{}}})",
+          version, engine_prefix, engine, workspaces_text()));
+}
+
+std::string gateway_world::workspaces_text() const {
+  std::string list;
+  for (const auto& w : workspaces_) {
+    std::string keys;
+    for (const auto& key : w.keys) {
+      keys += fmt::format("{}\"{}\"", keys.empty() ? "" : ",", key);
+    }
+    list += fmt::format(
+        R"({}{{"name":"{}","api_keys":[{}],"unit":"tokens","raw_tokens":200,)"
+        R"("rate_per_s":{},"burst":{}}})",
+        list.empty() ? "" : ",", w.name, keys, w.rate, w.burst);
+  }
+  return list.empty() ? list : fmt::format(R"(,"tenants":[{}])", list);
+}
+
+void gateway_world::publish_workspaces() {
+  for (const auto& w : workspaces_) {
+    for (const auto& key : w.keys) key_holders_[key] = w.name;
+    auto& [rate, burst] = limits_[w.name];
+    rate = std::max(rate, w.rate);
+    burst = std::max(burst, w.burst);
+  }
+  publish_configuration(configuration_ + 1, engine_prefix_);
+}
+
+void gateway_world::add_key(const std::string& workspace,
+                            const std::string& key) {
+  for (auto& w : workspaces_) {
+    if (w.name == workspace) w.keys.insert(key);
+  }
+  taken_keys_.erase(key);
+  publish_workspaces();
+}
+
+void gateway_world::take_key(const std::string& key) {
+  for (auto& w : workspaces_) w.keys.erase(key);
+  taken_keys_[key] = now_;
+  publish_workspaces();
+}
+
+void gateway_world::set_limit(const std::string& workspace, double rate,
+                              double burst) {
+  for (auto& w : workspaces_) {
+    if (w.name != workspace) continue;
+    w.rate = rate;
+    w.burst = burst;
+  }
+  publish_workspaces();
 }
 
 void gateway_world::publish_version(const std::string& adapter,
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -81,6 +81,7 @@
   }
   ++at.runs;
   ++runs_[call.request_id];
+  judge_key(call);
   const auto life = from.life;
   const auto who = from.address;
   auto* t = &at;
@@ -113,6 +114,57 @@
          work);
 }
 
+void gateway_world::judge_key(const action::call_target& call) {
+  if (workspaces_.empty()) return;
+  for (const auto& header : call.headers) {
+    if (header.name == "Authorization") violation("a key reached a target");
+  }
+  const auto told = header_of(call.headers, "X-Tenant");
+  const auto* made = calls_by_id_.at(call.request_id);
+  if (made->key.empty()) {
+    if (!told.empty()) violation("a workspace without a key: " + told);
+    return;
+  }
+  const auto holder = key_holders_.find(made->key);
+  if (holder == key_holders_.end()) {
+    violation("ran with a key that there never was");
+    return;
+  }
+  if (told != holder->second) violation("ran for another workspace: " + told);
+  const auto taken = taken_keys_.find(made->key);
+  if (taken != taken_keys_.end() &&
+      made->sent > taken->second + options_.key_bound) {
+    violation(fmt::format("ran with a key taken away {} ms before",
+                          (made->sent - taken->second) / 1ms));
+  }
+  judge_quota(holder->second, *made);
+}
+
+void gateway_world::judge_quota(const std::string& workspace,
+                                const gateway_call& call) {
+  const auto& [rate, burst] = limits_.at(workspace);
+  if (rate <= 0) return;
+  spent_[workspace].push_back({now_, static_cast<double>(call.tokens)});
+  const auto& bounds = options_.quota;
+  const auto seconds = static_cast<double>(bounds.window.count()) / 1e6;
+  const auto most =
+      (rate * seconds + burst) * (1 + bounds.excess) + bounds.slack;
+  const auto sum = spent(workspace, bounds.window);
+  if (sum > most) {
+    violation(fmt::format("{} spent {} of {}", workspace, sum, most));
+  }
+}
+
+double gateway_world::spent(const std::string& workspace, duration span) const {
+  double sum = 0;
+  const auto found = spent_.find(workspace);
+  if (found == spent_.end()) return sum;
+  for (const auto& one : found->second) {
+    if (now_ - one.when <= span) sum += one.tokens;
+  }
+  return sum;
+}
+
 void gateway_world::answer(member_address to, std::uint64_t life, call_id call,
                            int status, std::vector<http_header> headers,
                            std::string body, duration after) {
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -176,6 +176,16 @@
                  action::range_store, action::fetch_changes,
                  action::send_datagram, action::set_limits, action::log_line>;
 
+/** What operators allow the fleet beyond a workspace's rate and burst. */
+struct quota_bounds {
+  /** A limit is judged over any span of this length. */
+  duration window = 8s;
+  /** Part of what a window allows that may be passed. */
+  double excess = 0.25;
+  /** Units that may be passed beside. */
+  double slack = 0;
+};
+
 struct gateway_options {
   instance_id id;
   member_address self = 0;
@@ -192,6 +202,12 @@
   /** Repeats beyond the share in a window, fleet-wide. */
   double retry_extra = 54;
   duration retry_window = 10s;
+  /**
+   * A key that operators took away works so long at most, also where their word
+   * does not come through; zero: until it comes.
+   */
+  duration key_bound{};
+  quota_bounds quota;
 };
 
 /** What an instance believes and has counted; for metrics and status. */
@@ -215,6 +231,18 @@
   std::uint64_t unloads = 0;
   std::uint64_t store_calls = 0;
   std::uint64_t step_backs = 0;
+  /** Requests without a key that is known here. */
+  std::uint64_t unknown_keys = 0;
+  /** Refused since the word of the configuration in force was too old. */
+  std::uint64_t unconfirmed_keys = 0;
+  /** Refused since their workspace had used its quota up. */
+  std::uint64_t over_quota = 0;
+  /** Refused since no accountant answered. */
+  std::uint64_t unmetered = 0;
+  /** Age of that word; longest where there is none. */
+  duration key_age{};
+  /** Workspaces that this instance accounts for. */
+  std::size_t accounts = 0;
 };
 
 /** All decisions of one instance of the direct path. */
--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -32,6 +32,14 @@
   double retry_ratio = 0.2;
   double retry_extra = 50;
   duration retry_window = 10s;
+  /** How long a key may work that operators took away; zero: unbounded. */
+  duration key_bound{};
+  /** Limits of workspaces are judged over any span of this length ... */
+  duration quota_window = 8s;
+  /** ... may be passed by this part ... */
+  double quota_excess = 0.25;
+  /** ... and by so many units beside. */
+  double quota_slack = 0;
   /** How long the platform waits for a planned stop. */
   duration grace = 8s;
 };
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -199,9 +199,63 @@
   friend bool operator==(const probe_answer&, const probe_answer&) = default;
 };
 
+/** Asks how old the receiver's word of the operators' configuration is. */
+struct confirmation_request {
+  /** When it was sent, by the sender's own clock. */
+  duration asked{};
+
+  friend bool operator==(const confirmation_request&,
+                         const confirmation_request&) = default;
+};
+
+/**
+ * The answer: at most `age` before it was sent, the store's configuration was
+ * the one named. The way that it took only makes it older: the receiver counts
+ * from when it asked.
+ */
+struct confirmation_answer {
+  duration asked{};
+  duration age{};
+  std::uint64_t configuration = 0;
+
+  friend bool operator==(const confirmation_answer&,
+                         const confirmation_answer&) = default;
+};
+
+/** Asks an accountant of a workspace for a part of its quota. */
+struct quota_request {
+  /** Names the request at the sender. */
+  std::uint64_t request = 0;
+  std::uint64_t workspace = 0;
+  /** In the quota's units. */
+  double amount = 0;
+
+  friend bool operator==(const quota_request&, const quota_request&) = default;
+};
+
+enum class quota_verdict : std::uint8_t {
+  granted,
+  /** There is less than was asked for. */
+  empty,
+  /** The receiver keeps no account of the workspace. */
+  not_mine
+};
+
+struct quota_answer {
+  std::uint64_t request = 0;
+  std::uint64_t workspace = 0;
+  quota_verdict verdict = quota_verdict::not_mine;
+  /** Where there is too little: when there would be enough. */
+  duration empty_for{};
+
+  friend bool operator==(const quota_answer&, const quota_answer&) = default;
+};
+
 using peer_message =
     std::variant<heartbeat, interest_message, residency_message, news_message,
-                 loads_message, probe_request, probe_answer>;
+                 loads_message, probe_request, probe_answer,
+                 confirmation_request, confirmation_answer, quota_request,
+                 quota_answer>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -46,6 +46,36 @@
   std::uint32_t attempts = 1;
   /** At least one; requests are spread by weight. */
   std::vector<service_share> shares;
+  /** Served without a key, also where workspaces are configured. */
+  bool is_public = false;
+};
+
+/** What a workspace's limit counts. */
+enum class quota_unit : std::uint8_t {
+  requests,
+  /** Of the prompt, and the most of the answer. */
+  tokens
+};
+
+/** Most that a workspace may ask of the whole fleet. */
+struct workspace_quota {
+  quota_unit unit = quota_unit::requests;
+  /** Units a second; 0: no limit. */
+  double rate = 0;
+  /** Units that may be spent at once beyond the rate. */
+  double burst = 0;
+  /** What a request counts that does not tell its tokens. */
+  std::uint32_t tokens_if_untold = 0;
+};
+
+/** Callers that share keys, a rank and a limit. */
+struct workspace {
+  std::string name;
+  /** Hash of the name, by which instances name it to each other. */
+  std::uint64_t hash = 0;
+  /** Goes before the rank of its requests' routes; none: theirs counts. */
+  std::optional<std::uint32_t> rank;
+  workspace_quota quota;
 };
 
 /** A base model that engines of a service can hold. */
@@ -91,8 +121,15 @@
   std::uint64_t version = 0;
   std::vector<route> routes;
   std::map<std::string, service_profile, std::less<>> services;
+  std::vector<workspace> workspaces;
+  /** Index of the workspace that holds a key. */
+  std::map<std::string, std::size_t, std::less<>> keys;
   caller_limits limits;
 
+  /** Returns whether requests need a key, but those of public routes. */
+  bool is_keyed() const { return !workspaces.empty(); }
+  /** Returns the workspace that holds a key; null: none does. */
+  const workspace* find_workspace(std::string_view key) const;
   /** Returns the route of the longest prefix of a path; null if none. */
   const route* find_route(std::string_view host, std::string_view path) const;
   const service_profile* find_service(std::string_view name) const;
@@ -221,6 +258,10 @@
   adapter_name adapter;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;
+  /** The two above were told. */
+  bool tells_tokens = false;
+  /** What the caller shows to be let in; empty: nothing. Never logged. */
+  std::string key;
   /** The shared part of the prompt that ends last; empty: none. */
   std::string prompt_prefix;
   /** The last event that the caller has; empty: none. */
@@ -238,6 +279,10 @@
 /** What a target is told beside the caller's own headers. */
 struct call_facts {
   target_id target;
+  /** Callers show keys, which are not for targets. */
+  bool is_keyed = false;
+  /** The workspace that holds the caller's key; empty: none. */
+  std::string workspace;
   duration remaining{};
   std::optional<std::uint32_t> adapter_version;
   std::optional<std::uint32_t> priority;
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -121,6 +121,30 @@
   return frames::CreateProbeAnswerDirect(b, from.origin, &rows);
 }
 
+fb::Offset<frames::ConfirmationRequest> write(
+    fb::FlatBufferBuilder& b, const confirmation_request& from) {
+  return frames::CreateConfirmationRequest(b, from.asked.count());
+}
+
+fb::Offset<frames::ConfirmationAnswer> write(fb::FlatBufferBuilder& b,
+                                             const confirmation_answer& from) {
+  return frames::CreateConfirmationAnswer(b, from.asked.count(),
+                                          from.age.count(), from.configuration);
+}
+
+fb::Offset<frames::QuotaRequest> write(fb::FlatBufferBuilder& b,
+                                       const quota_request& from) {
+  return frames::CreateQuotaRequest(b, from.request, from.workspace,
+                                    from.amount);
+}
+
+fb::Offset<frames::QuotaAnswer> write(fb::FlatBufferBuilder& b,
+                                      const quota_answer& from) {
+  return frames::CreateQuotaAnswer(b, from.request, from.workspace,
+                                   static_cast<std::uint8_t>(from.verdict),
+                                   from.empty_for.count());
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -223,29 +247,60 @@
   return out;
 }
 
+peer_message read(const frames::ConfirmationRequest& from) {
+  return confirmation_request{duration(from.asked_us())};
+}
+
+peer_message read(const frames::ConfirmationAnswer& from) {
+  return confirmation_answer{duration(from.asked_us()), duration(from.age_us()),
+                             from.configuration()};
+}
+
+peer_message read(const frames::QuotaRequest& from) {
+  return quota_request{from.request(), from.workspace(), from.amount()};
+}
+
+peer_message read(const frames::QuotaAnswer& from) {
+  // What a later release may add grants nothing here.
+  const auto last = static_cast<std::uint8_t>(quota_verdict::not_mine);
+  return quota_answer{
+      from.request(), from.workspace(),
+      static_cast<quota_verdict>(std::min(from.verdict(), last)),
+      duration(from.empty_for_us())};
+}
+
+frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
+frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
+frames::Body kind_of(const residency_message&) {
+  return frames::Body::Residency;
+}
+frames::Body kind_of(const news_message&) { return frames::Body::News; }
+frames::Body kind_of(const loads_message&) { return frames::Body::Loads; }
+frames::Body kind_of(const probe_request&) {
+  return frames::Body::ProbeRequest;
+}
+frames::Body kind_of(const probe_answer&) { return frames::Body::ProbeAnswer; }
+frames::Body kind_of(const confirmation_request&) {
+  return frames::Body::ConfirmationRequest;
+}
+frames::Body kind_of(const confirmation_answer&) {
+  return frames::Body::ConfirmationAnswer;
+}
+frames::Body kind_of(const quota_request&) {
+  return frames::Body::QuotaRequest;
+}
+frames::Body kind_of(const quota_answer&) { return frames::Body::QuotaAnswer; }
+
 }  // namespace
 
 std::string encode_peer_message(const peer_message& message) {
   fb::FlatBufferBuilder b;
-  const auto finish = [&](frames::Body kind, fb::Offset<void> body) {
-    b.Finish(frames::CreatePeerFrame(b, kind, body));
-  };
-  if (const auto* beat = std::get_if<heartbeat>(&message)) {
-    finish(frames::Body::Heartbeat, write(b, *beat).Union());
-  } else if (const auto* interest = std::get_if<interest_message>(&message)) {
-    finish(frames::Body::Interest, write(b, *interest).Union());
-  } else if (const auto* news = std::get_if<news_message>(&message)) {
-    finish(frames::Body::News, write(b, *news).Union());
-  } else if (const auto* loads = std::get_if<loads_message>(&message)) {
-    finish(frames::Body::Loads, write(b, *loads).Union());
-  } else if (const auto* probe = std::get_if<probe_request>(&message)) {
-    finish(frames::Body::ProbeRequest, write(b, *probe).Union());
-  } else if (const auto* answer = std::get_if<probe_answer>(&message)) {
-    finish(frames::Body::ProbeAnswer, write(b, *answer).Union());
-  } else {
-    finish(frames::Body::Residency,
-           write(b, std::get<residency_message>(message)).Union());
-  }
+  std::visit(
+      [&](const auto& m) {
+        const auto body = write(b, m).Union();
+        b.Finish(frames::CreatePeerFrame(b, kind_of(m), body));
+      },
+      message);
   return finished(b);
 }
 
@@ -261,6 +316,12 @@
   if (const auto* loads = frame->body_as_Loads()) return read(*loads);
   if (const auto* probe = frame->body_as_ProbeRequest()) return read(*probe);
   if (const auto* answer = frame->body_as_ProbeAnswer()) return read(*answer);
+  if (const auto* ask = frame->body_as_ConfirmationRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_ConfirmationAnswer()) {
+    return read(*word);
+  }
+  if (const auto* ask = frame->body_as_QuotaRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_QuotaAnswer()) return read(*word);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -37,6 +37,7 @@
     : options_(std::move(options)),
       platform_(platform),
       random_(options_.random_seed + 1),
+      accounts_(options_.self, options_.quota),
       roster_(roster_options_of(options_)) {}
 
 std::vector<any_action> gateway_core::impl::handle(time_point now,
@@ -45,6 +46,9 @@
     log("process_resumed",
         {{"after_ms", (now - now_) / std::chrono::milliseconds(1)}}, true);
     orders_suspended_until_ = now + kHearFirst;
+    // Others have taken them over meanwhile.
+    now_ = now;
+    close_accounts();
   }
   now_ = now;
   if (!is_started_) start();
@@ -59,6 +63,7 @@
           drain_started_ = now_;
           roster_.leave();
           next_beat_ = now_;
+          close_accounts();
           log("drain_started",
               {{"requests", static_cast<std::int64_t>(exchanges_.size())}},
               true);
@@ -67,7 +72,7 @@
         }
       },
       std::move(event));
-  if (config_ && std::exchange(has_unrouted_, false)) route_unrouted();
+  if (config_ && has_unrouted_ && !awaits_keys()) route_unrouted();
   if (waiting_dirty_) place_waiting();
   send_loads();
   send_interests();
@@ -88,6 +93,7 @@
   // A peer's copy costs the store nothing.
   range_not_before_ = has_peers ? now_ + kAwaitCopy : now_;
   next_claim_check_ = now_;
+  close_accounts();
   log("started",
       {{"id", options_.id},
        {"seeds", static_cast<std::int64_t>(options_.seeds.size())}},
@@ -100,6 +106,7 @@
   announce_claims();
   tick_store();
   if (now_ >= next_claim_check_) tick_claims();
+  tick_workspaces();
   expire_exchanges();
   targets_.expire(now_);
   waiting_dirty_ = true;
@@ -108,6 +115,9 @@
 time_point gateway_core::impl::next_wakeup() const {
   auto next = now_ + kTick;
   for (const auto& [caller, x] : exchanges_) {
+    if (x.now == exchange::phase::metered && x.way != nullptr) {
+      next = std::min(next, std::max(x.quota.answer_until, now_ + kLeastPause));
+    }
     if (x.now != exchange::phase::waiting) continue;
     if (waiting_dirty_) next = std::min(next, now_ + kLeastPause);
     const bool asks = x.asked_until.has_value();
@@ -139,8 +149,10 @@
   out.targets = targets_.size();
   out.held = keepers_.size();
   for (const auto& [caller, x] : exchanges_) {
-    ++(x.now == exchange::phase::waiting ? out.waiting : out.calling);
+    ++(x.now == exchange::phase::calling ? out.calling : out.waiting);
   }
+  out.key_age = key_age();
+  out.accounts = accounts_.size();
   for (const auto& [id, keeper] : keepers_) {
     out.loads += keeper->loads();
     out.unloads += keeper->unloads();
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -21,6 +21,10 @@
 constexpr std::string_view kSeeds = "seeds";
 constexpr std::string_view kRetryRatio = "retry_ratio";
 constexpr std::string_view kRetryExtra = "retry_extra";
+constexpr std::string_view kKeyBound = "key_bound";
+constexpr std::string_view kQuotaExcess = "quota_excess";
+constexpr std::string_view kQuotaSlack = "quota_slack";
+constexpr std::string_view kNone = "none";
 
 constexpr key_spec file_key(std::string_view name, value_kind kind,
                             std::string_view fallback, std::string_view help) {
@@ -40,7 +44,7 @@
              "where other instances reach it, over TCP and UDP"),
     file_key("metrics_address", value_kind::address, "", "metrics and status"),
     file_key("store_address", value_kind::address, "", "the platform's store"),
-    file_key(kSeeds, value_kind::text, "none",
+    file_key(kSeeds, value_kind::text, kNone,
              "peers to join through, IP:port, divided by commas"),
     file_key("lease", value_kind::span, "3s",
              "silence after which another may give orders to a target"),
@@ -51,6 +55,14 @@
     file_key(kRetryExtra, value_kind::text, "50",
              "repeats that the fleet may send beyond that, in a window"),
     file_key("retry_window", value_kind::span, "10s", "that window"),
+    file_key(kKeyBound, value_kind::span, kNone,
+             "how long a key may work that operators took away"),
+    file_key("quota_window", value_kind::span, "8s",
+             "span over which a workspace's limit is judged"),
+    file_key(kQuotaExcess, value_kind::text, "0.25",
+             "part of a limit by which the fleet may pass it"),
+    file_key(kQuotaSlack, value_kind::text, "0",
+             "units by which the fleet may pass a limit beside"),
     file_key("grace", value_kind::span, "8s",
              "how long the platform waits for a planned stop"),
 };
@@ -82,7 +94,7 @@
 }
 
 result<void> read_seeds(gateway_config& config, const std::string& text) {
-  if (text.empty() || text == "none") return outcome::success();
+  if (text.empty() || text == kNone) return outcome::success();
   std::vector<std::string> seeds;
   boost::algorithm::split(seeds, text, boost::algorithm::is_any_of(","));
   key_spec address = kSchema[2];
@@ -104,11 +116,25 @@
   if (key.name == kRetryExtra) {
     return read_number(config.retry_extra, key.name, value);
   }
+  if (key.name == kQuotaExcess) {
+    return read_number(config.quota_excess, key.name, value);
+  }
+  if (key.name == kQuotaSlack) {
+    return read_number(config.quota_slack, key.name, value);
+  }
+  if (key.name == kKeyBound && value == kNone) {
+    config.key_bound = {};
+    return outcome::success();
+  }
   if (auto checked = check_value(key, value); !checked) return checked;
   if (key.name == "lease") {
     config.lease = parse_span(value);
   } else if (key.name == "fenced") {
     config.fenced = value == "yes";
+  } else if (key.name == kKeyBound) {
+    config.key_bound = parse_span(value);
+  } else if (key.name == "quota_window") {
+    config.quota_window = parse_span(value);
   } else if (key.name == "retry_window") {
     config.retry_window = parse_span(value);
   } else if (key.name == "grace") {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "process/engine_choice.h"
+#include "process/quota_accounts.h"
 #include "process/retry_budget.h"
 #include "process/roster.h"
 #include "process/target_keeper.h"
@@ -25,6 +26,9 @@
 /** Returns whole milliseconds, for the log. */
 inline std::int64_t to_ms(duration time) { return time / 1ms; }
 
+/** Returns a member's weight among those that watch the store: least first. */
+std::uint64_t watch_weight(member_address member);
+
 /** Members are grouped by the file that works on them. */
 class gateway_core::impl {
  public:
@@ -71,6 +75,8 @@
   bool is_watcher_of_large_fleet();
   std::size_t watch_rank();
   void confirm_copy(time_point at);
+  /** Returns when the store was surely as an answer tells. */
+  time_point known_at(time_point sent, duration wait, bool changed) const;
   duration store_age() const;
   duration copy_age() const;
   bool was_store_away() const;
@@ -139,6 +145,36 @@
   void on(event::answer_head&& e);
   void on(event::answer_data&& e);
   void on(event::answer_end&& e);
+  // gateway_workspaces.cc
+  /** Returns whether the first word of keys may come in a moment. */
+  bool awaits_keys() const;
+  /** Returns how old the word is that the keys in force are still so. */
+  duration key_age() const;
+  bool are_keys_confirmed() const;
+  /** Returns whether this instance is to ask the store itself about keys. */
+  bool is_key_word_old();
+  /** Takes in that the store held what is in force here, then or later. */
+  void confirm_keys(time_point at);
+  /** Finds the workspace of a request; returns false if it was refused. */
+  bool admit_key(exchange& x);
+  /** Places a request once its workspace's quota allows it. */
+  void meter(exchange& x);
+  void ask_accountant(exchange& x);
+  /** Nobody is left to be asked for a grant. */
+  void end_metering(exchange& x);
+  void take_verdict(exchange& x, member_address from,
+                    const quota_answer& answer);
+  double quota_amount(const exchange& x) const;
+  void tick_workspaces();
+  /** Until others were heard: what this instance knows of them is old. */
+  void close_accounts();
+  void open_accounts();
+  void ask_confirmations();
+  void take(member_address from, const confirmation_request& message);
+  void take(member_address from, const confirmation_answer& message);
+  void take(member_address from, const quota_request& message);
+  void take(member_address from, const quota_answer& message);
+
   // gateway_work.cc
   /** A request of this instance goes to a target. */
   void work_began(exchange& x, target_state& target);
@@ -233,6 +269,9 @@
   store_changes range_;
   bool needs_range_ = true;
   time_point next_read_{};
+  /** When the call under way was made, and how long the store may hold it. */
+  time_point read_sent_{};
+  duration read_wait_{};
   time_point last_answer_{};
   bool ever_answered_ = false;
   bool store_failing_ = false;
@@ -252,6 +291,7 @@
     std::uint64_t after = 0;
     time_point next;
     time_point sent;
+    duration wait{};
     /** When the store was last taken to be away. */
     time_point doubted;
     /** Watches that were given up before they ended. */
@@ -266,6 +306,20 @@
   time_point fetch_confirms_{};
   time_point next_fetch_{};
 
+  // Keys and quotas of workspaces.
+  std::optional<time_point> keys_confirmed_;
+  time_point next_confirmation_{};
+  /** The watchers are asked in turn. */
+  std::size_t next_confirmer_ = 0;
+  quota_accounts accounts_;
+  time_point next_accounts_{};
+  std::uint64_t next_quota_request_ = 1;
+  std::map<std::uint64_t, caller_id> quota_requests_;
+  /** Accounts that were found empty, and until when. */
+  std::map<std::pair<std::uint64_t, member_address>, time_point> empty_until_;
+  /** Members that did not answer for an account are asked last until then. */
+  std::map<member_address, time_point> unresponsive_until_;
+
   // Peers.
   struct peer_state {
     std::uint64_t store_revision = 0;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -57,6 +57,16 @@
           status.store_calls);
   counter("seamglade_step_backs_total", "Claims lost to a higher fence",
           status.step_backs);
+  counter("seamglade_unknown_keys_total", "Requests whose key nobody holds",
+          status.unknown_keys);
+  counter("seamglade_unconfirmed_keys_total",
+          "Refused since the word on keys was too old",
+          status.unconfirmed_keys);
+  counter("seamglade_over_quota_total",
+          "Refused since the workspace had used its quota up",
+          status.over_quota);
+  counter("seamglade_unmetered_total", "Refused since no accountant answered",
+          status.unmetered);
   counter("seamglade_connections_opened_total", "Connections opened",
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
@@ -71,6 +81,10 @@
         static_cast<double>(status.configuration));
   gauge("seamglade_store_revision", "Revision of the copy of the store",
         static_cast<double>(status.store_revision));
+  gauge("seamglade_key_age_seconds", "Age of the word on keys in force",
+        static_cast<double>(status.key_age.count()) / 1e6);
+  gauge("seamglade_quota_accounts", "Workspaces that this instance accounts",
+        static_cast<double>(status.accounts));
   gauge("seamglade_members_alive", "Living instances, this one included",
         static_cast<double>(status.members_alive));
   gauge("seamglade_targets", "Targets known",
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -164,7 +164,7 @@
 choice_facts gateway_core::impl::facts_of(const exchange& x) const {
   choice_facts out;
   out.prompt_tokens = x.facts.prompt_tokens;
-  out.is_urgent = x.way->rank == 0;
+  out.is_urgent = x.rank() == 0;
   out.load_time = load_time();
   const auto habits = habits_.find(x.service->name);
   if (habits != habits_.end()) {
@@ -355,10 +355,12 @@
   work_began(x, target);
   call_facts facts;
   facts.target = x.target;
+  facts.is_keyed = x.config->is_keyed();
+  if (x.owner != nullptr) facts.workspace = x.owner->name;
   facts.remaining = x.until - now_;
   const auto version = version_of(x.facts.adapter);
   if (version > 0) facts.adapter_version = version;
-  if (x.service->engine) facts.priority = std::min(kLowestRank, x.way->rank);
+  if (x.service->engine) facts.priority = std::min(kLowestRank, x.rank());
   facts.last_event = x.head_sent ? x.events.last_id() : x.facts.last_event;
   action::call_target call;
   call.call = x.call;
@@ -383,6 +385,8 @@
                                   target.pace.us_per_token(kFirstPace) / 1000)},
        {"load_age_ms", load_age_ms},
        {"left_ms", to_ms(facts.remaining)},
+       {"workspace", facts.workspace},
+       {"key_age_ms", x.owner == nullptr ? -1 : to_ms(key_age())},
        {"prompt", x.facts.prompt_tokens},
        {"objective_ms", to_ms(x.way->objective)}});
   do_act(std::move(call));
@@ -402,8 +406,8 @@
   }
   std::sort(waiting.begin(), waiting.end(),
             [](const exchange* a, const exchange* b) {
-              return std::tie(a->way->rank, a->started) <
-                     std::tie(b->way->rank, b->started);
+              return std::pair(a->rank(), a->started) <
+                     std::pair(b->rank(), b->started);
             });
   for (auto* x : waiting) place(*x);
 }
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -6,22 +6,11 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/status_codes.h"
 
 namespace seamglade::gateway {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooMany = 429;
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 /** An answer is given this long before the time is up. */
 constexpr duration kAnswerMargin = 30ms;
 /** Targets that are tried where no connection comes up. */
@@ -100,7 +89,7 @@
   fresh.message = std::move(e.message);
   fresh.started = now_;
   auto& x = exchanges_.emplace(e.caller, std::move(fresh)).first->second;
-  if (config_) {
+  if (config_ && !awaits_keys()) {
     route(x);
     return;
   }
@@ -111,6 +100,7 @@
 }
 
 void gateway_core::impl::route_unrouted() {
+  has_unrouted_ = false;
   std::vector<caller_id> unrouted;
   for (const auto& [caller, x] : exchanges_) {
     if (x.way == nullptr) unrouted.push_back(caller);
@@ -137,6 +127,7 @@
     return;
   }
   x.facts = std::move(facts.value());
+  if (!admit_key(x)) return;
   auto allowed = x.way->timeout;
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
   x.until = x.started + allowed;
@@ -154,7 +145,7 @@
                            options_.retry_extra / members,
                            options_.retry_window);
   budget->second.request(now_);
-  place(x);
+  meter(x);
 }
 
 void gateway_core::impl::on(event::caller_gone&& e) {
@@ -173,6 +164,7 @@
   const auto found = exchanges_.find(caller);
   if (found == exchanges_.end()) return;
   if (!found->second.home.empty()) interest_dirty_.insert(found->second.home);
+  quota_requests_.erase(found->second.quota.request);
   exchanges_.erase(found);
 }
 
@@ -417,7 +409,7 @@
 void gateway_core::impl::expire_exchanges() {
   std::vector<caller_id> late;
   for (auto& [caller, x] : exchanges_) {
-    const bool waits = x.now == exchange::phase::waiting;
+    const bool waits = x.now != exchange::phase::calling;
     const auto limit = waits ? std::min(x.refuse_at, x.until - kAnswerMargin)
                              : x.until - kAnswerMargin;
     // A stream that goes on after its first call waits as long as it may.
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -13,6 +13,7 @@
 #include <random>
 
 #include "process/gateway_metrics.h"
+#include "process/status_codes.h"
 #include "seamglade/instance_config.h"
 
 namespace seamglade::detail {
@@ -24,13 +25,12 @@
 using gateway::caller_message;
 using gateway::engine_order_status;
 using gateway::gateway_options;
+using gateway::kGone;
+using gateway::kNotFound;
+using gateway::kOk;
+using gateway::kUnavailable;
 using gateway::member_address;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-constexpr int kGone = 410;
-
 constexpr std::string_view kChangesPath = "/changes?after=";
 constexpr std::string_view kOperatorsKnown = "&operators=";
 /**
@@ -75,6 +75,10 @@
   out.retry_ratio = from.retry_ratio;
   out.retry_extra = from.retry_extra;
   out.retry_window = from.retry_window;
+  out.key_bound = from.key_bound;
+  out.quota.window = from.quota_window;
+  out.quota.excess = from.quota_excess;
+  out.quota.slack = from.quota_slack;
   return out;
 }
 
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -56,12 +56,12 @@
 constexpr std::string_view kWatchDuty = "watch";
 constexpr std::string_view kFromStore = "store";
 
+}  // namespace
+
 std::uint64_t watch_weight(member_address member) {
   return hash_of(std::string(kWatchDuty) + std::to_string(member));
 }
 
-}  // namespace
-
 duration gateway_core::impl::next_pause(duration last) const {
   if (last == duration{}) return kAfterFailure;
   const auto members = static_cast<std::int64_t>(roster_.present());
@@ -94,6 +94,14 @@
                                             (0.5 + part)));
 }
 
+time_point gateway_core::impl::known_at(time_point sent, duration wait,
+                                        bool changed) const {
+  // One that the store held to its end without a change tells of that end; any
+  // other may have been made at once and been long under way.
+  const bool was_held = !changed && now_ - sent >= wait;
+  return was_held ? sent + wait : sent;
+}
+
 duration gateway_core::impl::store_age() const {
   if (!ever_answered_) return now_ - started_ + 1h;
   return now_ - last_answer_;
@@ -112,6 +120,7 @@
 }
 
 bool gateway_core::impl::should_watch() {
+  if (is_key_word_old()) return true;
   return roster_.is_large() ? is_watcher_of_large_fleet()
                             : is_watcher_of_mesh();
 }
@@ -187,11 +196,10 @@
   if (!due || watch.under_way || draining_) return;
   watch.under_way = true;
   watch.sent = now_;
+  watch.wait = watch.after_failure > duration{} ? kProbeWait : kOperatorWait;
   if (watch.after == 0) watch.after = mirror_.revision();
   ++counts_.store_calls;
-  const bool probes = watch.after_failure > duration{};
-  do_act(action::watch_store{store_scope::operators, watch.after,
-                             probes ? kProbeWait : kOperatorWait});
+  do_act(action::watch_store{store_scope::operators, watch.after, watch.wait});
 }
 
 void gateway_core::impl::take_operator_watch(event::store_read&& e) {
@@ -209,7 +217,12 @@
     watch.next = e.answer.items.empty() ? now_ : now_ + kOperatorGather;
     store_changes changes;
     changes.items = std::move(e.answer.items);
+    const bool changed = !changes.items.empty();
     apply(changes, kFromStore);
+    // It may be the answer to one that was given up: then it is older.
+    if (watch.given_up == 0) {
+      confirm_keys(known_at(watch.sent, watch.wait, changed));
+    }
     return;
   }
   // What is missed meanwhile comes with the copy of the whole.
@@ -223,12 +236,17 @@
   if (needs_range_) {
     reading_ = reading::range;
     range_ = {};
+    read_sent_ = now_;
     do_act(action::range_store{""});
     return;
   }
   reading_ = reading::watch;
+  read_sent_ = now_;
+  // Where the keys are in doubt, the answer is not to be waited for.
+  const bool is_urgent = store_failing_ || is_key_word_old();
+  read_wait_ = is_urgent ? kProbeWait : kWatchWait;
   do_act(action::watch_store{store_scope::everything, mirror_.revision(),
-                             store_failing_ ? kProbeWait : kWatchWait});
+                             read_wait_});
 }
 
 void gateway_core::impl::on(event::store_read&& e) {
@@ -268,6 +286,7 @@
   changes.items = std::move(e.answer.items);
   apply(changes, kFromStore);
   confirm_copy(now_);
+  confirm_keys(known_at(read_sent_, read_wait_, changed));
   const auto gather = roster_.is_large() ? kLargeGather : kGather;
   next_read_ = changed ? now_ + gather : now_;
   if (changed) next_beat_ = now_;
@@ -286,6 +305,7 @@
   needs_range_ = false;
   apply(std::exchange(range_, {}), kFromStore);
   confirm_copy(now_);
+  confirm_keys(read_sent_);
   next_read_ = now_;
 }
 
@@ -347,7 +367,9 @@
   if (!item.value) return take_deletion(item, lapsed);
   auto read = platform_.read_item(item);
   if (!read) {
-    log("item_unreadable", {{"key", item.key}}, true);
+    // What was in force before stays so.
+    log("item_unreadable", {{"key", item.key}, {"detail", read.error().detail}},
+        true);
     return false;
   }
   if (auto* entry = std::get_if<target_entry>(&read.value())) {
--- /dev/null
+++ b/src/process/quota_accounts.cc
@@ -0,0 +1,111 @@
+// seamglade - the part of workspaces' quotas that one instance hands out
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "process/quota_accounts.h"
+
+#include <algorithm>
+#include <set>
+
+#include "seamglade/rendezvous.h"
+
+namespace seamglade::gateway {
+namespace {
+
+/**
+ * A silent member is taken to serve on elsewhere for so long: cuts between
+ * regions last minutes.
+ */
+constexpr duration kMissing = 30min;
+/** Of the excess that operators allow, parts go to: both sides of a cut ... */
+constexpr double kCutPart = 0.4;
+/**
+ * ... and new accounts: with an excess of 0.25 and a window of 8 s they start
+ * with what comes in 0.6 s.
+ */
+constexpr double kStartPart = 0.3;
+/** Of the slack, this part is how far all accounts together may overdraw. */
+constexpr double kOverdraftPart = 0.6;
+/** Units that an account can hold: one request, where requests count. */
+constexpr double kLeastCapacity = 1;
+
+double seconds(duration time) {
+  return static_cast<double>(time.count()) / 1e6;
+}
+
+}  // namespace
+
+std::vector<member_address> accountants_of(
+    std::uint64_t workspace, const std::vector<member_address>& members,
+    std::size_t most) {
+  auto order = members;
+  const auto weight = [&](member_address member) {
+    return mix(workspace ^ mix(member));
+  };
+  const auto count = std::min(most, order.size());
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(count),
+                    order.end(), [&](member_address a, member_address b) {
+                      return weight(a) > weight(b);
+                    });
+  order.resize(count);
+  return order;
+}
+
+void quota_accounts::look_around(time_point now, const fleet_view& view) {
+  for (const auto who : view.silent) missing_.try_emplace(who, now);
+  for (const auto who : view.staying) missing_.erase(who);
+  std::erase_if(missing_,
+                [&](const auto& pair) { return now - pair.second > kMissing; });
+  const auto visible = static_cast<double>(view.staying.size());
+  const auto known = visible + static_cast<double>(missing_.size());
+  seen_ = std::min(1.0, visible / known * (1 + kCutPart * bounds_.excess));
+}
+
+void quota_accounts::adjust(time_point now, const workspace& which,
+                            double share) {
+  const auto& quota = which.quota;
+  const auto rate = quota.rate * share;
+  const auto span = seconds(bounds_.window) * bounds_.excess * kStartPart;
+  auto& account =
+      accounts_.try_emplace(which.hash, now, rate * seen_ * span).first->second;
+  const auto overdraft = bounds_.slack * kOverdraftPart * share;
+  // A request is granted by one account alone.
+  const auto capacity = std::max(kLeastCapacity, quota.burst * share * seen_);
+  account.configure(now, rate * seen_, capacity, overdraft);
+}
+
+void quota_accounts::update(time_point now, const configuration& config,
+                            fleet_view view) {
+  look_around(now, view);
+  const auto accountants = std::min(kAccountants, view.staying.size());
+  if (accountants == 0) return close();
+  const auto share = 1.0 / static_cast<double>(accountants);
+  std::set<std::uint64_t> mine;
+  for (const auto& which : config.workspaces) {
+    if (which.quota.rate <= 0) continue;
+    const auto order = accountants_of(which.hash, view.staying, kAccountants);
+    if (std::find(order.begin(), order.end(), self_) == order.end()) continue;
+    mine.insert(which.hash);
+    adjust(now, which, share);
+  }
+  std::erase_if(accounts_,
+                [&](const auto& pair) { return !mine.contains(pair.first); });
+}
+
+quota_answer quota_accounts::take(time_point now,
+                                  const quota_request& request) {
+  quota_answer answer{request.request, request.workspace};
+  const auto found = accounts_.find(request.workspace);
+  if (found == accounts_.end()) return answer;
+  if (found->second.take(now, request.amount)) {
+    answer.verdict = quota_verdict::granted;
+    return answer;
+  }
+  answer.verdict = quota_verdict::empty;
+  answer.empty_for = found->second.until(request.amount);
+  return answer;
+}
+
+}  // namespace seamglade::gateway
--- /dev/null
+++ b/src/process/quota_accounts.h
@@ -0,0 +1,74 @@
+// seamglade - the part of workspaces' quotas that one instance hands out
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_SRC_PROCESS_QUOTA_ACCOUNTS_H_
+#define SEAMGLADE_SRC_PROCESS_QUOTA_ACCOUNTS_H_
+
+#include <map>
+#include <vector>
+
+#include "process/token_bucket.h"
+#include "seamglade/gateway.h"
+
+namespace seamglade::gateway {
+
+/**
+ * Returns the members that account for a workspace, the first in rendezvous
+ * order among those given; the same on all instances that see the same fleet.
+ */
+std::vector<member_address> accountants_of(
+    std::uint64_t workspace, const std::vector<member_address>& members,
+    std::size_t most);
+
+/** How many instances share the account of one workspace. */
+inline constexpr std::size_t kAccountants = 3;
+
+/**
+ * The accounts that this instance keeps.
+ *
+ * A workspace's rate and burst are divided equally among its accountants, so
+ * that none is lost with one of them. An accountant gives no more than the part
+ * of the known members that it sees: two halves of a cut fleet never give more
+ * than the whole. A new account starts nearly empty, since its forerunner may
+ * have given all there was.
+ */
+class quota_accounts {
+ public:
+  quota_accounts(member_address self, quota_bounds bounds)
+      : self_(self), bounds_(bounds) {}
+
+  /** The fleet as this instance sees it. */
+  struct fleet_view {
+    /** Those that live and stay, this one included. */
+    std::vector<member_address> staying;
+    /** Those that fell silent without having said that they go. */
+    std::vector<member_address> silent;
+  };
+  /** Opens, adjusts and closes accounts; to be called some times a second. */
+  void update(time_point now, const configuration& config, fleet_view view);
+  /** Closes all accounts: what this instance knows is old. */
+  void close() { accounts_.clear(); }
+
+  quota_answer take(time_point now, const quota_request& request);
+
+  std::size_t size() const { return accounts_.size(); }
+  /** Returns the part of the known fleet that is seen, with its allowance. */
+  double seen() const { return seen_; }
+
+ private:
+  void look_around(time_point now, const fleet_view& view);
+  void adjust(time_point now, const workspace& which, double share);
+
+  member_address self_;
+  quota_bounds bounds_;
+  std::map<std::uint64_t, token_bucket> accounts_;
+  /** Silent members, and since when; they may be on the other side of a cut. */
+  std::map<member_address, time_point> missing_;
+  double seen_ = 0;
+};
+
+}  // namespace seamglade::gateway
+
+#endif  // SEAMGLADE_SRC_PROCESS_QUOTA_ACCOUNTS_H_
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -13,13 +13,19 @@
 
 #include "request/event_stream.h"
 #include "seamglade/controller.h"
+#include "seamglade/gateway_peers.h"
 #include "seamglade/gateway_types.h"
 
 namespace seamglade::gateway {
 
 /** The state of one exchange with a caller. */
 struct exchange {
-  enum class phase : std::uint8_t { waiting, calling };
+  enum class phase : std::uint8_t {
+    /** For a grant of its workspace's quota. */
+    metered,
+    waiting,
+    calling
+  };
 
   caller_id caller = 0;
   caller_message message;
@@ -28,6 +34,8 @@
   std::shared_ptr<const configuration> config;
   const route* way = nullptr;
   const service_profile* service = nullptr;
+  /** The workspace that holds the caller's key; null: none is needed. */
+  const workspace* owner = nullptr;
 
   time_point started;
   /** The caller or the operator wants it held no longer than this. */
@@ -37,6 +45,17 @@
   phase now = phase::waiting;
   /** Until then it waits for word of how busy its targets are. */
   std::optional<time_point> asked_until;
+  /** The grant that it waits for. */
+  struct quota_wait {
+    std::uint64_t request = 0;
+    /** Who was asked, in this order. */
+    std::vector<member_address> asked;
+    /** The last of them is taken to be silent then. */
+    time_point answer_until;
+    /** At most this part of what was asked for is there, in this time. */
+    std::optional<duration> empty_for;
+  };
+  quota_wait quota;
   /** The target that is to load the adapter; empty: none. */
   target_id home;
 
@@ -60,6 +79,11 @@
   std::string body;
   bool head_sent = false;
   event_stream events;
+
+  /** Its workspace's rank goes before its route's; 0 is the most urgent. */
+  std::uint32_t rank() const {
+    return owner != nullptr && owner->rank ? *owner->rank : way->rank;
+  }
 };
 
 }  // namespace seamglade::gateway
--- a/src/version/gateway_types.cc
+++ b/src/version/gateway_types.cc
@@ -52,6 +52,11 @@
   return found == services.end() ? nullptr : &found->second;
 }
 
+const workspace* configuration::find_workspace(std::string_view key) const {
+  const auto found = keys.find(key);
+  return found == keys.end() ? nullptr : &workspaces[found->second];
+}
+
 std::string adapter_name::str() const {
   return adapter.empty() ? model : model + "/" + adapter;
 }
