Places at plain targets: handed out by one admitter a target

Change: each plain target has an admitter, the first living in its rendezvous order. An entry instance asks it for a place; the admitter expects the time of one more by those there and the learned time of one, and refuses what would be late. No answer in 25 ms: the request goes as before.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -239,6 +239,8 @@
   std::uint64_t over_quota = 0;
   /** Refused since no accountant answered. */
   std::uint64_t unmetered = 0;
+  /** Refused since no plain target would have served them in time. */
+  std::uint64_t overloaded = 0;
   /** Age of that word; longest where there is none. */
   duration key_age{};
   /** Workspaces that this instance accounts for. */
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -251,11 +251,59 @@
   friend bool operator==(const quota_answer&, const quota_answer&) = default;
 };
 
+/** Asks the admitter of a plain target for a place there. */
+struct admission_request {
+  /** Names the request at the sender. */
+  std::uint64_t request = 0;
+  target_hash target = 0;
+  /** What is left of the request's objective. */
+  duration slack{};
+  std::uint32_t rank = 0;
+  /** The place is free again after this, also without a word. */
+  duration held_for{};
+
+  friend bool operator==(const admission_request&,
+                         const admission_request&) = default;
+};
+
+struct admission_answer {
+  std::uint64_t request = 0;
+  target_hash target = 0;
+  bool is_granted = false;
+  /** How long one more request would take there. */
+  duration expected{};
+  /** Where it is refused: when there may be room. */
+  duration full_for{};
+
+  friend bool operator==(const admission_answer&,
+                         const admission_answer&) = default;
+};
+
+enum class admission_outcome : std::uint8_t {
+  served,
+  /** The target had no room: it is fuller than its admitter believes. */
+  rejected,
+  /** Nothing is learned from it. */
+  other
+};
+
+/** A request has left its place at a plain target. */
+struct admission_end {
+  std::uint64_t request = 0;
+  target_hash target = 0;
+  admission_outcome outcome = admission_outcome::other;
+  /** How long the target took. */
+  duration took{};
+
+  friend bool operator==(const admission_end&, const admission_end&) = default;
+};
+
 using peer_message =
     std::variant<heartbeat, interest_message, residency_message, news_message,
                  loads_message, probe_request, probe_answer,
                  confirmation_request, confirmation_answer, quota_request,
-                 quota_answer>;
+                 quota_answer, admission_request, admission_answer,
+                 admission_end>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -145,6 +145,27 @@
                                    from.empty_for.count());
 }
 
+fb::Offset<frames::AdmissionRequest> write(fb::FlatBufferBuilder& b,
+                                           const admission_request& from) {
+  return frames::CreateAdmissionRequest(b, from.request, from.target,
+                                        from.slack.count(), from.rank,
+                                        from.held_for.count());
+}
+
+fb::Offset<frames::AdmissionAnswer> write(fb::FlatBufferBuilder& b,
+                                          const admission_answer& from) {
+  return frames::CreateAdmissionAnswer(b, from.request, from.target,
+                                       from.is_granted, from.expected.count(),
+                                       from.full_for.count());
+}
+
+fb::Offset<frames::AdmissionEnd> write(fb::FlatBufferBuilder& b,
+                                       const admission_end& from) {
+  return frames::CreateAdmissionEnd(b, from.request, from.target,
+                                    static_cast<std::uint8_t>(from.outcome),
+                                    from.took.count());
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -269,6 +290,26 @@
       duration(from.empty_for_us())};
 }
 
+peer_message read(const frames::AdmissionRequest& from) {
+  return admission_request{from.request(), from.target(),
+                           duration(from.slack_us()), from.rank(),
+                           duration(from.held_for_us())};
+}
+
+peer_message read(const frames::AdmissionAnswer& from) {
+  return admission_answer{from.request(), from.target(), from.is_granted(),
+                          duration(from.expected_us()),
+                          duration(from.full_for_us())};
+}
+
+peer_message read(const frames::AdmissionEnd& from) {
+  const auto last = static_cast<std::uint8_t>(admission_outcome::other);
+  return admission_end{
+      from.request(), from.target(),
+      static_cast<admission_outcome>(std::min(from.outcome(), last)),
+      duration(from.took_us())};
+}
+
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
 frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
 frames::Body kind_of(const residency_message&) {
@@ -290,6 +331,15 @@
   return frames::Body::QuotaRequest;
 }
 frames::Body kind_of(const quota_answer&) { return frames::Body::QuotaAnswer; }
+frames::Body kind_of(const admission_request&) {
+  return frames::Body::AdmissionRequest;
+}
+frames::Body kind_of(const admission_answer&) {
+  return frames::Body::AdmissionAnswer;
+}
+frames::Body kind_of(const admission_end&) {
+  return frames::Body::AdmissionEnd;
+}
 
 }  // namespace
 
@@ -322,6 +372,9 @@
   }
   if (const auto* ask = frame->body_as_QuotaRequest()) return read(*ask);
   if (const auto* word = frame->body_as_QuotaAnswer()) return read(*word);
+  if (const auto* ask = frame->body_as_AdmissionRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_AdmissionAnswer()) return read(*word);
+  if (const auto* end = frame->body_as_AdmissionEnd()) return read(*end);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -109,6 +109,7 @@
   tick_workspaces();
   expire_exchanges();
   targets_.expire(now_);
+  ledger_.expire(now_);
   waiting_dirty_ = true;
 }
 
@@ -121,6 +122,9 @@
     if (x.now != exchange::phase::waiting) continue;
     if (waiting_dirty_) next = std::min(next, now_ + kLeastPause);
     const bool asks = x.asked_until.has_value();
+    if (x.admission.answer_until) {
+      next = std::min(next, std::max(*x.admission.answer_until, now_ + 1ms));
+    }
     if (asks && *x.asked_until > now_) next = std::min(next, *x.asked_until);
   }
   if (!may_give_orders()) return next;
--- /dev/null
+++ b/src/process/gateway_admission.cc
@@ -0,0 +1,167 @@
+// seamglade - the direct path: places at plain targets
+//
+// Each plain target has an admitter, the first in its rendezvous order among
+// the living, which knows all that the fleet has sent there. An entry instance
+// asks it for a place before it sends a request; one that no target would serve
+// in time is refused at once. Without an answer the request goes as it would
+// without admitters: they are there to serve more, not to be relied on.
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "process/gateway_impl.h"
+#include "process/status_codes.h"
+#include "seamglade/rendezvous.h"
+
+namespace seamglade::gateway {
+namespace {
+
+/** An admitter that has not answered in this time is done without. */
+constexpr duration kAdmitterPatience = 25ms;
+/** What an admitter said of a target is good for the choice for so long. */
+constexpr duration kFreshWord = 250ms;
+/** Limits of when a request that found no place is asked back. */
+constexpr duration kLeastComeBack = 200ms;
+constexpr std::int64_t kComeBackSpreadMs = 600;
+
+}  // namespace
+
+void gateway_core::impl::place_on_plain(
+    exchange& x, const std::vector<target_state*>& targets) {
+  if (x.admission.answer_until) {
+    if (now_ < *x.admission.answer_until) return;
+    // No word: as if there were no admitter.
+    x.admission.answer_until.reset();
+    if (auto* target = targets_.find(x.admission.target)) {
+      if (!target->has_left(now_)) return dispatch(x, *target);
+    }
+  }
+  auto* target = next_to_ask(x, targets);
+  if (target != nullptr) return ask_admitter(x, *target);
+  const bool is_rejected = x.admission.full_for || !x.tried.empty();
+  if (is_rejected && x.runs == 0) {
+    const auto spread =
+        static_cast<std::int64_t>(random_() % kComeBackSpreadMs) * 1ms;
+    ++counts_.overloaded;
+    refuse(
+        x, kUnavailable,
+        std::max(kLeastComeBack, x.admission.full_for.value_or(0ms)) + spread,
+        "targets_full");
+    return;
+  }
+  wait_for(x, nullptr, "all_tried");
+}
+
+target_state* gateway_core::impl::next_to_ask(
+    const exchange& x, const std::vector<target_state*>& targets) const {
+  target_state* best = nullptr;
+  std::pair<duration, std::uint64_t> least;
+  for (auto* target : targets) {
+    if (x.tried.contains(target->entry.id)) continue;
+    if (x.admission.full.contains(target->hash)) continue;
+    const bool is_fresh = now_ - target->admission_heard < kFreshWord;
+    // Unknown ones and equals are taken by chance, so that instances spread.
+    const std::pair cost{is_fresh ? target->admission_expected : duration{},
+                         mix(target->hash ^ hash_of(x.facts.id))};
+    if (best != nullptr && least <= cost) continue;
+    best = target;
+    least = cost;
+  }
+  return best;
+}
+
+void gateway_core::impl::ask_admitter(exchange& x, target_state& target) {
+  x.now = exchange::phase::waiting;
+  x.admission.target = target.entry.id;
+  x.admission.request = next_admission_++;
+  admissions_[x.admission.request] = x.caller;
+  const auto objective =
+      x.way->objective > duration{} ? x.way->objective : x.way->timeout;
+  const admission_request request{x.admission.request, target.hash,
+                                  x.started + objective - now_, x.rank(),
+                                  x.until - now_};
+  const auto admitter = admitter_of(target.hash);
+  x.admission.admitter = admitter;
+  if (admitter == options_.self) {
+    const auto answer =
+        ledger_.ask(now_, options_.self, request, target.entry.slots);
+    take_admission(x, target, answer);
+    return;
+  }
+  x.admission.answer_until = now_ + kAdmitterPatience;
+  do_act(action::send_datagram{admitter, request});
+}
+
+member_address gateway_core::impl::admitter_of(target_hash target) const {
+  const auto first = accountants_of(target, roster_.staying(now_), 1);
+  return first.empty() ? options_.self : first.front();
+}
+
+void gateway_core::impl::take_admission(exchange& x, target_state& target,
+                                        const admission_answer& answer) {
+  x.admission.answer_until.reset();
+  target.admission_expected = answer.expected;
+  target.admission_heard = now_;
+  if (answer.is_granted) {
+    x.admission.is_held = true;
+    dispatch(x, target);
+    return;
+  }
+  x.admission.full.insert(target.hash);
+  const auto full_for = x.admission.full_for.value_or(answer.full_for);
+  x.admission.full_for = std::min(full_for, answer.full_for);
+  place(x);
+}
+
+void gateway_core::impl::end_admission(exchange& x, bool success) {
+  admissions_.erase(x.admission.request);
+  if (!std::exchange(x.admission.is_held, false)) return;
+  admission_end message{x.admission.request, hash_of(x.admission.target)};
+  message.took = now_ - x.called_at;
+  const bool is_whole = x.status >= kOk && x.status < kMultipleChoices;
+  if (x.answer.not_run) {
+    message.outcome = admission_outcome::rejected;
+  } else if (success && is_whole) {
+    message.outcome = admission_outcome::served;
+  }
+  if (x.admission.admitter == options_.self) {
+    ledger_.end(now_, options_.self, message);
+  } else {
+    do_act(action::send_datagram{x.admission.admitter, message});
+  }
+}
+
+void gateway_core::impl::take(member_address from,
+                              const admission_request& message) {
+  const auto* target = targets_.find(message.target);
+  const auto slots = target == nullptr ? 0U : target->entry.slots;
+  do_act(action::send_datagram{from, ledger_.ask(now_, from, message, slots)});
+}
+
+void gateway_core::impl::take(member_address from,
+                              const admission_answer& message) {
+  const auto found = admissions_.find(message.request);
+  const auto x = found == admissions_.end() ? exchanges_.end()
+                                            : exchanges_.find(found->second);
+  auto* target = targets_.find(message.target);
+  const bool is_awaited = x != exchanges_.end() && target != nullptr &&
+                          x->second.admission.answer_until &&
+                          x->second.admission.request == message.request &&
+                          !target->has_left(now_);
+  if (is_awaited) {
+    take_admission(x->second, *target, message);
+  } else if (message.is_granted) {
+    // Too late: the place goes back.
+    do_act(action::send_datagram{
+        from, admission_end{message.request, message.target}});
+  }
+}
+
+void gateway_core::impl::take(member_address from,
+                              const admission_end& message) {
+  ledger_.end(now_, from, message);
+}
+
+}  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 
+#include "process/admission_ledger.h"
 #include "process/engine_choice.h"
 #include "process/quota_accounts.h"
 #include "process/retry_budget.h"
@@ -175,6 +176,21 @@
   void take(member_address from, const quota_request& message);
   void take(member_address from, const quota_answer& message);
 
+  // gateway_admission.cc
+  void place_on_plain(exchange& x, const std::vector<target_state*>& targets);
+  /** Returns the target whose admitter is to be asked; null: none is left. */
+  target_state* next_to_ask(const exchange& x,
+                            const std::vector<target_state*>& targets) const;
+  void ask_admitter(exchange& x, target_state& target);
+  member_address admitter_of(target_hash target) const;
+  void take_admission(exchange& x, target_state& target,
+                      const admission_answer& answer);
+  /** A call to a plain target ended: its place is free. */
+  void end_admission(exchange& x, bool success);
+  void take(member_address from, const admission_request& message);
+  void take(member_address from, const admission_answer& message);
+  void take(member_address from, const admission_end& message);
+
   // gateway_work.cc
   /** A request of this instance goes to a target. */
   void work_began(exchange& x, target_state& target);
@@ -192,6 +208,9 @@
 
   // gateway_placement.cc
   void place(exchange& x);
+  /** For requests that name no model. */
+  void place_on_least_busy(exchange& x,
+                           const std::vector<target_state*>& targets);
   void place_on_engine(exchange& x, const std::vector<target_state*>& targets);
   /** Returns those of the targets that a request chooses from. */
   std::vector<target_state*> candidates(
@@ -320,6 +339,11 @@
   /** Members that did not answer for an account are asked last until then. */
   std::map<member_address, time_point> unresponsive_until_;
 
+  // Places at plain targets.
+  admission_ledger ledger_;
+  std::uint64_t next_admission_ = 1;
+  std::map<std::uint64_t, caller_id> admissions_;
+
   // Peers.
   struct peer_state {
     std::uint64_t store_revision = 0;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -67,6 +67,9 @@
           status.over_quota);
   counter("seamglade_unmetered_total", "Refused since no accountant answered",
           status.unmetered);
+  counter("seamglade_overloaded_total",
+          "Refused since no plain target would have been in time",
+          status.overloaded);
   counter("seamglade_connections_opened_total", "Connections opened",
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -57,6 +57,15 @@
     place_on_engine(x, targets);
     return;
   }
+  if (x.service->engine) {
+    place_on_least_busy(x, targets);
+  } else {
+    place_on_plain(x, targets);
+  }
+}
+
+void gateway_core::impl::place_on_least_busy(
+    exchange& x, const std::vector<target_state*>& targets) {
   auto* target = least_busy(candidates(targets, x), x);
   if (target == nullptr) target = least_busy(targets, x);
   if (target == nullptr) {
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -165,11 +165,13 @@
   if (found == exchanges_.end()) return;
   if (!found->second.home.empty()) interest_dirty_.insert(found->second.home);
   quota_requests_.erase(found->second.quota.request);
+  admissions_.erase(found->second.admission.request);
   exchanges_.erase(found);
 }
 
 void gateway_core::impl::end_call(exchange& x, bool success, bool severe) {
   calls_.erase(x.call);
+  end_admission(x, success);
   auto* target = target_of(x);
   if (target == nullptr) return;
   work_ended(x, *target);
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -51,6 +51,10 @@
   /** When the store's entry last changed here. */
   time_point entry_heard;
 
+  /** What its admitter last said that one more request would take. */
+  duration admission_expected{};
+  time_point admission_heard;
+
   std::uint32_t failures_in_a_row = 0;
   time_point ejected_until;
   duration ejection{};
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -56,6 +56,18 @@
     std::optional<duration> empty_for;
   };
   quota_wait quota;
+  /** The place at a plain target that it asks for or holds. */
+  struct admission_state {
+    std::uint64_t request = 0;
+    target_id target;
+    member_address admitter = 0;
+    std::optional<time_point> answer_until;
+    bool is_held = false;
+    /** Targets that had no place, and when the first may have one. */
+    std::set<target_hash> full;
+    std::optional<duration> full_for;
+  };
+  admission_state admission;
   /** The target that is to load the adapter; empty: none. */
   target_id home;
 
