Large fleets: copies for peers leave out changes of adapters alone

Cause: each load at a target changed its entry, and the change went with the copies of the store to every instance, though holders are asked for adapters.

Change: such a change stays quiet in the mirror: peers get it with the next one that counts or with a whole copy; entries from peers carry no adapters.

--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -56,7 +56,7 @@
   void on(event::peer_changes&& e);
   void apply(const store_changes& changes, std::string_view source);
   /** Returns whether the item is not to wait for the next copy. */
-  bool take_item(const store_item& item, bool lapsed);
+  bool take_item(const store_item& item, bool lapsed, std::string_view source);
   bool take_deletion(const store_item& item, bool lapsed);
   /** Returns whether entries that went may have lapsed with the store. */
   bool lapsed_with_store(const std::vector<store_item>& news) const;
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -58,6 +58,16 @@
 
 }  // namespace
 
+/**
+ * Adapters come and go all the time, and holders are asked for them. Told to
+ * all, each such change went to each instance.
+ */
+bool is_same_but_for_adapters(const target_entry& a, const target_entry& b) {
+  return a.service == b.service && a.address == b.address &&
+         a.failure_domain == b.failure_domain && a.draining == b.draining &&
+         a.slots == b.slots && a.models == b.models;
+}
+
 std::uint64_t watch_weight(member_address member) {
   return hash_of(std::string(kWatchDuty) + std::to_string(member));
 }
@@ -339,7 +349,7 @@
   std::vector<store_item> urgent;
   const bool lapsed = lapsed_with_store(news);
   for (const auto& item : news) {
-    if (take_item(item, lapsed)) urgent.push_back(item);
+    if (take_item(item, lapsed, source)) urgent.push_back(item);
   }
   const bool first_hand = source == kFromStore && !changes.whole;
   if (first_hand && !urgent.empty()) spread_news(urgent);
@@ -363,7 +373,8 @@
   return static_cast<std::size_t>(deleted) * kLapsePart >= targets_.size();
 }
 
-bool gateway_core::impl::take_item(const store_item& item, bool lapsed) {
+bool gateway_core::impl::take_item(const store_item& item, bool lapsed,
+                                   std::string_view source) {
   if (!item.value) return take_deletion(item, lapsed);
   auto read = platform_.read_item(item);
   if (!read) {
@@ -373,6 +384,11 @@
     return false;
   }
   if (auto* entry = std::get_if<target_entry>(&read.value())) {
+    if (source != kFromStore && roster_.is_large()) entry->adapters.clear();
+    const auto* known = targets_.find(entry->id);
+    const bool is_minor = known != nullptr && !known->gone &&
+                          is_same_but_for_adapters(known->entry, *entry);
+    if (is_minor && roster_.is_large()) mirror_.keep_quiet(item.key);
     return take_entry(std::move(*entry));
   }
   if (auto* config = std::get_if<configuration>(&read.value())) {
--- a/src/version/store_mirror.cc
+++ b/src/version/store_mirror.cc
@@ -19,7 +19,7 @@
   auto& known = items_[item.key];
   if (item.revision <= known.revision) return false;
   const bool was_known = known.value.has_value();
-  known = {item.revision, item.value};
+  known = {item.revision, item.value, item.revision, known.told};
   if (!item.value) deletions_.push_back(item.key);
   return item.value.has_value() || was_known;
 }
@@ -36,7 +36,7 @@
       const bool gone = known.value && known.revision <= changes.revision &&
                         !present.contains(key);
       if (!gone) continue;
-      known = {changes.revision, std::nullopt};
+      known = {changes.revision, std::nullopt, changes.revision, known.told};
       deletions_.push_back(key);
       news.push_back({key, changes.revision, std::nullopt});
     }
@@ -48,6 +48,11 @@
   return news;
 }
 
+void store_mirror::keep_quiet(std::string_view key) {
+  const auto found = items_.find(key);
+  if (found != items_.end()) found->second.told = found->second.told_before;
+}
+
 void store_mirror::forget_old_deletions() {
   while (deletions_.size() > kRememberedDeletions) {
     const auto found = items_.find(deletions_.front());
@@ -64,7 +69,7 @@
   out.revision = revision_;
   out.whole = revision < forgotten_;
   for (const auto& [key, known] : items_) {
-    if (out.whole ? !known.value.has_value() : known.revision <= revision) {
+    if (out.whole ? !known.value.has_value() : known.told <= revision) {
       continue;
     }
     // A whole copy deletes what it lacks, so nothing is left out of one.
--- a/src/version/store_mirror.h
+++ b/src/version/store_mirror.h
@@ -26,6 +26,11 @@
  public:
   /** Takes changes in; returns the items that are news here. */
   std::vector<store_item> apply(const store_changes& changes);
+  /**
+   * The last change of an item is of no account to peers: it goes to them with
+   * the next one that is, or with a whole copy.
+   */
+  void keep_quiet(std::string_view key);
   /** Tells whether an item is known, though its revision is above the copy's.
    */
   using known_item =
@@ -43,12 +48,15 @@
     std::uint64_t revision = 0;
     /** None: deleted. */
     std::optional<std::string> value;
+    /** Peers that know less than this revision lack the item. */
+    std::uint64_t told = 0;
+    std::uint64_t told_before = 0;
   };
 
   bool take(const store_item& item);
   void forget_old_deletions();
 
-  std::map<std::string, entry> items_;
+  std::map<std::string, entry, std::less<>> items_;
   std::deque<std::string> deletions_;
   std::uint64_t revision_ = 0;
   /** Deletions up to here are forgotten. */
