Tests of quotas, places and keys; a new bucket keeps its first tokens

Cause, found by a unit test: a bucket made with tokens lost them when it was configured for the first time, so new accounts started empty.

Also: a setting switches places at plain targets off; the fakes get slots, keys and limits. Mutants that the tests catch: seen part of the fleet ignored, word made younger, no bound on it, key passed on, a newer configuration's word.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -86,6 +86,7 @@
   options.random_seed = random_();
   options.fenced = options_.fenced;
   options.key_bound = options_.key_bound;
+  options.admission = options_.admission;
   options.quota = options_.quota;
   options.seeds = {instances_.begin()->first};
   if (instances_.size() > 1) {
@@ -232,7 +233,9 @@
       if (to.life != life) return;
       event::peer_changes answer{peer, std::nullopt};
       auto& other = *instances_.at(peer);
-      if (other.core && reachable(who, peer) && now_ >= other.frozen_until) {
+      const bool answers = other.core && reachable(who, peer) &&
+                           now_ >= other.frozen_until && !copies_blocked_;
+      if (answers) {
         answer.changes = other.core->changes_after(known);
       }
       post(to, std::move(answer));
@@ -243,7 +246,7 @@
     if (!instances_.contains(peer) || !reachable(who, peer)) return;
     // Encoded and decoded, as on the wire.
     const auto bytes = encode_peer_message(datagram->message);
-    later(kLinkDelay, [this, who, peer, bytes] {
+    later(datagram_delay_, [this, who, peer, bytes] {
       if (!reachable(who, peer)) return;
       auto decoded = decode_peer_message(bytes);
       if (!decoded) {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -33,8 +33,14 @@
   std::size_t engines = 6;
   std::size_t plain_targets = 2;
   std::uint32_t adapter_slots = 4;
+  /**
+   * Requests that a plain target works on at once, with three times as many in
+   * its queue; beyond these it rejects. None: it takes all at once.
+   */
+  std::uint32_t plain_slots = 0;
   bool fenced = true;
   std::uint64_t seed = 1;
+  bool admission = true;
   /** None: callers need no keys. */
   std::vector<fake_workspace> workspaces;
   /** How long a key may run that was taken away. */
@@ -99,6 +105,10 @@
   void cut(gateway::member_address who, bool is_cut);
   /** These reach nobody but each other, until the next split; none: all. */
   void split(const std::vector<gateway::member_address>& side);
+  /** From now on a datagram is so long under way. */
+  void slow_datagrams(duration delay) { datagram_delay_ = delay; }
+  /** Instances get no copies of the store from each other, or do again. */
+  void block_copies(bool blocked) { copies_blocked_ = blocked; }
   /** Turns an instance away at the store, or serves it again. */
   void deny_store(gateway::member_address who, bool denied);
   /** The store answers nobody, also nobody that waits already; or again. */
@@ -130,6 +140,8 @@
   std::size_t runs_at(const std::string& id) const;
   /** Returns how often a request was run. */
   std::size_t runs_of(const std::string& request) const;
+  /** Returns how many requests plain targets rejected since they were full. */
+  std::size_t rejections() const { return rejections_; }
   std::size_t loads() const { return loads_; }
   std::size_t store_calls() const { return store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
@@ -174,6 +186,8 @@
   std::string workspaces_text() const;
   /** Judges a run by its caller's key, and what the target was told of it. */
   void judge_key(const gateway::action::call_target& call);
+  /** Returns when a plain target would be done; none: it is full. */
+  std::optional<duration> plain_work(target& at);
   void judge_quota(const std::string& workspace, const gateway_call& call);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
@@ -212,6 +226,8 @@
   };
   std::vector<watcher> watchers_;
   bool store_silent_ = false;
+  duration datagram_delay_ = 1ms;
+  bool copies_blocked_ = false;
   std::mt19937_64 random_;
   std::map<std::string, std::uint32_t> versions_;
   std::vector<fake_workspace> workspaces_;
@@ -234,6 +250,7 @@
   std::vector<std::unique_ptr<gateway_call>> calls_;
   caller_id next_caller_ = 1;
   std::size_t loads_ = 0;
+  std::size_t rejections_ = 0;
   std::size_t store_calls_ = 0;
   std::vector<std::string> violations_;
 };
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -61,6 +61,8 @@
   bool last_in_touch = false;
   std::size_t holder_changes = 0;
   std::size_t runs = 0;
+  /** When each request at a plain target is done. */
+  std::vector<time_point> ends;
   /** Reports are as old as the first of these. */
   std::vector<std::pair<time_point, engine_report>> history;
 
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -121,11 +121,13 @@
           ? fmt::format(R"([{{"name":"{}","cfg_ver":1,"adapters":[{}]}}])",
                         kModel, adapters)
           : std::string("[]");
+  const bool is_bounded = !which.engine && options_.plain_slots > 0;
+  const auto slots = is_bounded ? options_.plain_slots : 64U;
   return fmt::format(
-      R"({{"svc":"{}","addr":"{}","zone":"east","slots":64,"state":"{}",)"
+      R"({{"svc":"{}","addr":"{}","zone":"east","slots":{},"state":"{}",)"
       R"("models":{}}})",
-      which.service, which.address, which.draining ? "draining" : "ready",
-      models);
+      which.service, which.address, slots,
+      which.draining ? "draining" : "ready", models);
 }
 
 void gateway_world::publish_target(target& which) {
@@ -150,9 +152,9 @@
           R"({{"host":"h","prefix":"/llm2/","type":"stream","resumable":true,)"
           R"("timeout_ms":8000,"svc":"llm","attempts":2}},)"
           R"({{"host":"h","prefix":"/get/","type":"idempotent",)"
-          R"("timeout_ms":1500,"svc":"plain","attempts":2}},)"
+          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)"
           R"({{"host":"h","prefix":"/set/","type":"mutating",)"
-          R"("timeout_ms":1500,"svc":"plain","attempts":2}},)"
+          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)"
           R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
           R"("public":true,"timeout_ms":1500,"svc":"plain"}}],)"
           R"("svcs":[{{"name":"llm","engine":{}}},{{"name":"plain"}}]{}}})",
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -13,6 +13,8 @@
 constexpr duration kReportLag = 100ms;
 constexpr duration kPlainWork = 30ms;
 constexpr duration kEngineWork = 400ms;
+/** Requests that a plain target takes for each slot. */
+constexpr std::size_t kQueuedPart = 4;
 constexpr duration kLease = 3s;
 /** Holders are judged when they have been undisturbed this long. */
 constexpr duration kContact = 3s;
@@ -79,26 +81,31 @@
     }
     ++at.running[adapter];
   }
+  const auto work = at.engine ? std::optional(kEngineWork) : plain_work(at);
+  if (!work) {
+    ++rejections_;
+    refuse(503);
+    return;
+  }
   ++at.runs;
   ++runs_[call.request_id];
   judge_key(call);
   const auto life = from.life;
   const auto who = from.address;
   auto* t = &at;
-  const auto work = at.engine ? kEngineWork : kPlainWork;
-  later(work, [t, adapter] {
+  later(*work, [t, adapter] {
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
   if (at.broken) {
     answer(who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
-           "failed", work);
+           "failed", *work);
     return;
   }
   const bool lost =
       std::uniform_real_distribution<>(0, 1)(random_) < at.lost_answers;
   if (lost) {
-    later(work, [this, who, life, id = call.call] {
+    later(*work, [this, who, life, id = call.call] {
       auto& i = *instances_.at(who);
       if (i.life != life || i.cancelled.contains(id)) return;
       post(i, event::answer_end{id, event::answer_end::how::broken});
@@ -111,7 +118,20 @@
                 : "answer to " + call.request_id;
   answer(who, life, call.call, 200,
          {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}}, body,
-         work);
+         *work);
+}
+
+std::optional<duration> gateway_world::plain_work(target& at) {
+  const auto slots = options_.plain_slots;
+  if (slots == 0) return kPlainWork;
+  std::erase_if(at.ends, [&](time_point end) { return end <= now_; });
+  if (at.ends.size() >= kQueuedPart * slots) return std::nullopt;
+  // It starts when as many as there are slots are left before it.
+  std::sort(at.ends.begin(), at.ends.end());
+  const auto start =
+      at.ends.size() < slots ? now_ : at.ends[at.ends.size() - slots];
+  at.ends.push_back(start + kPlainWork);
+  return at.ends.back() - now_;
 }
 
 void gateway_world::judge_key(const action::call_target& call) {
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -208,6 +208,8 @@
    */
   duration key_bound{};
   quota_bounds quota;
+  /** Places at plain targets are handed out; else all requests go there. */
+  bool admission = true;
 };
 
 /** What an instance believes and has counted; for metrics and status. */
--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -40,6 +40,8 @@
   double quota_excess = 0.25;
   /** ... and by so many units beside. */
   double quota_slack = 0;
+  /** Whether plain targets get only what they can serve in time. */
+  bool admission = true;
   /** How long the platform waits for a planned stop. */
   duration grace = 8s;
 };
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -63,6 +63,8 @@
              "part of a limit by which the fleet may pass it"),
     file_key(kQuotaSlack, value_kind::text, "0",
              "units by which the fleet may pass a limit beside"),
+    file_key("admission", value_kind::boolean, "yes",
+             "whether plain targets get only what they can serve in time"),
     file_key("grace", value_kind::span, "8s",
              "how long the platform waits for a planned stop"),
 };
@@ -135,6 +137,8 @@
     config.key_bound = parse_span(value);
   } else if (key.name == "quota_window") {
     config.quota_window = parse_span(value);
+  } else if (key.name == "admission") {
+    config.admission = value == "yes";
   } else if (key.name == "retry_window") {
     config.retry_window = parse_span(value);
   } else if (key.name == "grace") {
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -57,7 +57,7 @@
     place_on_engine(x, targets);
     return;
   }
-  if (x.service->engine) {
+  if (x.service->engine || !options_.admission) {
     place_on_least_busy(x, targets);
   } else {
     place_on_plain(x, targets);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -76,6 +76,7 @@
   out.retry_extra = from.retry_extra;
   out.retry_window = from.retry_window;
   out.key_bound = from.key_bound;
+  out.admission = from.admission;
   out.quota.window = from.quota_window;
   out.quota.excess = from.quota_excess;
   out.quota.slack = from.quota_slack;
--- a/src/process/token_bucket.h
+++ b/src/process/token_bucket.h
@@ -16,7 +16,8 @@
 class token_bucket {
  public:
   /** Starts with so many tokens. */
-  token_bucket(time_point now, double tokens) : tokens_(tokens), last_(now) {}
+  token_bucket(time_point now, double tokens)
+      : capacity_(tokens), tokens_(tokens), last_(now) {}
 
   /**
    * Sets tokens a second, the most that are kept, and how far below none the
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -193,5 +193,73 @@
   EXPECT_EQ(d_->order_status(0), engine_order_status::unanswered);
 }
 
+/** A configuration with these workspaces and nothing else. */
+store_item with_workspaces(const std::string& list) {
+  return {"op/config", 9,
+          R"({"cfg_ver":4,"routes":[],"svcs":[],"tenants":)" + list + "}"};
+}
+
+TEST_F(platform, reads_workspaces) {
+  const auto read = d_->read_item(with_workspaces(
+      R"([{"name":"red","api_keys":["k1","k2"],"prio":1,"unit":"tokens",)"
+      R"("raw_tokens":200,"rate_per_s":2700,"burst":900},)"
+      R"({"name":"blue","api_keys":["k3"]}])"));
+  ASSERT_TRUE(read);
+  const auto& config = std::get<configuration>(read.value());
+  ASSERT_TRUE(config.is_keyed());
+  const auto* red = config.find_workspace("k2");
+  ASSERT_NE(red, nullptr);
+  EXPECT_EQ(red->name, "red");
+  EXPECT_EQ(red->rank, 1U);
+  EXPECT_EQ(red->quota.unit, quota_unit::tokens);
+  EXPECT_EQ(red->quota.tokens_if_untold, 200U);
+  EXPECT_EQ(red->quota.rate, 2700);
+  EXPECT_EQ(red->quota.burst, 900);
+  const auto* blue = config.find_workspace("k3");
+  ASSERT_NE(blue, nullptr);
+  EXPECT_FALSE(blue->rank);
+  EXPECT_EQ(blue->quota.rate, 0);
+  EXPECT_EQ(config.find_workspace("k4"), nullptr);
+}
+
+TEST_F(platform, refuses_whole_a_configuration_with_bad_workspaces) {
+  for (const char* list : {
+           R"([{"api_keys":["k"]}])",
+           R"([{"name":"","api_keys":["k"]}])",
+           R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+           R"([{"name":"a","api_keys":[""]}])",
+           R"([{"name":"a","rate_per_s":-1}])",
+           R"([{"name":"a","burst":-1}])",
+           R"([{"name":"a","raw_tokens":-1}])",
+           R"([{"name":"a","unit":"bytes"}])",
+       }) {
+    const auto read = d_->read_item(with_workspaces(list));
+    ASSERT_FALSE(read) << list;
+    EXPECT_EQ(read.error().code, errc::bad_value);
+    EXPECT_EQ(read.error().detail.find("\"k\""), std::string::npos);
+  }
+}
+
+TEST_F(platform, reads_a_key_and_passes_none_on_where_callers_need_them) {
+  const std::vector<http_header> from{{"X-Request-Id", "1"},
+                                      {"authorization", "bearer  k1"},
+                                      {"x-TENANT", "forged"}};
+  const auto facts = d_->read_request(from);
+  ASSERT_TRUE(facts);
+  EXPECT_EQ(facts.value().key, "k1");
+  call_facts call;
+  call.is_keyed = true;
+  call.workspace = "red";
+  const auto keyed = d_->call_headers(from, call);
+  EXPECT_EQ(*find(keyed, "X-Tenant"), "red");
+  EXPECT_EQ(find(keyed, "authorization"), nullptr);
+  EXPECT_EQ(find(keyed, "x-TENANT"), nullptr);
+  call.is_keyed = false;
+  call.workspace.clear();
+  const auto open = d_->call_headers(from, call);
+  EXPECT_EQ(*find(open, "authorization"), "bearer  k1");
+  EXPECT_EQ(find(open, "x-TENANT"), nullptr);
+}
+
 }  // namespace
 }  // namespace seamglade::gateway
--- a/test/workspaces-test.cc
+++ b/test/workspaces-test.cc
@@ -16,13 +16,14 @@
 constexpr int kTooMany = 429;
 constexpr auto kPause = 3s;
 
-/** Two workspaces; the second one's limit is far beyond what is asked. */
+/** The second one may ask far more than it does, the third has no limit. */
 gateway_world_options keyed(std::size_t instances) {
   gateway_world_options options;
   options.instances = instances;
   options.engines = 4;
   options.workspaces = {{"red", {"red-1", "red-2"}, 20000, 20000},
-                        {"blue", {"blue-1"}, 1e9, 1e9}};
+                        {"blue", {"blue-1"}, 1e9, 1e9},
+                        {"green", {"green-1"}, 0, 0}};
   return options;
 }
 
@@ -163,6 +164,35 @@
   expect_rules_kept(w_);
 }
 
+TEST_P(keys, the_word_of_a_newer_configuration_confirms_no_older_one) {
+  w_.deny_store(first_, true);
+  w_.block_copies(true);
+  w_.run_for(2s);
+  w_.take_key("green-1");
+  w_.run_for(5100ms);
+  const auto& call = w_.call_with_key(first_, "green-1", 10);
+  w_.run_for(1s);
+  EXPECT_EQ(call.status, kUnavailable);
+  expect_rules_kept(w_);
+}
+
+TEST_P(keys, a_word_is_no_younger_than_when_it_was_asked_for) {
+  w_.deny_store(first_, true);
+  w_.run_for(1s);
+  w_.slow_datagrams(1500ms);
+  w_.run_for(6s);
+  w_.take_key("green-1");
+  // What was said before that still arrives; what was said after does not.
+  w_.run_for(1495ms);
+  w_.cut(first_, true);
+  w_.run_for(3600ms);
+  for (int i = 0; i < 20; ++i) {
+    w_.call_with_key(first_, "green-1", 10);
+    w_.run_for(50ms);
+  }
+  expect_rules_kept(w_);
+}
+
 INSTANTIATE_TEST_SUITE_P(fleets, keys, testing::Values(5, 24));
 
 class limits : public testing::TestWithParam<std::size_t> {
