--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -107,6 +107,8 @@
   void split(const std::vector<gateway::member_address>& side);
   /** From now on a datagram is so long under way. */
   void slow_datagrams(duration delay) { datagram_delay_ = delay; }
+  /** From now on an answer of the store is so long under way. */
+  void slow_store(duration delay) { store_delay_ = delay; }
   /** Instances get no copies of the store from each other, or do again. */
   void block_copies(bool blocked) { copies_blocked_ = blocked; }
   /** Turns an instance away at the store, or serves it again. */
@@ -228,6 +230,7 @@
   bool store_silent_ = false;
   duration datagram_delay_ = 1ms;
   bool copies_blocked_ = false;
+  duration store_delay_ = 4ms;
   std::mt19937_64 random_;
   std::map<std::string, std::uint32_t> versions_;
   std::vector<fake_workspace> workspaces_;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -8,7 +8,6 @@
 namespace seamglade::fakes {
 namespace {
 
-constexpr duration kStoreDelay = 4ms;
 /** A caller gives up so long after the time its call was to be held. */
 constexpr duration kStoreTimeout = 1500ms;
 
@@ -55,7 +54,7 @@
     read = {};
     read.scope = scope;
   }
-  later(kStoreDelay, [this, who, life, read = std::move(read)] {
+  later(store_delay_, [this, who, life, read = std::move(read)] {
     auto& i = *instances_.at(who);
     if (i.life == life) post(i, read);
   });
@@ -106,7 +105,7 @@
     quiet.scope = ticket.scope;
     quiet.how = i.store_denied ? outcome::failed : outcome::answered;
     quiet.answer.revision = revision_;
-    if (i.life == ticket.life) post(i, quiet);
+    answer_store(i, std::move(quiet));
   });
 }
 
--- a/test/workspaces-test.cc
+++ b/test/workspaces-test.cc
@@ -176,6 +176,29 @@
   expect_rules_kept(w_);
 }
 
+TEST_P(keys, a_late_answer_of_the_store_tells_of_when_it_was_asked) {
+  for (int phase = 0; phase < 10; ++phase) {
+    const auto key = fmt::format("green-late-{}", phase);
+    w_.add_key("green", key);
+    w_.run_for(kPause + phase * 110ms);
+    w_.slow_store(1400ms);
+    w_.run_for(1400ms);
+    w_.cut(first_, true);
+    w_.deny_store(first_, true);
+    w_.take_key(key);
+    // What the store said before still arrives.
+    w_.run_for(5050ms);
+    for (int i = 0; i < 20; ++i) {
+      w_.call_with_key(first_, key, 10);
+      w_.run_for(50ms);
+    }
+    w_.cut(first_, false);
+    w_.deny_store(first_, false);
+    w_.slow_store(4ms);
+  }
+  expect_rules_kept(w_);
+}
+
 TEST_P(keys, a_word_is_no_younger_than_when_it_was_asked_for) {
   w_.deny_store(first_, true);
   w_.run_for(1s);
