--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -8,9 +8,9 @@
 namespace seamglade::fakes {
 
 gateway_world::gateway_world(gateway_world_options options)
-    : options_(options),
+    : options_(std::move(options)),
       platform_(make_platform_dialect()),
-      random_(options.seed) {
+      random_(options_.seed) {
   const auto add = [&](const std::string& service, bool engine,
                        std::size_t index) {
     auto made = std::make_unique<target>();
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -261,7 +261,7 @@
       if (seed != options_.self) view.silent.push_back(seed);
     }
   }
-  accounts_.update(now_, *config_, std::move(view));
+  accounts_.update(now_, *config_, view);
 }
 
 void gateway_core::impl::ask_confirmations() {
--- a/src/process/quota_accounts.cc
+++ b/src/process/quota_accounts.cc
@@ -77,7 +77,7 @@
 }
 
 void quota_accounts::update(time_point now, const configuration& config,
-                            fleet_view view) {
+                            const fleet_view& view) {
   look_around(now, view);
   const auto accountants = std::min(kAccountants, view.staying.size());
   if (accountants == 0) return close();
--- a/src/process/quota_accounts.h
+++ b/src/process/quota_accounts.h
@@ -47,7 +47,8 @@
     std::vector<member_address> silent;
   };
   /** Opens, adjusts and closes accounts; to be called some times a second. */
-  void update(time_point now, const configuration& config, fleet_view view);
+  void update(time_point now, const configuration& config,
+              const fleet_view& view);
   /** Closes all accounts: what this instance knows is old. */
   void close() { accounts_.clear(); }
 
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -142,7 +142,7 @@
   quota_accounts accounts(first[0], {});
   accounts.update(kStart, one_limited(), {{1, 2, 3}, {7, 8, 9}});
   EXPECT_NEAR(accounts.seen(), 0.525, 0.001);
-  EXPECT_LT(given(accounts, kStart, 10s), 90000 / 3 * 0.6);
+  EXPECT_LT(given(accounts, kStart, 10s), 90000.0 / 3 * 0.6);
   // Also when the silent ones are no longer spoken of.
   accounts.update(kStart + 10s, one_limited(), {{1, 2, 3}, {}});
   EXPECT_LT(accounts.seen(), 0.6);
