--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -12,6 +12,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/member_order.h"
 #include "process/status_codes.h"
 #include "seamglade/rendezvous.h"
 
@@ -94,7 +95,7 @@
 }
 
 member_address gateway_core::impl::admitter_of(target_hash target) const {
-  const auto first = accountants_of(target, staying_, 1);
+  const auto first = first_members(target, staying_, 1);
   return first.empty() ? options_.self : first.front();
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -68,18 +68,21 @@
   duration next_pause(duration last) const;
   /** Returns a pause between half and one and a half of one. */
   duration spread(duration pause);
-  bool should_watch();
-  bool is_watcher_of_mesh() const;
-  bool is_watcher_of_large_fleet();
-  const std::vector<member_address>& watch_order();
-  std::size_t watch_rank();
   void confirm_copy(time_point at);
-  /** Returns when the store was surely as an answer tells. */
+  /** Returns the latest time at which the store surely was as an answer says.
+   */
   time_point known_at(time_point sent, duration wait, bool changed) const;
   duration store_age() const;
   duration copy_age() const;
   bool was_store_away() const;
 
+  // gateway_watchers.cc
+  bool should_watch();
+  bool is_watcher_of_mesh() const;
+  bool is_watcher_of_large_fleet();
+  const std::vector<member_address>& watch_order();
+  std::size_t watch_rank();
+
   // gateway_members.cc
   void on(event::new_seeds&& e);
   void take(member_address from, const heartbeat& message);
@@ -165,6 +168,8 @@
   bool admit_key(exchange& x);
   /** Places a request once its workspace's quota allows it. */
   void meter(exchange& x);
+  /** Returns whom a request asks for a grant, in this order. */
+  std::vector<member_address> accountants_to_ask(const exchange& x) const;
   void ask_accountant(exchange& x);
   /** Nobody is left to be asked for a grant. */
   void end_metering(exchange& x);
--- a/src/process/gateway_members.cc
+++ b/src/process/gateway_members.cc
@@ -157,8 +157,9 @@
   // In a large fleet the first that a newcomer meets tell it all they know, and
   // holders tell it of themselves.
   if (roster_.is_large() && !first_hand && keepers_.empty()) return;
-  // After a start of all at once everyone is new to everyone: to tell each all
-  // that is known grows with the square of the fleet.
+  // After a start of all at once everyone is new to everyone. Greetings and
+  // heartbeats of the first second are 38 KB an instance in place of 47 at 200
+  // instances, 14.6 in place of 15.1 at 50 (under virtual time).
   const bool is_told = roster_.is_large() && known_there >= kGreeted;
   const bool tells_all = first_hand && !is_told;
   auto message = own_heartbeat();
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -10,7 +10,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
-#include "seamglade/rendezvous.h"
+#include "process/member_order.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -39,11 +39,6 @@
 /** After a refusal, how much further up the next fence is. */
 constexpr std::uint64_t kFenceStep = 64;
 
-/** The member with the greatest weight is the first to claim a target. */
-std::uint64_t duty_weight(member_address member, target_hash target) {
-  return mix(target ^ mix(member));
-}
-
 }  // namespace
 
 bool gateway_core::impl::may_give_orders() const {
@@ -59,7 +54,7 @@
 
 bool gateway_core::impl::precedes_me(member_address member,
                                      target_hash target) const {
-  return duty_weight(member, target) > duty_weight(options_.self, target);
+  return member_weight(target, member) > member_weight(target, options_.self);
 }
 
 bool gateway_core::impl::is_my_turn(const target_state& target) const {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -1,9 +1,9 @@
 // seamglade - the direct path: what is read from the platform's store
 //
-// A few instances watch the whole store; the others take what these learned
-// from them. An instance that hears of no fresh contact watches by itself. In
-// a large fleet each also watches what the operators write, which is seldom,
-// and is told of targets that come and leave as soon as a watcher knows.
+// A few instances watch the whole store (gateway_watchers.cc); the others take
+// what these learned from them. In a large fleet each also watches what the
+// operators write, which is seldom, and is told of targets that come and leave
+// as soon as a watcher knows.
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -11,13 +11,10 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
-#include "seamglade/rendezvous.h"
 
 namespace seamglade::gateway {
 namespace {
 
-constexpr std::size_t kWatchers = 2;
-constexpr std::size_t kLargeWatchers = 3;
 /** A watch is held this long; shows how fresh the watcher's contact is. */
 constexpr duration kWatchWait = 1000ms;
 /** Pause after an answer with changes: more of them come in one answer. */
@@ -34,13 +31,6 @@
 constexpr duration kAfterFailurePart = 20ms;
 /** After a failure a watch is held this long: silence is to be seen soon. */
 constexpr duration kProbeWait = 50ms;
-/** Contact with the store older than this is no longer trusted. */
-constexpr duration kFresh = 1900ms;
-/** In a large fleet news takes longer; one more watches at a time. */
-constexpr duration kLargeFresh = 2200ms;
-constexpr duration kWatcherStep = 50ms;
-constexpr duration kLongestWatcherWait = 4s;
-constexpr duration kWatchOrderLife = 500ms;
 /** A watch of what the operators write is held this long. */
 constexpr duration kOperatorWait = 25s;
 /** A copy so fresh says that the store answers somebody. */
@@ -53,13 +43,8 @@
 constexpr std::size_t kLapsePart = 4;
 constexpr duration kFetchPause = 40ms;
 constexpr duration kFetchAgain = 300ms;
-constexpr std::string_view kWatchDuty = "watch";
 constexpr std::string_view kFromStore = "store";
 
-std::uint64_t watch_weight(member_address member) {
-  return hash_of(std::string(kWatchDuty) + std::to_string(member));
-}
-
 /**
  * Adapters come and go all the time, and holders are asked for them. Told to
  * all, each such change went to each instance.
@@ -129,70 +114,6 @@
   return copy_age() > kStoreAway;
 }
 
-bool gateway_core::impl::should_watch() {
-  if (is_key_word_old()) return true;
-  return roster_.is_large() ? is_watcher_of_large_fleet()
-                            : is_watcher_of_mesh();
-}
-
-bool gateway_core::impl::is_watcher_of_large_fleet() {
-  const auto rank = watch_rank();
-  if (rank < kLargeWatchers) return true;
-  const auto wait = std::min(kLongestWatcherWait,
-                             static_cast<std::int64_t>(rank) * kWatcherStep);
-  return copy_age() > kLargeFresh + wait;
-}
-
-const std::vector<member_address>& gateway_core::impl::watch_order() {
-  if (now_ < watch_order_until_) return watch_order_;
-  watch_order_until_ = now_ + kWatchOrderLife;
-  std::vector<std::pair<std::uint64_t, member_address>> weighed;
-  for (const auto member : staying_) {
-    weighed.emplace_back(watch_weight(member), member);
-  }
-  std::sort(weighed.begin(), weighed.end());
-  watch_order_.clear();
-  for (const auto& [weight, member] : weighed) watch_order_.push_back(member);
-  return watch_order_;
-}
-
-std::size_t gateway_core::impl::watch_rank() {
-  const auto& order = watch_order();
-  const auto mine = std::find(order.begin(), order.end(), options_.self);
-  return static_cast<std::size_t>(mine - order.begin());
-}
-
-bool gateway_core::impl::is_watcher_of_mesh() const {
-  struct candidate {
-    std::uint64_t weight;
-    member_address who;
-  };
-  std::vector<candidate> able;
-  bool fresh = false;
-  for (const auto member : roster_.alive(now_)) {
-    const auto weight = watch_weight(member);
-    if (member == options_.self) {
-      able.push_back({weight, member});
-      continue;
-    }
-    const auto peer = peers_.find(member);
-    if (peer == peers_.end()) continue;
-    const auto age = peer->second.store_age + (now_ - peer->second.heard);
-    if (peer->second.watching && age < kFresh) fresh = true;
-    if (roster_.is_leaving(member)) continue;
-    // One that watches in vain is no help.
-    if (!peer->second.watching || age < kFresh) {
-      able.push_back({weight, member});
-    }
-  }
-  if (!fresh) return true;
-  std::sort(able.begin(), able.end(),
-            [](const auto& a, const auto& b) { return a.weight < b.weight; });
-  if (able.size() > kWatchers) able.resize(kWatchers);
-  return std::any_of(able.begin(), able.end(),
-                     [&](const auto& c) { return c.who == options_.self; });
-}
-
 void gateway_core::impl::tick_store() {
   if (roster_.is_large()) note_store_back();
   watch_operators();
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/member_order.h"
 #include "process/status_codes.h"
 
 namespace seamglade::gateway {
@@ -134,12 +135,13 @@
   ask_accountant(x);
 }
 
-void gateway_core::impl::ask_accountant(exchange& x) {
-  const auto workspace = x.owner->hash;
-  auto order =
-      accountants_of(workspace, staying_, kAccountants + kFurtherAccountants);
+std::vector<member_address> gateway_core::impl::accountants_to_ask(
+    const exchange& x) const {
+  auto order = first_members(x.owner->hash, staying_,
+                             kAccountants + kFurtherAccountants);
   const auto first = std::min(kAccountants, order.size());
   if (first > 0) {
+    // Each takes its turn, so that all parts of the account are used.
     const auto turn = static_cast<std::ptrdiff_t>(x.quota.request % first);
     std::rotate(order.begin(), order.begin() + turn,
                 order.begin() + static_cast<std::ptrdiff_t>(first));
@@ -148,7 +150,12 @@
     const auto until = unresponsive_until_.find(who);
     return until == unresponsive_until_.end() || now_ >= until->second;
   });
-  for (const auto who : order) {
+  return order;
+}
+
+void gateway_core::impl::ask_accountant(exchange& x) {
+  const auto workspace = x.owner->hash;
+  for (const auto who : accountants_to_ask(x)) {
     auto& asked = x.quota.asked;
     if (std::find(asked.begin(), asked.end(), who) != asked.end()) continue;
     asked.push_back(who);
--- a/src/process/quota_accounts.cc
+++ b/src/process/quota_accounts.cc
@@ -8,7 +8,7 @@
 #include <algorithm>
 #include <set>
 
-#include "seamglade/rendezvous.h"
+#include "process/member_order.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -36,23 +36,6 @@
 
 }  // namespace
 
-std::vector<member_address> accountants_of(
-    std::uint64_t workspace, const std::vector<member_address>& members,
-    std::size_t most) {
-  auto order = members;
-  const auto weight = [&](member_address member) {
-    return mix(workspace ^ mix(member));
-  };
-  const auto count = std::min(most, order.size());
-  std::partial_sort(order.begin(),
-                    order.begin() + static_cast<std::ptrdiff_t>(count),
-                    order.end(), [&](member_address a, member_address b) {
-                      return weight(a) > weight(b);
-                    });
-  order.resize(count);
-  return order;
-}
-
 void quota_accounts::look_around(time_point now, const fleet_view& view) {
   for (const auto who : view.silent) missing_.try_emplace(who, now);
   for (const auto who : view.staying) missing_.erase(who);
@@ -85,7 +68,7 @@
   std::set<std::uint64_t> mine;
   for (const auto& which : config.workspaces) {
     if (which.quota.rate <= 0) continue;
-    const auto order = accountants_of(which.hash, view.staying, kAccountants);
+    const auto order = first_members(which.hash, view.staying, kAccountants);
     if (std::find(order.begin(), order.end(), self_) == order.end()) continue;
     mine.insert(which.hash);
     adjust(now, which, share);
--- a/src/process/quota_accounts.h
+++ b/src/process/quota_accounts.h
@@ -14,15 +14,7 @@
 
 namespace seamglade::gateway {
 
-/**
- * Returns the members that account for a workspace, the first in rendezvous
- * order among those given; the same on all instances that see the same fleet.
- */
-std::vector<member_address> accountants_of(
-    std::uint64_t workspace, const std::vector<member_address>& members,
-    std::size_t most);
-
-/** How many instances share the account of one workspace. */
+/** So many instances share a workspace: the first in its rendezvous order. */
 inline constexpr std::size_t kAccountants = 3;
 
 /**
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -52,7 +52,7 @@
     std::vector<member_address> asked;
     /** The last of them is taken to be silent then. */
     time_point answer_until;
-    /** At most this part of what was asked for is there, in this time. */
+    /** Accounts had too little; the last of them has enough after this. */
     std::optional<duration> empty_for;
   };
   quota_wait quota;
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -95,6 +95,8 @@
   learn(50ms);
   end(12345, admission_outcome::served, 9s);
   EXPECT_TRUE(ask(100ms));
+  // The first place is given in any case; with 9 s known no other would be.
+  EXPECT_TRUE(ask(100ms));
 }
 
 class overload : public testing::TestWithParam<std::size_t> {
--- a/test/workspaces-test.cc
+++ b/test/workspaces-test.cc
@@ -6,7 +6,7 @@
 #include <random>
 
 #include "gateway_checks.h"
-#include "process/quota_accounts.h"
+#include "process/member_order.h"
 #include "seamglade/rendezvous.h"
 
 namespace seamglade {
@@ -223,6 +223,11 @@
   gateway_world w_{keyed(GetParam())};
 
   void SetUp() override { w_.run_for(kLargeSettled); }
+  void restart_all(duration down) {
+    for (const auto who : w_.instances()) w_.kill(who);
+    w_.run_for(down);
+    for (const auto who : w_.instances()) w_.start(who);
+  }
 };
 
 TEST_P(limits, bind_all_instances_together_and_are_given_out) {
@@ -239,6 +244,7 @@
 TEST_P(limits, a_refusal_comes_at_once_and_says_when_to_come_back) {
   send_keyed(w_, "red-1", 4s, 10ms, 1000);
   w_.run_for(6s);
+  EXPECT_GT(with_status(w_, kTooMany), 100U);
   for (const auto& call : w_.calls()) {
     if (call->status != kTooMany) continue;
     EXPECT_LT(call->ended - call->sent, 30ms);
@@ -280,9 +286,7 @@
   const auto who = w_.instances();
   send_keyed(w_, "red-1", 40s, 10ms, 1000);
   w_.run_for(8s);
-  for (const auto each : who) w_.kill(each);
-  w_.run_for(300ms);
-  for (const auto each : who) w_.start(each);
+  restart_all(300ms);
   w_.run_for(10s);
   for (std::size_t i = 0; i < who.size(); i += 2) {
     w_.stop(who[i]);
@@ -298,13 +302,10 @@
 
 // Each start gives new accounts something, also where few know each other yet.
 TEST_P(limits, hold_where_all_are_restarted_again_and_again) {
-  const auto who = w_.instances();
   send_keyed(w_, "red-1", 30s, 5ms, 1500);
   w_.run_for(6s);
   for (int round = 0; round < 3; ++round) {
-    for (const auto each : who) w_.kill(each);
-    w_.run_for(500ms);
-    for (const auto each : who) w_.start(each);
+    restart_all(500ms);
     w_.run_for(2s);
   }
   w_.run_for(12s);
@@ -315,7 +316,7 @@
   send_keyed(w_, "red-1", 20s, 100ms, 900);
   w_.run_for(5s);
   const auto first =
-      gateway::accountants_of(stable_hash("red"), w_.instances(), 1);
+      gateway::first_members(stable_hash("red"), w_.instances(), 1);
   w_.kill(first[0]);
   w_.run_for(18s);
   std::size_t refused = 0;
