Interfaces for failure domains, regions and cold targets

Cause: evacuations, cold rates and allowed regions are published and were not read; instances know two distances only. Ruled out: reading regions from the store: the platform's settings name the region of each failure domain. The settings reference tells [gateway], with accepted ranges. Result: platform-test reads each of them; no decision changed.

--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -20,8 +20,8 @@
 struct unrelated_item {};
 
 /** What an item of the platform's store stands for. */
-using item_content =
-    std::variant<unrelated_item, configuration, target_entry, adapter_version>;
+using item_content = std::variant<unrelated_item, configuration, target_entry,
+                                  adapter_version, evacuation>;
 
 /**
  * Translates between the product's types and a platform's protocol.
@@ -56,6 +56,12 @@
   /** Returns the target that a key stands for; none: no target. */
   virtual std::optional<target_id> target_of_key(
       std::string_view key) const = 0;
+  /**
+   * Returns the failure domain that a key asks to evacuate; it is taken back
+   * when the item goes. None: another key.
+   */
+  virtual std::optional<std::string> evacuated_by_key(
+      std::string_view key) const = 0;
 
   virtual std::string report_path() const = 0;
   virtual result<engine_report> read_report(std::string_view body) const = 0;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_GATEWAY_H_
 #define SEAMGLADE_GATEWAY_H_
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -186,10 +187,20 @@
   double slack = 0;
 };
 
+/** What operators allow beyond the rate that a cold target bears. */
+struct cold_bounds {
+  /** Of that rate, so much may come in any second ... */
+  double excess = 1;
+  /** ... and so many requests beside. */
+  double slack = 0;
+};
+
 struct gateway_options {
   instance_id id;
   member_address self = 0;
   std::string failure_domain;
+  /** The region of each failure domain; one that is not named is its own. */
+  std::map<std::string, std::string, std::less<>> regions;
   std::uint64_t incarnation = 0;
   std::uint64_t random_seed = 0;
   std::vector<member_address> seeds;
@@ -208,6 +219,7 @@
    */
   duration key_bound{};
   quota_bounds quota;
+  cold_bounds cold;
   /** Places at plain targets are handed out; else all requests go there. */
   bool admission = true;
 };
--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_GATEWAY_CONFIG_H_
 #define SEAMGLADE_GATEWAY_CONFIG_H_
 
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
 struct gateway_config {
   instance_id id;
   std::string failure_domain;
+  /** The region of each failure domain; one that is not named is its own. */
+  std::map<std::string, std::string, std::less<>> regions;
   /** IP:port each. */
   std::string caller_address;
   std::string ready_address;
@@ -40,6 +43,10 @@
   double quota_excess = 0.25;
   /** ... and by so many units beside. */
   double quota_slack = 0;
+  /** A cold target may get so much of the rate that it bears ... */
+  double cold_excess = 1;
+  /** ... and so many requests a second beside. */
+  double cold_slack = 0;
   /** Whether plain targets get only what they can serve in time. */
   bool admission = true;
   /** How long the platform waits for a planned stop. */
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -48,6 +48,8 @@
   std::vector<service_share> shares;
   /** Served without a key, also where workspaces are configured. */
   bool is_public = false;
+  /** The only regions whose targets may run its requests; none: all may. */
+  std::vector<std::string> regions;
 };
 
 /** What a workspace's limit counts. */
@@ -76,6 +78,8 @@
   /** Goes before the rank of its requests' routes; none: theirs counts. */
   std::optional<std::uint32_t> rank;
   workspace_quota quota;
+  /** As of a route; a request is bound by its route's and by these. */
+  std::vector<std::string> regions;
 };
 
 /** A base model that engines of a service can hold. */
@@ -106,6 +110,10 @@
   std::uint32_t max_connections = 0;
   /** None for a plain service. */
   std::optional<engine_profile> engine;
+  /** How long a target is cold after its start; zero: it never is. */
+  duration cold_time{};
+  /** Requests a second that a cold target bears; it fails well above that. */
+  double cold_rate = 0;
 };
 
 /** Bounds on what a caller may send, and how long it may take or rest. */
@@ -168,6 +176,8 @@
   std::string failure_domain;
   bool draining = false;
   std::uint32_t slots = 0;
+  /** How much longer it was cold when this was written. */
+  duration cold_left{};
   std::vector<held_model> models;
   std::vector<held_adapter> adapters;
 };
@@ -178,6 +188,11 @@
   std::uint32_t version = 0;
 };
 
+/** The operators' word that a failure domain's targets are to get nothing. */
+struct evacuation {
+  std::string failure_domain;
+};
+
 /** What a target reports of itself. */
 struct engine_report {
   /** Orders carried out since the target's start. */
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -24,6 +24,9 @@
 constexpr std::string_view kKeyBound = "key_bound";
 constexpr std::string_view kQuotaExcess = "quota_excess";
 constexpr std::string_view kQuotaSlack = "quota_slack";
+constexpr std::string_view kRegions = "regions";
+constexpr std::string_view kColdExcess = "cold_excess";
+constexpr std::string_view kColdSlack = "cold_slack";
 constexpr std::string_view kNone = "none";
 
 constexpr key_spec file_key(std::string_view name, value_kind kind,
@@ -33,9 +36,24 @@
       help};
 }
 
+constexpr std::string_view kNumber = "a number from 0";
+constexpr std::string_view kAddresses = "IP:port, divided by commas";
+constexpr std::string_view kRegionPairs = "DOMAIN:REGION, divided by commas";
+
+/** A key whose form is its own. */
+constexpr key_spec special_key(std::string_view name, std::string_view accepted,
+                               std::string_view fallback,
+                               std::string_view help) {
+  auto out = file_key(name, value_kind::text, fallback, help);
+  out.words = accepted;
+  return out;
+}
+
 constexpr std::array kSchema{
     file_key("id", value_kind::text, "", "name of the instance"),
     file_key("failure_domain", value_kind::text, "", "where the instance runs"),
+    special_key(kRegions, kRegionPairs, kNone,
+                "the region of each failure domain; else it is its own"),
     file_key("caller_address", value_kind::address, "",
              "where callers reach it"),
     file_key("ready_address", value_kind::address, "",
@@ -44,25 +62,28 @@
              "where other instances reach it, over TCP and UDP"),
     file_key("metrics_address", value_kind::address, "", "metrics and status"),
     file_key("store_address", value_kind::address, "", "the platform's store"),
-    file_key(kSeeds, value_kind::text, kNone,
-             "peers to join through, IP:port, divided by commas"),
+    special_key(kSeeds, kAddresses, kNone, "peers to join through"),
     file_key("lease", value_kind::span, "3s",
              "silence after which another may give orders to a target"),
     file_key("fenced", value_kind::boolean, "yes",
              "whether targets refuse orders under a lower fence"),
-    file_key(kRetryRatio, value_kind::text, "0.2",
-             "share of requests that the fleet may send twice"),
-    file_key(kRetryExtra, value_kind::text, "50",
-             "repeats that the fleet may send beyond that, in a window"),
+    special_key(kRetryRatio, kNumber, "0.2",
+                "share of requests that the fleet may send twice"),
+    special_key(kRetryExtra, kNumber, "50",
+                "repeats that the fleet may send beyond that, in a window"),
     file_key("retry_window", value_kind::span, "10s", "that window"),
     file_key(kKeyBound, value_kind::span, kNone,
              "how long a key may work that operators took away"),
     file_key("quota_window", value_kind::span, "8s",
              "span over which a workspace's limit is judged"),
-    file_key(kQuotaExcess, value_kind::text, "0.25",
-             "part of a limit by which the fleet may pass it"),
-    file_key(kQuotaSlack, value_kind::text, "0",
-             "units by which the fleet may pass a limit beside"),
+    special_key(kQuotaExcess, kNumber, "0.25",
+                "part of a limit by which the fleet may pass it"),
+    special_key(kQuotaSlack, kNumber, "0",
+                "units by which the fleet may pass a limit beside"),
+    special_key(kColdExcess, kNumber, "1",
+                "how much of the rate that it bears a cold target may get"),
+    special_key(kColdSlack, kNumber, "0",
+                "requests a second that a cold target may get beside"),
     file_key("admission", value_kind::boolean, "yes",
              "whether plain targets get only what they can serve in time"),
     file_key("grace", value_kind::span, "8s",
@@ -89,7 +110,7 @@
                          const std::string& text) {
   double value = 0;
   if (!boost::conversion::try_lexical_convert(text, value) || value < 0) {
-    return bad(key, "a number from 0");
+    return bad(key, kNumber);
   }
   into = value;
   return outcome::success();
@@ -99,19 +120,40 @@
   if (text.empty() || text == kNone) return outcome::success();
   std::vector<std::string> seeds;
   boost::algorithm::split(seeds, text, boost::algorithm::is_any_of(","));
-  key_spec address = kSchema[2];
+  const auto address = file_key(kSeeds, value_kind::address, "", "");
   for (const auto& seed : seeds) {
     if (!check_value(address, seed)) {
-      return bad(kSeeds, "IP:port, divided by commas");
+      return bad(kSeeds, kAddresses);
     }
   }
   config.seeds = std::move(seeds);
   return outcome::success();
 }
 
+result<void> read_regions(gateway_config& config, const std::string& text) {
+  if (text.empty() || text == kNone) return outcome::success();
+  std::vector<std::string> pairs;
+  boost::algorithm::split(pairs, text, boost::algorithm::is_any_of(","));
+  for (const auto& pair : pairs) {
+    const auto colon = pair.find(':');
+    const bool is_whole =
+        colon != std::string::npos && colon > 0 && colon + 1 < pair.size();
+    if (!is_whole) return bad(kRegions, kRegionPairs);
+    config.regions[pair.substr(0, colon)] = pair.substr(colon + 1);
+  }
+  return outcome::success();
+}
+
 result<void> set(gateway_config& config, const key_spec& key,
                  const std::string& value) {
   if (key.name == kSeeds) return read_seeds(config, value);
+  if (key.name == kRegions) return read_regions(config, value);
+  if (key.name == kColdExcess) {
+    return read_number(config.cold_excess, key.name, value);
+  }
+  if (key.name == kColdSlack) {
+    return read_number(config.cold_slack, key.name, value);
+  }
   if (key.name == kRetryRatio) {
     return read_number(config.retry_ratio, key.name, value);
   }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -47,6 +47,7 @@
   gateway_options out;
   out.id = from.id;
   out.failure_domain = from.failure_domain;
+  out.regions = from.regions;
   if (const auto own = parse_endpoint(from.peer_address)) {
     if (const auto number = parse_member(own.value().host)) {
       out.self = number.value();
@@ -71,6 +72,8 @@
   out.quota.window = from.quota_window;
   out.quota.excess = from.quota_excess;
   out.quota.slack = from.quota_slack;
+  out.cold.excess = from.cold_excess;
+  out.cold.slack = from.cold_slack;
   return out;
 }
 
--- a/src/process/reference.cc
+++ b/src/process/reference.cc
@@ -7,6 +7,9 @@
 
 #include <fmt/format.h>
 
+#include <span>
+
+#include "seamglade/gateway_config.h"
 #include "seamglade/instance_config.h"
 #include "seamglade/settings.h"
 
@@ -18,6 +21,21 @@
   return text.empty() ? std::string("-") : fmt::format("`{}`", text);
 }
 
+/** Returns the keys of one section of an instance's file. */
+std::string file_table(std::string_view section,
+                       std::span<const key_spec> keys) {
+  auto out = fmt::format(
+      "\n## The instance file, section [{}]\n\n"
+      "| key | accepted | default | meaning |\n"
+      "| --- | --- | --- | --- |\n",
+      section);
+  for (const auto& key : keys) {
+    out += fmt::format("| `{}` | {} | {} | {} |\n", key.name,
+                       accepted_range(key), shown(key.fallback), key.help);
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string settings_reference() {
@@ -34,14 +52,8 @@
         fmt::format("| `{}` | {} | {} | {} | {} |\n", key.name,
                     accepted_range(key), shown(key.fallback), levels, key.help);
   }
-  out +=
-      "\n## The instance file, section [instance]\n\n"
-      "| key | accepted | default | meaning |\n"
-      "| --- | --- | --- | --- |\n";
-  for (const auto& key : instance_schema()) {
-    out += fmt::format("| `{}` | {} | {} | {} |\n", key.name,
-                       accepted_range(key), shown(key.fallback), key.help);
-  }
+  out += file_table("instance", instance_schema());
+  out += file_table("gateway", gateway_schema());
   return out;
 }
 
--- a/src/version/settings_schema.cc
+++ b/src/version/settings_schema.cc
@@ -210,6 +210,7 @@
     case span:
       return fmt::format("{}ms to {}ms, in ms, s, min or h", key.low, key.high);
     case value_kind::text:
+      if (!key.words.empty()) return std::string(key.words);
       return "1 to 64 of A-Z a-z 0-9 . _ -";
     case choice: {
       std::string words(key.words);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -70,6 +70,50 @@
   EXPECT_EQ(headers.size(), 6U);
 }
 
+TEST_F(platform, reads_an_evacuation_and_the_key_that_takes_it_back) {
+  const auto read = d_->read_item({"op/evacuate/gp-a", 7, "{}"});
+  ASSERT_TRUE(read);
+  const auto* word = std::get_if<evacuation>(&read.value());
+  ASSERT_NE(word, nullptr);
+  EXPECT_EQ(word->failure_domain, "gp-a");
+  EXPECT_EQ(d_->evacuated_by_key("op/evacuate/gp-a"), "gp-a");
+  EXPECT_FALSE(d_->evacuated_by_key("op/config"));
+  EXPECT_FALSE(d_->evacuated_by_key("servers/op/evacuate/gp-a"));
+}
+
+TEST_F(platform, reads_how_long_a_target_is_cold_and_what_it_bears) {
+  const auto read = d_->read_item(
+      {"servers/i-1", 7,
+       R"({"svc":"s","addr":"10.0.0.1:80","zone":"gp-a","slots":4,)"
+       R"("state":"ready","cold_left_ms":1250,"seq":4})"});
+  ASSERT_TRUE(read);
+  EXPECT_EQ(std::get<target_entry>(read.value()).cold_left, 1250ms);
+  const auto config =
+      d_->read_item({"op/config", 8,
+                     R"({"cfg_ver":1,"routes":[],"svcs":[{"name":"s",)"
+                     R"("cold_start_s":3.0,"cold_per_s":17.0}]})"});
+  ASSERT_TRUE(config);
+  const auto* service =
+      std::get<configuration>(config.value()).find_service("s");
+  ASSERT_NE(service, nullptr);
+  EXPECT_EQ(service->cold_time, 3s);
+  EXPECT_EQ(service->cold_rate, 17.0);
+}
+
+TEST_F(platform, reads_the_regions_of_routes_and_workspaces) {
+  const auto read = d_->read_item(
+      {"op/config", 8,
+       R"({"cfg_ver":1,"routes":[{"host":"h","prefix":"/a/","type":"stream",)"
+       R"("timeout_ms":1000,"svc":"s","regions_allowed":["north"]}],)"
+       R"("svcs":[{"name":"s"}],"tenants":[{"name":"w","api_keys":["k"],)"
+       R"("regions_allowed":["north","south"]}]})"});
+  ASSERT_TRUE(read);
+  const auto& config = std::get<configuration>(read.value());
+  EXPECT_EQ(config.routes.front().regions, std::vector<std::string>{"north"});
+  EXPECT_EQ(config.workspaces.front().regions,
+            (std::vector<std::string>{"north", "south"}));
+}
+
 /** Headers that a caller may not set, in letters of either case. */
 class reserved_header : public testing::TestWithParam<const char*> {
  protected:
