One question which targets may get a request; failure domains in the fakes

Cause: whether a target may get a request was asked in three places, each by another rule. Ruled out: a filter inside the table of targets: routes and workspaces are not known there. Change: targets_for and may_run_at; evacuated domains and regions that are not allowed drop out. The fakes' targets and instances have domains.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -18,6 +18,8 @@
     made->service = service;
     made->address =
         fmt::format("10.9.{}.{}:80", engine ? 1 : 2, targets_.size() + 1);
+    made->domain =
+        options_.target_domains[index % options_.target_domains.size()];
     made->engine = engine;
     auto& ref = *made;
     targets_[made->id] = std::move(made);
@@ -34,6 +36,8 @@
     auto made = std::make_unique<instance>();
     made->address = static_cast<member_address>(0x0a000001 + i);
     const auto address = made->address;
+    made->domain =
+        options_.instance_domains[i % options_.instance_domains.size()];
     instances_[address] = std::move(made);
     start(address);
   }
@@ -67,6 +71,14 @@
   return out;
 }
 
+std::string gateway_world::domain_of(member_address who) const {
+  return instances_.at(who)->domain;
+}
+
+std::string gateway_world::domain_of(const std::string& target) const {
+  return targets_.at(target)->domain;
+}
+
 std::vector<std::string> gateway_world::engines() const {
   std::vector<std::string> out;
   for (const auto& [id, t] : targets_) {
@@ -80,7 +92,8 @@
   gateway_options options;
   options.id = fmt::format("node-{}", who & 0xff);
   options.self = who;
-  options.failure_domain = who % 2 == 0 ? "east" : "west";
+  options.failure_domain = i.domain;
+  options.regions = options_.regions;
   options.incarnation =
       static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
   options.random_seed = random_();
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -40,6 +40,12 @@
   std::uint32_t plain_slots = 0;
   bool fenced = true;
   std::uint64_t seed = 1;
+  /** Failure domains of the targets, dealt in turn. */
+  std::vector<std::string> target_domains = {"east"};
+  /** Those of the instances, dealt in turn. */
+  std::vector<std::string> instance_domains = {"west", "east"};
+  /** The region of each failure domain; one that is not named is its own. */
+  std::map<std::string, std::string, std::less<>> regions;
   bool admission = true;
   /** None: callers need no keys. */
   std::vector<fake_workspace> workspaces;
@@ -119,6 +125,9 @@
   gateway::gateway_status status(gateway::member_address who);
 
   std::vector<std::string> engines() const;
+  /** Returns the failure domain of an instance or a target. */
+  std::string domain_of(gateway::member_address who) const;
+  std::string domain_of(const std::string& target) const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -25,6 +25,7 @@
 
 struct gateway_world::instance {
   member_address address = 0;
+  std::string domain;
   std::unique_ptr<gateway_core> core;
   std::uint64_t life = 0;
   bool cut = false;
@@ -42,6 +43,7 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string domain;
   bool engine = false;
   bool listed = true;
   bool draining = false;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -123,9 +123,9 @@
   const bool is_bounded = !which.engine && options_.plain_slots > 0;
   const auto slots = is_bounded ? options_.plain_slots : 64U;
   return fmt::format(
-      R"({{"svc":"{}","addr":"{}","zone":"east","slots":{},"state":"{}",)"
+      R"({{"svc":"{}","addr":"{}","zone":"{}","slots":{},"state":"{}",)"
       R"("models":{}}})",
-      which.service, which.address, slots,
+      which.service, which.address, which.domain, slots,
       which.draining ? "draining" : "ready", models);
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -40,7 +40,8 @@
       platform_(platform),
       random_(options_.random_seed + 1),
       accounts_(options_.self, options_.quota),
-      roster_(roster_options_of(options_)) {}
+      roster_(roster_options_of(options_)),
+      regions_(options_.regions) {}
 
 std::vector<any_action> gateway_core::impl::handle(time_point now,
                                                    any_event event) {
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -35,7 +35,7 @@
     // No word: as if there were no admitter.
     x.admission.answer_until.reset();
     if (auto* target = targets_.find(x.admission.target)) {
-      if (!target->has_left(now_)) return dispatch(x, *target);
+      if (may_run_at(x, *target)) return dispatch(x, *target);
     }
   }
   auto* target = next_to_ask(x, targets);
@@ -149,7 +149,7 @@
   const bool is_awaited = x != exchanges_.end() && target != nullptr &&
                           x->second.admission.answer_until &&
                           x->second.admission.request == message.request &&
-                          !target->has_left(now_);
+                          may_run_at(x->second, *target);
   if (is_awaited) {
     take_admission(x->second, *target, message);
   } else if (message.is_granted) {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -13,7 +13,9 @@
 
 #include "process/admission_ledger.h"
 #include "process/engine_choice.h"
+#include "process/failure_domains.h"
 #include "process/quota_accounts.h"
+#include "process/region_map.h"
 #include "process/retry_budget.h"
 #include "process/roster.h"
 #include "process/target_keeper.h"
@@ -216,6 +218,14 @@
   duration load_time() const;
   void learn_load_time(duration told);
 
+  // gateway_domains.cc
+  /** Returns whether its route and its workspace may be served there. */
+  bool is_in_allowed_region(const exchange& x,
+                            const target_state& target) const;
+  bool may_run_at(const exchange& x, const target_state& target) const;
+  /** Returns the targets that may get a request now. */
+  std::vector<target_state*> targets_for(const exchange& x);
+
   // gateway_placement.cc
   void place(exchange& x);
   /** For requests that name no model. */
@@ -407,6 +417,10 @@
   time_point orders_suspended_until_{};
   bool was_isolated_ = true;
 
+  // Where requests may go.
+  failure_domains domains_;
+  region_map regions_;
+
   // Requests.
   target_table targets_;
   std::map<caller_id, exchange> exchanges_;
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -50,7 +50,7 @@
 void gateway_core::impl::place(exchange& x) {
   const auto& answer_until = x.admission.answer_until;
   if (answer_until && now_ < *answer_until) return;
-  const auto targets = targets_.usable(now_, x.service->name);
+  const auto targets = targets_for(x);
   if (targets.empty()) {
     wait_for(x, nullptr, "no_target");
     return;
