--- a/fakes/world_impl.h
+++ b/fakes/world_impl.h
@@ -10,6 +10,14 @@
 
 namespace seamglade::fakes {
 
+/** Of a message between instances, and of an answer of the service. */
+inline constexpr duration kLatency = 1ms;
+
+/** Returns a number from 0 up to but not including 1. */
+inline double draw(std::mt19937_64& random) {
+  return static_cast<double>(random() >> 11) / 9007199254740992.0;
+}
+
 /** The wall clock of a fleet whose clocks all agree. */
 inline std::int64_t wall_ms(time_point now) {
   constexpr std::int64_t kEpochMs = 1'790'000'000'000;
--- a/src/process/target_owner.h
+++ b/src/process/target_owner.h
@@ -20,6 +20,9 @@
   bool cancelled = false;
 };
 
+/** A request that was not run is worth another try after this at least. */
+inline constexpr duration kLeastRetryAfter = 1s;
+
 /**
  * One target, as seen by the instance that owns it or may come to own it.
  *
