Late word of the store brings back nothing; failures weighed among what may serve

Cause: an item that was deleted, and whose deletion a whole copy had left out, came back with a datagram or a copy that was long under way, and stayed for good. And where a domain is closed, its healthy targets outvoted the failing ones elsewhere, so that these were not tried though nothing else was left. Ruled out: remembering deletions for longer: a whole copy has none. Change: store_mirror passes over an item that it lacks though its copy is complete beyond it and the deletions so far are forgotten. target_table::usable takes a check, made before failures are weighed.

--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -133,11 +133,13 @@
 }
 
 std::vector<target_state*> target_table::usable(time_point now,
-                                                std::string_view service) {
+                                                std::string_view service,
+                                                const target_check& passes) {
   std::vector<target_state*> good;
   std::vector<target_state*> ejected;
   for (auto& [id, state] : targets_) {
     if (state.entry.service != service || state.has_left(now)) continue;
+    if (passes && !passes(state)) continue;
     if (state.is_ejected(now)) {
       ejected.push_back(&state);
     } else {
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_TARGET_TABLE_H_
 #define SEAMGLADE_SRC_PROCESS_TARGET_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -88,8 +89,13 @@
 
   target_state* find(const target_id& id);
   target_state* find(target_hash hash);
-  /** Returns the targets that may get new work, in order of their ids. */
-  std::vector<target_state*> usable(time_point now, std::string_view service);
+  using target_check = std::function<bool(const target_state&)>;
+  /**
+   * Returns the targets that may get new work, in order of their ids, of those
+   * that pass a check.
+   */
+  std::vector<target_state*> usable(time_point now, std::string_view service,
+                                    const target_check& passes = {});
   /** Returns all that have not left. */
   std::vector<target_state*> staying(time_point now);
 
--- a/src/version/store_mirror.cc
+++ b/src/version/store_mirror.cc
@@ -24,9 +24,16 @@
   return item.value.has_value() || was_known;
 }
 
+bool store_mirror::has_gone(const store_item& item) const {
+  const auto complete = std::min(revision_, forgotten_);
+  return item.revision <= complete && !items_.contains(item.key);
+}
+
 std::vector<store_item> store_mirror::apply(const store_changes& changes) {
   std::vector<store_item> news;
+  const bool is_newest = changes.whole && changes.revision >= revision_;
   for (const auto& item : changes.items) {
+    if (!is_newest && has_gone(item)) continue;
     if (take(item)) news.push_back(item);
   }
   if (changes.whole) {
--- a/src/version/store_mirror.h
+++ b/src/version/store_mirror.h
@@ -53,6 +53,11 @@
     std::uint64_t told_before = 0;
   };
 
+  /**
+   * Word that was long under way: an item that this copy lacks, though it is
+   * complete so far, has been deleted, and the deletion is not remembered.
+   */
+  bool has_gone(const store_item& item) const;
   bool take(const store_item& item);
   void forget_old_deletions();
 
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -82,6 +82,16 @@
   EXPECT_EQ(mirror.size(), 2U);
 }
 
+TEST(store_mirror, late_word_brings_back_nothing_that_a_whole_copy_lacks) {
+  store_mirror mirror;
+  mirror.apply({20, true, {{"a", 3, "1"}}});
+  EXPECT_TRUE(mirror.apply({0, false, {{"b", 11, "1"}}}).empty());
+  const store_changes late = {12, true, {{"a", 3, "1"}, {"b", 11, "1"}}};
+  EXPECT_TRUE(mirror.apply(late).empty());
+  EXPECT_EQ(mirror.apply({0, false, {{"b", 21, "1"}}}).size(), 1U);
+  EXPECT_EQ(mirror.size(), 2U);
+}
+
 TEST(store_mirror, tells_a_peer_what_it_lacks_deletions_too) {
   store_mirror source;
   source.apply({5, false, {item("a", 3), item("b", 5)}});
@@ -209,6 +219,21 @@
   EXPECT_EQ(table.usable(kStart + 10s, "s").size(), 3U);
 }
 
+TEST(target_table, failures_are_weighed_among_those_that_pass) {
+  target_table table;
+  for (const auto* id : {"a", "b", "c"}) {
+    target_entry entry;
+    entry.id = id;
+    entry.service = "s";
+    table.list(kStart, entry);
+  }
+  table.failed(kStart, *table.find("a"), true);
+  const auto only_a = [](const target_state& t) { return t.entry.id == "a"; };
+  const auto passed = table.usable(kStart, "s", only_a);
+  ASSERT_EQ(passed.size(), 1U);
+  EXPECT_EQ(passed.front()->entry.id, "a");
+}
+
 TEST(target_table, with_most_targets_out_all_are_used) {
   target_table table;
   for (const auto* id : {"a", "b", "c"}) {
