Evacuated failure domains get nothing

Cause: the operators' item for a failure domain was read by the dialect and by nothing else: requests, orders and reports went on to the targets there. Ruled out: each first-hand reader telling all (in a large fleet each instance reads what operators write by itself: the square of the fleet in messages); a new fence after the take-back (each holder's claim would go to all twice, and no order of a resting holder can be under way); dropping holders meanwhile. Change: gateway_domains.cc takes the item and its deletion; both are news that those tell all who watch the whole store, also after a range read anew. Targets there get no request, order or question; what is known of them is read anew before the next order. A request whose service has targets in evacuated domains or forbidden regions alone is refused at once, with 502 if it may have run. The mean of work that copies are measured by leaves those targets out. In the fakes: evacuate, take_back, a violation for whatever reaches an evacuated target too late; domain_of compiles.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -75,8 +75,8 @@
   return instances_.at(who)->domain;
 }
 
-std::string gateway_world::domain_of(const std::string& target) const {
-  return targets_.at(target)->domain;
+std::string gateway_world::domain_of(const std::string& id) const {
+  return targets_.at(id)->domain;
 }
 
 std::vector<std::string> gateway_world::engines() const {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -47,6 +47,8 @@
   /** The region of each failure domain; one that is not named is its own. */
   std::map<std::string, std::string, std::less<>> regions;
   bool admission = true;
+  /** After this, instances in touch send an evacuated domain nothing. */
+  duration evacuation_bound = 1s;
   /** None: callers need no keys. */
   std::vector<fake_workspace> workspaces;
   /** How long a key may run that was taken away. */
@@ -127,7 +129,7 @@
   std::vector<std::string> engines() const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
-  std::string domain_of(const std::string& target) const;
+  std::string domain_of(const std::string& id) const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
@@ -144,11 +146,18 @@
   void set_limit(const std::string& workspace, double rate, double burst);
   /** Returns the tokens of a workspace that ran in the last `span`. */
   double spent(const std::string& workspace, duration span) const;
+  /** The operators' word that a domain's targets are to get nothing. */
+  void evacuate(const std::string& domain);
+  void take_back(const std::string& domain);
   void publish_version(const std::string& adapter, std::uint32_t version);
   /** Lets the store forget its history: the next watch is told so. */
   void forget_history();
   /** Returns how many requests began at a target. */
   std::size_t runs_at(const std::string& id) const;
+  /** Returns how many orders and questions reached a target. */
+  std::size_t orders_at(const std::string& id) const;
+  /** Returns the failure domains where a request ran. */
+  std::set<std::string> domains_of_runs(const std::string& request) const;
   /** Returns how often a request was run. */
   std::size_t runs_of(const std::string& request) const;
   /** Returns how many requests plain targets rejected since they were full. */
@@ -197,6 +206,9 @@
   std::string workspaces_text() const;
   /** Judges a run by its caller's key, and what the target was told of it. */
   void judge_key(const gateway::action::call_target& call);
+  /** Judges what reaches a target by its domain's evacuation. */
+  void judge_evacuation(const instance& from, const target& at,
+                        std::string_view what);
   /** Returns when a plain target would be done; none: it is full. */
   std::optional<duration> plain_work(target& at);
   void judge_quota(const std::string& workspace, const gateway_call& call);
@@ -258,6 +270,9 @@
   std::map<std::string, std::pair<double, double>> limits_;
   std::map<std::string, gateway_call*> calls_by_id_;
   std::map<std::string, std::size_t> runs_;
+  std::map<std::string, std::set<std::string>> run_domains_;
+  /** Since when a failure domain has been evacuated. */
+  std::map<std::string, time_point> evacuated_;
   std::map<caller_id, gateway_call*> open_calls_;
   std::vector<std::unique_ptr<gateway_call>> calls_;
   caller_id next_caller_ = 1;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -63,6 +63,7 @@
   bool last_in_touch = false;
   std::size_t holder_changes = 0;
   std::size_t runs = 0;
+  std::size_t orders = 0;
   /** When each request at a plain target is done. */
   std::vector<time_point> ends;
   /** Reports are as old as the first of these. */
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -218,6 +218,16 @@
                   adapter, version));
 }
 
+void gateway_world::evacuate(const std::string& domain) {
+  evacuated_[domain] = now_;
+  put("op/evacuate/" + domain, "{}");
+}
+
+void gateway_world::take_back(const std::string& domain) {
+  evacuated_.erase(domain);
+  put("op/evacuate/" + domain, std::nullopt);
+}
+
 void gateway_world::forget_history() {
   history_from_ = ++revision_;
   wake_watchers();
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -89,6 +89,8 @@
   }
   ++at.runs;
   ++runs_[call.request_id];
+  run_domains_[call.request_id].insert(at.domain);
+  judge_evacuation(from, at, "a request");
   judge_key(call);
   const auto life = from.life;
   const auto who = from.address;
@@ -121,6 +123,18 @@
          *work);
 }
 
+void gateway_world::judge_evacuation(const instance& from, const target& at,
+                                     std::string_view what) {
+  const auto since = evacuated_.find(at.domain);
+  if (since == evacuated_.end()) return;
+  // One that is cut off cannot know.
+  const bool is_cut_off = from.cut || from.side != 0;
+  const auto late = now_ - since->second;
+  if (is_cut_off || late <= options_.evacuation_bound) return;
+  violation(fmt::format("{} reached {} of an evacuated domain after {} ms",
+                        what, at.id, late / 1ms));
+}
+
 std::optional<duration> gateway_world::plain_work(target& at) {
   const auto slots = options_.plain_slots;
   if (slots == 0) return kPlainWork;
@@ -249,8 +263,10 @@
   at.last_in_touch = in_touch;
 }
 
-engine_order_status gateway_world::take_order(instance&, target& at,
+engine_order_status gateway_world::take_order(instance& from, target& at,
                                               const engine_order& order) {
+  ++at.orders;
+  judge_evacuation(from, at, "an order");
   if (options_.fenced && order.fence < at.highest_fence) {
     return engine_order_status::fenced;
   }
@@ -316,6 +332,8 @@
     auto* t = by_address(ask.address);
     event::report_answer answer{ask.call, std::nullopt};
     if (t != nullptr) {
+      ++t->orders;
+      judge_evacuation(*instances_.at(who), *t, "a question");
       // The state of a while ago: the newest entry that is old enough.
       engine_report old =
           t->history.empty() ? t->report() : t->history.front().second;
@@ -388,6 +406,16 @@
   return targets_.at(id)->runs;
 }
 
+std::size_t gateway_world::orders_at(const std::string& id) const {
+  return targets_.at(id)->orders;
+}
+
+std::set<std::string> gateway_world::domains_of_runs(
+    const std::string& request) const {
+  const auto found = run_domains_.find(request);
+  return found == run_domains_.end() ? std::set<std::string>() : found->second;
+}
+
 std::size_t gateway_world::runs_of(const std::string& request) const {
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -259,6 +259,12 @@
   duration key_age{};
   /** Workspaces that this instance accounts for. */
   std::size_t accounts = 0;
+  /** Failure domains that operators evacuated. */
+  std::size_t evacuated_domains = 0;
+  /** Requests refused since all targets of their service are evacuated. */
+  std::uint64_t all_evacuated = 0;
+  /** Requests refused since no target is in a region where they may run. */
+  std::uint64_t no_allowed_region = 0;
 };
 
 /** All decisions of one instance of the direct path. */
--- a/src/process/failure_domains.cc
+++ b/src/process/failure_domains.cc
@@ -66,4 +66,10 @@
   return found != domains_.end() && found->second.is_evacuated;
 }
 
+std::size_t failure_domains::evacuated() const {
+  return static_cast<std::size_t>(
+      std::count_if(domains_.begin(), domains_.end(),
+                    [](const auto& pair) { return pair.second.is_evacuated; }));
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/failure_domains.h
+++ b/src/process/failure_domains.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_FAILURE_DOMAINS_H_
 #define SEAMGLADE_SRC_PROCESS_FAILURE_DOMAINS_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -47,6 +48,7 @@
 
   domain_state state(time_point now, std::string_view domain) const;
   bool is_evacuated(std::string_view domain) const;
+  std::size_t evacuated() const;
 
  private:
   struct record {
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -136,6 +136,7 @@
   }
   if (!may_give_orders()) return next;
   for (const auto& [id, keeper] : keepers_) {
+    if (resting_.contains(id)) continue;
     next = std::min(next, std::max(keeper->next_wakeup(), now_ + kLeastPause));
   }
   return next;
@@ -164,6 +165,7 @@
   }
   out.key_age = key_age();
   out.accounts = accounts_.size();
+  out.evacuated_domains = domains_.evacuated();
   for (const auto& [id, keeper] : keepers_) {
     out.loads += keeper->loads();
     out.unloads += keeper->unloads();
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -1,7 +1,9 @@
 // seamglade - the direct path: which targets may get a request at all
 //
 // Each reason answers for itself; the choice among those that are left, and
-// what it costs, is gateway_placement.cc.
+// what it costs, is gateway_placement.cc. Operators evacuate a failure domain
+// by an item of the store: until that goes, its targets get no request, no
+// order and no question. Their holders keep them.
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -9,8 +11,74 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/status_codes.h"
 
 namespace seamglade::gateway {
+namespace {
+
+/** Operators alone know when it ends: callers are not to come at once. */
+constexpr duration kComeBackLater = 1s;
+constexpr std::string_view kAllEvacuated = "domains_evacuated";
+constexpr std::string_view kNoRegion = "no_allowed_region";
+
+}  // namespace
+
+bool gateway_core::impl::evacuate(const evacuation& word,
+                                  std::uint64_t revision) {
+  if (!domains_.evacuate(word.failure_domain)) return false;
+  for (const auto& [id, keeper] : keepers_) {
+    const auto* target = targets_.find(id);
+    const bool is_there = target != nullptr &&
+                          target->entry.failure_domain == word.failure_domain;
+    if (is_there) resting_.insert(id);
+  }
+  log("domain_evacuated",
+      {{"domain", word.failure_domain},
+       {"revision", static_cast<std::int64_t>(revision)},
+       {"copy_age_ms", to_ms(copy_age())}},
+      true);
+  return true;
+}
+
+bool gateway_core::impl::take_back(std::string_view domain,
+                                   std::uint64_t revision) {
+  const auto returning_for = longest_cold_time();
+  if (!domains_.take_back(now_, domain, returning_for)) return false;
+  log("domain_taken_back",
+      {{"domain", std::string(domain)},
+       {"revision", static_cast<std::int64_t>(revision)},
+       {"copy_age_ms", to_ms(copy_age())},
+       {"returning_ms", to_ms(returning_for)}},
+      true);
+  return true;
+}
+
+duration gateway_core::impl::longest_cold_time() const {
+  duration longest{};
+  if (!config_) return longest;
+  for (const auto& [name, service] : config_->services) {
+    longest = std::max(longest, service.cold_time);
+  }
+  return longest;
+}
+
+bool gateway_core::impl::is_at_rest(target_keeper& keeper) {
+  const auto& id = keeper.id();
+  const auto* target = targets_.find(id);
+  if (target != nullptr &&
+      domains_.is_evacuated(target->entry.failure_domain)) {
+    resting_.insert(id);
+    return true;
+  }
+  const auto found = resting_.find(id);
+  if (found == resting_.end()) return false;
+  // The last order before the evacuation may still be taken until it is
+  // answered; a target may have lost everything since.
+  if (!keeper.is_idle()) return true;
+  resting_.erase(found);
+  keeper.read_anew(now_);
+  return false;
+}
 
 bool gateway_core::impl::is_in_allowed_region(
     const exchange& x, const target_state& target) const {
@@ -27,10 +95,38 @@
 }
 
 std::vector<target_state*> gateway_core::impl::targets_for(const exchange& x) {
-  auto out = targets_.usable(now_, x.service->name);
-  std::erase_if(
-      out, [&](const target_state* target) { return !may_run_at(x, *target); });
-  return out;
+  // Checked before failures are weighed: the few that may serve it are not to
+  // be passed over because of others that may not.
+  return targets_.usable(
+      now_, x.service->name,
+      [&](const target_state& target) { return may_run_at(x, target); });
+}
+
+std::optional<std::string_view> gateway_core::impl::why_unservable(
+    const exchange& x) {
+  bool has_target = false;
+  bool is_allowed = false;
+  for (const auto* target : targets_.staying(now_)) {
+    if (target->entry.service != x.service->name) continue;
+    if (may_run_at(x, *target)) return std::nullopt;
+    has_target = true;
+    is_allowed = is_allowed || is_in_allowed_region(x, *target);
+  }
+  if (!has_target) return std::nullopt;
+  return is_allowed ? kAllEvacuated : kNoRegion;
+}
+
+bool gateway_core::impl::refuse_unservable(exchange& x) {
+  const auto reason = why_unservable(x);
+  if (!reason || x.head_sent) return false;
+  ++(*reason == kNoRegion ? counts_.no_allowed_region : counts_.all_evacuated);
+  if (x.runs > 0) {
+    // It may have run where it was first sent: nothing is promised.
+    refuse(x, kBadGateway, {}, *reason);
+  } else {
+    refuse(x, kUnavailable, kComeBackLater, *reason);
+  }
+  return true;
 }
 
 }  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -219,6 +219,18 @@
   void learn_load_time(duration told);
 
   // gateway_domains.cc
+  /** Returns whether it is news. */
+  bool evacuate(const evacuation& word, std::uint64_t revision);
+  bool take_back(std::string_view domain, std::uint64_t revision);
+  /** Returns the longest time for which a service's targets are cold. */
+  duration longest_cold_time() const;
+  /** Returns whether a target is to get neither orders nor reports now. */
+  bool is_at_rest(target_keeper& keeper);
+  /** Refuses a request that nothing there is may serve; false: something may.
+   */
+  bool refuse_unservable(exchange& x);
+  /** Returns why none of the targets there are may serve it; none: one may. */
+  std::optional<std::string_view> why_unservable(const exchange& x);
   /** Returns whether its route and its workspace may be served there. */
   bool is_in_allowed_region(const exchange& x,
                             const target_state& target) const;
@@ -420,6 +432,8 @@
   // Where requests may go.
   failure_domains domains_;
   region_map regions_;
+  /** Targets held here that were evacuated and have not been read since. */
+  std::set<target_id> resting_;
 
   // Requests.
   target_table targets_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -70,6 +70,12 @@
   counter("seamglade_overloaded_total",
           "Refused since no plain target would have been in time",
           status.overloaded);
+  counter("seamglade_all_evacuated_total",
+          "Refused since all targets of the service are evacuated",
+          status.all_evacuated);
+  counter("seamglade_no_allowed_region_total",
+          "Refused since no target is in a region that is allowed",
+          status.no_allowed_region);
   counter("seamglade_connections_opened_total", "Connections opened",
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
@@ -84,6 +90,8 @@
         static_cast<double>(status.configuration));
   gauge("seamglade_store_revision", "Revision of the copy of the store",
         static_cast<double>(status.store_revision));
+  gauge("seamglade_evacuated_domains", "Failure domains that get nothing",
+        static_cast<double>(status.evacuated_domains));
   gauge("seamglade_key_age_seconds", "Age of the word on keys in force",
         static_cast<double>(status.key_age.count()) / 1e6);
   gauge("seamglade_quota_accounts", "Workspaces that this instance accounts",
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -221,6 +221,7 @@
   // `target` may be the key itself: it lives as long as the extracted node.
   const auto node = keepers_.extract(found);
   orders_from_.erase(target);
+  resting_.erase(target);
   sent_editions_.erase(target);
   announce(hash);
 }
@@ -230,6 +231,7 @@
   if (!may_give_orders()) return;
   for (auto& [id, keeper] : keepers_) {
     keeper->expire_interest(now_);
+    if (is_at_rest(*keeper)) continue;
     run_keeper(*keeper, now_ >= orders_from_[id]);
   }
 }
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -52,6 +52,7 @@
   if (answer_until && now_ < *answer_until) return;
   const auto targets = targets_for(x);
   if (targets.empty()) {
+    if (refuse_unservable(x)) return;
     wait_for(x, nullptr, "no_target");
     return;
   }
@@ -291,7 +292,7 @@
 }
 
 double gateway_core::impl::mean_running(const exchange& x) {
-  const auto targets = targets_.usable(now_, x.service->name);
+  const auto targets = targets_for(x);
   std::uint32_t total = 0;
   for (const auto* target : targets) total += target->work(now_).running;
   return static_cast<double>(total) /
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -43,6 +43,8 @@
 constexpr std::size_t kLapsePart = 4;
 constexpr duration kFetchPause = 40ms;
 constexpr duration kFetchAgain = 300ms;
+/** Who has read the whole store within this time tells others of its news. */
+constexpr duration kTellerContact = 2s;
 constexpr std::string_view kFromStore = "store";
 
 /**
@@ -273,6 +275,7 @@
 
 void gateway_core::impl::apply(const store_changes& changes,
                                std::string_view source) {
+  const bool had_copy = mirror_.revision() > 0;
   const auto news = mirror_.apply(changes);
   if (news.empty()) return;
   std::vector<store_item> urgent;
@@ -280,8 +283,18 @@
   for (const auto& item : news) {
     if (take_item(item, lapsed, source)) urgent.push_back(item);
   }
-  const bool first_hand = source == kFromStore && !changes.whole;
-  if (first_hand && !urgent.empty()) spread_news(urgent);
+  // What operators write reaches most at the same moment: of these the few
+  // tell it that watch the whole store.
+  const bool first_hand = source == kFromStore && store_age() < kTellerContact;
+  const bool is_first_copy = changes.whole && !had_copy;
+  if (first_hand && !is_first_copy && !urgent.empty()) {
+    // A message holds few items: what concerns a whole domain goes first.
+    std::stable_partition(urgent.begin(), urgent.end(),
+                          [this](const auto& item) {
+                            return !platform_.target_of_key(item.key);
+                          });
+    spread_news(urgent);
+  }
   log("store_changes",
       {{"source", std::string(source)},
        {"items", static_cast<std::int64_t>(news.size())},
@@ -327,11 +340,16 @@
     version = std::max(version, named->version);
     log("adapter_version", {{"adapter", named->name.str()},
                             {"version", static_cast<std::int64_t>(version)}});
+  } else if (const auto* word = std::get_if<evacuation>(&read.value())) {
+    return evacuate(*word, item.revision);
   }
   return false;
 }
 
 bool gateway_core::impl::take_deletion(const store_item& item, bool lapsed) {
+  if (const auto domain = platform_.evacuated_by_key(item.key)) {
+    return take_back(*domain, item.revision);
+  }
   const auto id = platform_.target_of_key(item.key);
   if (!id) return false;
   targets_.unlist(now_, *id, lapsed);
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -77,6 +77,10 @@
 
 void target_keeper::renew_fence(time_point now, std::uint64_t fence) {
   fence_ = fence;
+  read_anew(now);
+}
+
+void target_keeper::read_anew(time_point now) {
   known_ = false;
   fence_in_force_.reset();
   unconfirmed_.reset();
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -63,6 +63,10 @@
    * was not answered can then no longer be taken.
    */
   void renew_fence(time_point now, std::uint64_t fence);
+  /** Gives no order before the target has told anew what it holds. */
+  void read_anew(time_point now);
+  /** Returns whether no call to the target is under way. */
+  bool is_idle() const { return under_way_.what == keeper_step::kind::none; }
   void set_profile(engine_profile profile) { profile_ = std::move(profile); }
 
   /** Takes the whole interest of one instance, which replaces its last. */
--- a/test/target_keeper-test.cc
+++ b/test/target_keeper-test.cc
@@ -367,6 +367,27 @@
   return begun;
 }
 
+TEST(target_keeper, reads_anew_before_it_gives_orders_again) {
+  confirmed_keeper c(2, {"a", "b"});
+  c.now += 10s;
+  c.keeper.read_anew(c.now);
+  EXPECT_FALSE(c.keeper.is_known());
+  c.keeper.set_interest(c.now, 1, {wants("a")});
+  EXPECT_EQ(c.keeper.next_step(c.now, true).what, keeper_step::kind::report);
+  EXPECT_FALSE(c.keeper.is_idle());
+  // It has lost what it held.
+  c.keeper.report_read(c.now, c.now, report(1, {}));
+  EXPECT_TRUE(c.keeper.is_idle());
+  EXPECT_EQ(c.keeper.next_step(c.now, true).what, keeper_step::kind::none);
+  c.now += 500ms;
+  EXPECT_EQ(c.keeper.next_step(c.now, true).what, keeper_step::kind::report);
+  c.keeper.report_read(c.now, c.now, report(1, {}));
+  c.keeper.set_interest(c.now, 1, {wants("a")});
+  const auto step = c.keeper.next_step(c.now, true);
+  EXPECT_EQ(step.what, keeper_step::kind::order);
+  EXPECT_EQ(step.order, engine_order_kind::load);
+}
+
 TEST(target_keeper, has_fewer_loads_under_way_where_they_are_slow) {
   confirmed_keeper quick(40);
   EXPECT_EQ(loads_side_by_side(quick), 4U);
