The loss of a failure domain as one event

Cause: each instance found each dead target of a lost domain by itself, by a request that hung until its caller left, and counted on holders, admitters and accountants there until membership called them gone.

Ruled out: probing each target's health (priced, takes a slot); believing the word of others; new waits of claims.

Change: domain_watch weighs silent targets and members together, probes members there and elsewhere before it counts and drops all with any sign of life; doubt_table is one table of members that owe an answer. Choices pass over what is suspect or doubtful, calls that hang there and may be repeated are made elsewhere. The base did not build in debug (a parameter shadowed a member in gateway_world.cc): renamed.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -75,8 +75,8 @@
   return instances_.at(who)->domain;
 }
 
-std::string gateway_world::domain_of(const std::string& target) const {
-  return targets_.at(target)->domain;
+std::string gateway_world::domain_of(const std::string& id) const {
+  return targets_.at(id)->domain;
 }
 
 std::vector<std::string> gateway_world::engines() const {
@@ -257,6 +257,10 @@
     const auto who = from.address;
     const auto peer = datagram->to;
     if (!instances_.contains(peer) || !reachable(who, peer)) return;
+    const bool is_lost =
+        lost_datagrams_ > 0 &&
+        std::uniform_real_distribution<>(0, 1)(random_) < lost_datagrams_;
+    if (is_lost) return;
     // Encoded and decoded, as on the wire.
     const auto bytes = encode_peer_message(datagram->message);
     later(datagram_delay_, [this, who, peer, bytes] {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -113,6 +113,16 @@
   void split(const std::vector<gateway::member_address>& side);
   /** From now on a datagram is so long under way. */
   void slow_datagrams(duration delay) { datagram_delay_ = delay; }
+  /** From now on this share of datagrams is lost. */
+  void lose_datagrams(double share) { lost_datagrams_ = share; }
+  /**
+   * A failure domain loses power: its instances die, its targets answer nothing
+   * and connections to them hang; or all of it is back.
+   */
+  void lose_domain(const std::string& domain);
+  void restore_domain(const std::string& domain);
+  /** From now on a target's answers come so much later. */
+  void slow_target(const std::string& id, duration more);
   /** From now on an answer of the store is so long under way. */
   void slow_store(duration delay) { store_delay_ = delay; }
   /** Instances get no copies of the store from each other, or do again. */
@@ -127,7 +137,7 @@
   std::vector<std::string> engines() const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
-  std::string domain_of(const std::string& target) const;
+  std::string domain_of(const std::string& id) const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
@@ -182,9 +192,9 @@
   void serve_call(instance& from, const gateway::action::call_target& call);
   void run_request(instance& from, target& at,
                    const gateway::action::call_target& call);
-  void answer(gateway::member_address to, std::uint64_t life, call_id call,
-              int status, std::vector<http_header> headers, std::string body,
-              duration after);
+  void answer(target& at, gateway::member_address to, std::uint64_t life,
+              call_id call, int status, std::vector<http_header> headers,
+              std::string body, duration after);
   void serve_order(instance& from, const gateway::action::send_order& order);
   gateway::engine_order_status take_order(instance& from, target& at,
                                           const gateway::engine_order& order);
@@ -238,6 +248,7 @@
   std::vector<watcher> watchers_;
   bool store_silent_ = false;
   duration datagram_delay_ = 1ms;
+  double lost_datagrams_ = 0;
   bool copies_blocked_ = false;
   duration store_delay_ = 4ms;
   std::mt19937_64 random_;
--- /dev/null
+++ b/fakes/gateway_world_faults.cc
@@ -0,0 +1,82 @@
+// seamglade - the direct path's world: what targets and domains suffer
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "gateway_world_impl.h"
+
+namespace seamglade::fakes {
+
+void gateway_world::restart_engine(const std::string& id) {
+  auto node = targets_.extract(id);
+  auto& old = *node.mapped();
+  put("servers/" + id, std::nullopt);
+  old.id = id + "'";
+  old.adapters.clear();
+  old.pending.clear();
+  old.running.clear();
+  old.has_model = false;
+  old.busy = false;
+  old.sequence = 0;
+  old.highest_fence = 0;
+  old.last_holder.clear();
+  old.fence_holders.clear();
+  old.history.clear();
+  node.key() = old.id;
+  auto* t = &old;
+  targets_.insert(std::move(node));
+  publish_target(*t);
+}
+
+void gateway_world::drain_target(const std::string& id) {
+  auto& t = *targets_.at(id);
+  t.draining = true;
+  t.leaves_after = now_ + 2s;
+  publish_target(t);
+}
+
+void gateway_world::lapse_target(const std::string& id) {
+  auto& t = *targets_.at(id);
+  t.listed = false;
+  put("servers/" + id, std::nullopt);
+}
+
+void gateway_world::relist_target(const std::string& id) {
+  auto& t = *targets_.at(id);
+  t.listed = true;
+  publish_target(t);
+}
+
+void gateway_world::break_target(const std::string& id, bool broken) {
+  targets_.at(id)->broken = broken;
+}
+
+void gateway_world::lose_answers(const std::string& id, double share) {
+  targets_.at(id)->lost_answers = share;
+}
+
+void gateway_world::lose_domain(const std::string& domain) {
+  for (auto& [address, i] : instances_) {
+    if (i->domain == domain && i->core) kill(address);
+  }
+  for (auto& [id, t] : targets_) {
+    if (t->domain != domain) continue;
+    t->dark = true;
+    ++t->blackouts;
+  }
+}
+
+void gateway_world::restore_domain(const std::string& domain) {
+  for (auto& [id, t] : targets_) {
+    if (t->domain == domain) t->dark = false;
+  }
+  for (auto& [address, i] : instances_) {
+    if (i->domain == domain && !i->core) start(address);
+  }
+}
+
+void gateway_world::slow_target(const std::string& id, duration more) {
+  targets_.at(id)->slower = more;
+}
+
+}  // namespace seamglade::fakes
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -50,6 +50,10 @@
   time_point leaves_after;
   bool broken = false;
   double lost_answers = 0;
+  /** Without power; how often it was: answers under way are lost then. */
+  bool dark = false;
+  std::size_t blackouts = 0;
+  duration slower{};
   bool has_model = true;
   bool busy = false;
   std::map<std::string, std::uint32_t> adapters;
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -16,6 +16,8 @@
 /** Requests that a plain target takes for each slot. */
 constexpr std::size_t kQueuedPart = 4;
 constexpr duration kLease = 3s;
+/** An order or a question that hangs is given up after this. */
+constexpr duration kCallPatience = 1s;
 /** Holders are judged when they have been undisturbed this long. */
 constexpr duration kContact = 3s;
 constexpr std::size_t kParallelLoads = 4;
@@ -50,6 +52,7 @@
       post(i, event::answer_end{call.call, event::answer_end::how::not_sent});
       return;
     }
+    if (t->dark) return;
     run_request(i, *t, call);
   });
 }
@@ -57,7 +60,7 @@
 void gateway_world::run_request(instance& from, target& at,
                                 const action::call_target& call) {
   const auto refuse = [&](int status) {
-    answer(from.address, from.life, call.call, status,
+    answer(at, from.address, from.life, call.call, status,
            {{"X-Request-Id", call.request_id}, {"X-Not-Executed", "1"}}, "",
            kLinkDelay);
   };
@@ -97,7 +100,7 @@
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
   if (at.broken) {
-    answer(who, life, call.call, 500,
+    answer(at, who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
            "failed", *work);
     return;
@@ -116,9 +119,9 @@
       at.engine ? fmt::format("id: 1\ndata: {0}\n\nid: 2\ndata: end {0}\n\n",
                               call.request_id)
                 : "answer to " + call.request_id;
-  answer(who, life, call.call, 200,
+  answer(at, who, life, call.call, 200,
          {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}}, body,
-         *work);
+         *work + at.slower);
 }
 
 std::optional<duration> gateway_world::plain_work(target& at) {
@@ -185,11 +188,14 @@
   return sum;
 }
 
-void gateway_world::answer(member_address to, std::uint64_t life, call_id call,
-                           int status, std::vector<http_header> headers,
-                           std::string body, duration after) {
-  later(after, [this, to, life, call, status, headers = std::move(headers),
+void gateway_world::answer(target& at, member_address to, std::uint64_t life,
+                           call_id call, int status,
+                           std::vector<http_header> headers, std::string body,
+                           duration after) {
+  later(after, [this, t = &at, blackouts = at.blackouts, to, life, call, status,
+                headers = std::move(headers),
                 body = std::move(body)]() mutable {
+    if (t->blackouts != blackouts) return;
     auto& i = *instances_.at(to);
     if (i.life != life || i.cancelled.contains(call)) return;
     post(i, event::answer_head{call, status, "", std::move(headers)});
@@ -210,11 +216,13 @@
     if (i.life != life) return;
     auto status = engine_order_status::unanswered;
     auto* t = by_address(order.address);
-    if (t != nullptr) {
+    if (t != nullptr && !t->dark) {
       status = t->id == order.target ? take_order(i, *t, order.order)
                                      : engine_order_status::misplaced;
     }
-    later(kLinkDelay, [this, who, life, call = order.call, status] {
+    const bool is_dark = t != nullptr && t->dark;
+    const auto wait = is_dark ? kCallPatience : kLinkDelay;
+    later(wait, [this, who, life, call = order.call, status] {
       auto& to = *instances_.at(who);
       if (to.life == life) post(to, event::order_answer{call, status});
     });
@@ -315,7 +323,8 @@
   later(kLinkDelay, [this, who, life, ask] {
     auto* t = by_address(ask.address);
     event::report_answer answer{ask.call, std::nullopt};
-    if (t != nullptr) {
+    const bool is_dark = t != nullptr && t->dark;
+    if (t != nullptr && !is_dark) {
       // The state of a while ago: the newest entry that is old enough.
       engine_report old =
           t->history.empty() ? t->report() : t->history.front().second;
@@ -324,7 +333,8 @@
       }
       answer.report = old;
     }
-    later(kLinkDelay, [this, who, life, answer] {
+    const auto wait = is_dark ? kCallPatience : kLinkDelay;
+    later(wait, [this, who, life, answer] {
       auto& to = *instances_.at(who);
       if (to.life == life) post(to, answer);
     });
@@ -336,54 +346,6 @@
   if (at.history.size() > kKeptStates) at.history.erase(at.history.begin());
 }
 
-void gateway_world::restart_engine(const std::string& id) {
-  auto node = targets_.extract(id);
-  auto& old = *node.mapped();
-  put("servers/" + id, std::nullopt);
-  old.id = id + "'";
-  old.adapters.clear();
-  old.pending.clear();
-  old.running.clear();
-  old.has_model = false;
-  old.busy = false;
-  old.sequence = 0;
-  old.highest_fence = 0;
-  old.last_holder.clear();
-  old.fence_holders.clear();
-  old.history.clear();
-  node.key() = old.id;
-  auto* t = &old;
-  targets_.insert(std::move(node));
-  publish_target(*t);
-}
-
-void gateway_world::drain_target(const std::string& id) {
-  auto& t = *targets_.at(id);
-  t.draining = true;
-  t.leaves_after = now_ + 2s;
-  publish_target(t);
-}
-
-void gateway_world::lapse_target(const std::string& id) {
-  auto& t = *targets_.at(id);
-  t.listed = false;
-  put("servers/" + id, std::nullopt);
-}
-
-void gateway_world::relist_target(const std::string& id) {
-  auto& t = *targets_.at(id);
-  t.listed = true;
-  publish_target(t);
-}
-
-void gateway_world::break_target(const std::string& id, bool broken) {
-  targets_.at(id)->broken = broken;
-}
-
-void gateway_world::lose_answers(const std::string& id, double share) {
-  targets_.at(id)->lost_answers = share;
-}
-
 std::size_t gateway_world::runs_at(const std::string& id) const {
   return targets_.at(id)->runs;
 }
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -255,6 +255,11 @@
   std::uint64_t unmetered = 0;
   /** Refused since no plain target would have served them in time. */
   std::uint64_t overloaded = 0;
+  /** Failure domains that were suspected, and that are now. */
+  std::uint64_t domain_suspicions = 0;
+  std::size_t suspect_domains = 0;
+  /** Calls given up and made elsewhere since their domain was suspect. */
+  std::uint64_t left_calls = 0;
   /** Age of that word; longest where there is none. */
   duration key_age{};
   /** Workspaces that this instance accounts for. */
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -298,12 +298,23 @@
   friend bool operator==(const admission_end&, const admission_end&) = default;
 };
 
+/**
+ * The sender's calls to a failure domain hang and nothing there answers it. The
+ * receiver looks for itself; one that is there answers, which denies it.
+ */
+struct domain_alarm {
+  /** Hash of the failure domain. */
+  std::uint32_t domain = 0;
+
+  friend bool operator==(const domain_alarm&, const domain_alarm&) = default;
+};
+
 using peer_message =
     std::variant<heartbeat, interest_message, residency_message, news_message,
                  loads_message, probe_request, probe_answer,
                  confirmation_request, confirmation_answer, quota_request,
                  quota_answer, admission_request, admission_answer,
-                 admission_end>;
+                 admission_end, domain_alarm>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -166,6 +166,11 @@
                                     from.took.count());
 }
 
+fb::Offset<frames::DomainAlarm> write(fb::FlatBufferBuilder& b,
+                                      const domain_alarm& from) {
+  return frames::CreateDomainAlarm(b, from.domain);
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -310,6 +315,10 @@
       duration(from.took_us())};
 }
 
+peer_message read(const frames::DomainAlarm& from) {
+  return domain_alarm{from.domain()};
+}
+
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
 frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
 frames::Body kind_of(const residency_message&) {
@@ -340,6 +349,7 @@
 frames::Body kind_of(const admission_end&) {
   return frames::Body::AdmissionEnd;
 }
+frames::Body kind_of(const domain_alarm&) { return frames::Body::DomainAlarm; }
 
 }  // namespace
 
@@ -375,6 +385,7 @@
   if (const auto* ask = frame->body_as_AdmissionRequest()) return read(*ask);
   if (const auto* word = frame->body_as_AdmissionAnswer()) return read(*word);
   if (const auto* end = frame->body_as_AdmissionEnd()) return read(*end);
+  if (const auto* alarm = frame->body_as_DomainAlarm()) return read(*alarm);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -26,7 +26,7 @@
 roster_options roster_options_of(const gateway_options& from) {
   roster_options out;
   out.self = from.self;
-  out.domain = static_cast<std::uint32_t>(hash_of(from.failure_domain));
+  out.domain = key_of_domain(from.failure_domain);
   out.incarnation = from.incarnation;
   out.seeds = from.seeds;
   out.random_seed = from.random_seed;
@@ -52,6 +52,8 @@
     // Others have taken them over meanwhile.
     now_ = now;
     close_accounts();
+    watch_.reset();
+    doubts_ = {};
   }
   now_ = now;
   if (!is_started_) start();
@@ -111,6 +113,7 @@
   tick_store();
   if (now_ >= next_claim_check_) tick_claims();
   tick_workspaces();
+  watch_domains();
   expire_exchanges();
   ledger_.expire(now_);
   if (now_ >= next_expiry_) {
@@ -162,6 +165,7 @@
   for (const auto& [caller, x] : exchanges_) {
     ++(x.now == exchange::phase::calling ? out.calling : out.waiting);
   }
+  out.suspect_domains = watch_.suspects();
   out.key_age = key_age();
   out.accounts = accounts_.size();
   for (const auto& [id, keeper] : keepers_) {
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -21,6 +21,8 @@
 
 /** An admitter that has not answered in this time is done without. */
 constexpr duration kAdmitterPatience = 25ms;
+/** Members that take the place of one that is silent, in this order. */
+constexpr std::size_t kAdmitters = 4;
 /** What an admitter said of a target is good for the choice for so long. */
 constexpr duration kFreshWord = 250ms;
 /** Limits of when a request that found no place is asked back. */
@@ -34,9 +36,10 @@
   if (x.admission.answer_until) {
     // No word: as if there were no admitter.
     x.admission.answer_until.reset();
-    if (auto* target = targets_.find(x.admission.target)) {
-      if (may_run_at(x, *target)) return dispatch(x, *target);
-    }
+    auto* target = targets_.find(x.admission.target);
+    const bool may_go =
+        std::find(targets.begin(), targets.end(), target) != targets.end();
+    if (may_go) return dispatch(x, *target);
   }
   auto* target = next_to_ask(x, targets);
   if (target != nullptr) return ask_admitter(x, *target);
@@ -91,11 +94,16 @@
     return;
   }
   x.admission.answer_until = now_ + kAdmitterPatience;
+  doubts_.asked(now_, admitter, kAdmitterPatience);
   do_act(action::send_datagram{admitter, request});
 }
 
 member_address gateway_core::impl::admitter_of(target_hash target) const {
-  const auto first = first_members(target, staying_, 1);
+  const auto first = first_members(target, staying_, kAdmitters);
+  const auto heard =
+      std::find_if(first.begin(), first.end(),
+                   [&](member_address who) { return !is_passed_over(who); });
+  if (heard != first.end()) return *heard;
   return first.empty() ? options_.self : first.front();
 }
 
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -30,6 +30,12 @@
   auto out = targets_.usable(now_, x.service->name);
   std::erase_if(
       out, [&](const target_state* target) { return !may_run_at(x, *target); });
+  // Where nothing else is left, a belief is no reason to refuse.
+  const auto first_suspect = std::stable_partition(
+      out.begin(), out.end(), [&](const target_state* target) {
+        return !is_suspect(*target) || is_trial(x, *target);
+      });
+  if (first_suspect != out.begin()) out.erase(first_suspect, out.end());
   return out;
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -12,6 +12,8 @@
 #include <set>
 
 #include "process/admission_ledger.h"
+#include "process/domain_watch.h"
+#include "process/doubt_table.h"
 #include "process/engine_choice.h"
 #include "process/failure_domains.h"
 #include "process/quota_accounts.h"
@@ -29,6 +31,11 @@
 /** Returns whole milliseconds, for the log. */
 inline std::int64_t to_ms(duration time) { return time / 1ms; }
 
+/** Returns the key by which members tell their failure domain. */
+inline domain_key key_of_domain(const std::string& domain) {
+  return static_cast<domain_key>(hash_of(domain));
+}
+
 /** Members are grouped by the file that works on them. */
 class gateway_core::impl {
  public:
@@ -226,6 +233,39 @@
   /** Returns the targets that may get a request now. */
   std::vector<target_state*> targets_for(const exchange& x);
 
+  // gateway_loss.cc
+  void watch_call(const exchange& x, const target_state& target);
+  /** A byte of an answer came. */
+  void note_answer(const exchange& x);
+  /** A call ended; `is_whole`: with an answer. */
+  void note_end(const exchange& x, bool is_whole);
+  void note_life_of(const target_id& target);
+  void note_life_in(domain_key domain, bool is_member);
+  /** Takes any datagram as a sign of life. */
+  void heard_from(member_address who);
+  void take(member_address from, const domain_alarm& message);
+  void watch_domains();
+  /** Looks up anew which failure domains there are, once a while. */
+  void refresh_domains();
+  void check_doubts();
+  void probe_domain(domain_key domain);
+  void send_probes(const std::vector<std::uint64_t>& members);
+  void begin_suspicion(const domain_watch::findings::suspicion& found);
+  /** `lasted`: how long it was suspect. */
+  void end_suspicion(domain_key domain, std::string_view reason,
+                     duration lasted);
+  void send_alarms();
+  /** Tries elsewhere what hangs in a suspect domain and may be repeated. */
+  void leave_hung_calls();
+  void leave_hung_call(exchange& x);
+  bool is_suspect(const target_state& target) const;
+  /** Returns whether a request is to find out if a suspect target is back. */
+  bool is_trial(const exchange& x, const target_state& target) const;
+  /** Returns whether a member is to be asked last, and not relied on. */
+  bool is_passed_over(member_address who) const;
+  /** Returns whether loads can be wished of a target's holder now. */
+  bool has_reachable_holder(target_hash target) const;
+
   // gateway_placement.cc
   void place(exchange& x);
   /** For requests that name no model. */
@@ -263,6 +303,10 @@
   /** Returns targets without the adapter on which it might be loaded. */
   std::vector<valued_target> homes(
       const exchange& x, const std::vector<target_state*>& targets) const;
+  /** `with_doubtful`: also where the holder may not answer. */
+  std::vector<valued_target> homes_among(
+      const exchange& x, const std::vector<target_state*>& order,
+      bool with_doubtful) const;
   /** Returns how many requests run on a target of its service, as a mean. */
   double mean_running(const exchange& x);
   /** Asks for one more copy where those that there are have too much to do. */
@@ -354,8 +398,6 @@
   std::map<std::uint64_t, caller_id> quota_requests_;
   /** Accounts that were found empty, and until when. */
   std::map<std::pair<std::uint64_t, member_address>, time_point> empty_until_;
-  /** Members that did not answer for an account are asked last until then. */
-  std::map<member_address, time_point> unresponsive_until_;
 
   // Places at plain targets.
   admission_ledger ledger_;
@@ -421,6 +463,19 @@
   failure_domains domains_;
   region_map regions_;
 
+  // What is silent.
+  domain_watch watch_;
+  doubt_table doubts_;
+  /** How long targets of a service take for their first byte. */
+  std::map<std::string, wait_estimate, std::less<>> waits_;
+  std::map<domain_key, std::string> domain_names_;
+  std::size_t known_domains_ = 0;
+  time_point domains_until_{};
+  time_point next_look_{};
+  /** Suspicions that are still to be told to all, and how often. */
+  std::map<domain_key, unsigned> alarms_;
+  time_point next_alarm_{};
+
   // Requests.
   target_table targets_;
   std::map<caller_id, exchange> exchanges_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -70,6 +70,11 @@
   counter("seamglade_overloaded_total",
           "Refused since no plain target would have been in time",
           status.overloaded);
+  counter("seamglade_domain_suspicions_total",
+          "Failure domains that were found silent", status.domain_suspicions);
+  counter("seamglade_left_calls_total",
+          "Calls made elsewhere since their failure domain was suspect",
+          status.left_calls);
   counter("seamglade_connections_opened_total", "Connections opened",
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
@@ -88,6 +93,8 @@
         static_cast<double>(status.key_age.count()) / 1e6);
   gauge("seamglade_quota_accounts", "Workspaces that this instance accounts",
         static_cast<double>(status.accounts));
+  gauge("seamglade_suspect_domains", "Failure domains that are suspect",
+        static_cast<double>(status.suspect_domains));
   gauge("seamglade_members_alive", "Living instances, this one included",
         static_cast<double>(status.members_alive));
   gauge("seamglade_targets", "Targets known",
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -269,6 +269,7 @@
   if (found == engine_calls_.end()) return;
   const auto call = found->second;
   engine_calls_.erase(found);
+  if (e.status != engine_order_status::unanswered) note_life_of(call.target);
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
   if (e.status != engine_order_status::started &&
@@ -309,6 +310,7 @@
   if (found == engine_calls_.end()) return;
   const auto call = found->second;
   engine_calls_.erase(found);
+  if (e.report) note_life_of(call.target);
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
   keeper->second->report_read(now_, call.asked, e.report);
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -121,9 +121,10 @@
   bool asked = false;
   for (const auto* target : targets) {
     if (now_ - target->residency_heard < kFreshWord) continue;
-    if (!has_live_holder(target->hash)) continue;
+    if (!has_reachable_holder(target->hash)) continue;
     if (keepers_.contains(target->entry.id)) continue;
     const auto holder = claims_[target->hash].holder;
+    doubts_.asked(now_, holder, doubt_table::kHolderPatience);
     do_act(action::send_datagram{
         holder,
         interest_message{target->hash, interest_in(*target), target->own}});
@@ -158,7 +159,7 @@
   }
   const auto& engine = *x.service->engine;
   out.has_room = in_use < engine.adapter_slots;
-  out.has_holder = has_live_holder(target.hash);
+  out.has_holder = has_reachable_holder(target.hash);
   out.is_near = target.entry.failure_domain == options_.failure_domain;
   out.is_home = target.entry.id == x.home;
   out.work = target.work(now_);
@@ -226,7 +227,6 @@
 
 std::vector<gateway_core::impl::valued_target> gateway_core::impl::homes(
     const exchange& x, const std::vector<target_state*>& targets) const {
-  using residence = engine_option::residence;
   const auto version = version_of(x.facts.adapter);
   std::vector<target_state*> lacking;
   for (auto* target : targets) {
@@ -235,14 +235,28 @@
     }
   }
   const auto order = in_order_of(x.facts.adapter, lacking, kLookedAt);
+  auto out = homes_among(x, order, false);
+  // Where nobody else could load it, a doubtful holder may yet.
+  return out.empty() ? homes_among(x, order, true) : out;
+}
+
+std::vector<gateway_core::impl::valued_target> gateway_core::impl::homes_among(
+    const exchange& x, const std::vector<target_state*>& order,
+    bool with_doubtful) const {
+  using residence = engine_option::residence;
   const auto facts = facts_of(x);
   std::vector<valued_target> out;
-  for (std::size_t i = 0; i < order.size(); ++i) {
-    auto* target = order[i];
-    if (x.tried.contains(target->entry.id)) continue;
+  std::size_t place = 0;
+  for (auto* target : order) {
+    const bool has_holder = has_live_holder(target->hash);
     auto option = option_of(x, *target);
-    if (option.adapter == residence::absent && i >= kHomes) continue;
-    option.order = i;
+    if (with_doubtful) option.has_holder = has_holder;
+    option.order = place;
+    // The next takes the place of one whose holder may not answer.
+    if (option.has_holder || !has_holder) ++place;
+    if (x.tried.contains(target->entry.id)) continue;
+    const bool is_absent = option.adapter == residence::absent;
+    if (is_absent && option.order >= kHomes) continue;
     const auto cost = cost_of(option, facts);
     if (cost) out.push_back({target, option, *cost});
   }
@@ -364,6 +378,7 @@
   x.answer = {};
   calls_[x.call] = x.caller;
   work_began(x, target);
+  watch_call(x, target);
   call_facts facts;
   facts.target = x.target;
   facts.is_keyed = x.config->is_keyed();
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -171,6 +171,7 @@
 
 void gateway_core::impl::end_call(exchange& x, bool success, bool severe) {
   calls_.erase(x.call);
+  watch_.dropped(x.call);
   end_admission(x, success);
   auto* target = target_of(x);
   if (target == nullptr) return;
@@ -192,11 +193,13 @@
   x->reason = std::move(e.reason);
   x->headers = std::move(e.headers);
   x->answer = platform_.read_answer(x->status, x->headers);
+  note_answer(*x);
 }
 
 void gateway_core::impl::on(event::answer_data&& e) {
   auto* x = by_call(e.call);
   if (x == nullptr) return;
+  note_answer(*x);
   const bool good = x->status >= kOk && x->status < kMultipleChoices;
   if (x->way->stream && good && x->answer.is_signed) {
     x->events.add(*e.data);
@@ -227,6 +230,7 @@
   auto* x = by_call(e.call);
   if (x == nullptr) return;
   using how = event::answer_end::how;
+  note_end(*x, e.end == how::complete);
   if (e.end == how::not_sent) {
     end_call(*x, false, true);
     --x->runs;
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -45,10 +45,8 @@
 constexpr duration kAccountsPeriod = 250ms;
 /** Members that are asked beside the accountants, where the views differ. */
 constexpr std::size_t kFurtherAccountants = 2;
-/** An accountant that has not answered in this time is passed over ... */
+/** An accountant that has not answered in this time is passed over. */
 constexpr duration kAccountantPatience = 40ms;
-/** ... for so long. */
-constexpr duration kUnresponsive = 1s;
 /**
  * Where nobody keeps the account, as after a start of all at once, all are
  * asked again so long, with pauses. A start of 72 instances refused 889
@@ -147,8 +145,7 @@
                 order.begin() + static_cast<std::ptrdiff_t>(first));
   }
   std::stable_partition(order.begin(), order.end(), [&](member_address who) {
-    const auto until = unresponsive_until_.find(who);
-    return until == unresponsive_until_.end() || now_ >= until->second;
+    return !is_passed_over(who);
   });
   return order;
 }
@@ -170,6 +167,7 @@
       return;
     }
     x.quota.answer_until = now_ + kAccountantPatience;
+    doubts_.asked(now_, who, kAccountantPatience);
     do_act(action::send_datagram{who, request});
     return;
   }
@@ -212,7 +210,6 @@
                               const quota_answer& message) {
   const auto found = quota_requests_.find(message.request);
   if (found == quota_requests_.end()) return;
-  unresponsive_until_.erase(from);
   const auto x = exchanges_.find(found->second);
   const bool waits = x != exchanges_.end() &&
                      x->second.now == exchange::phase::metered &&
@@ -238,9 +235,6 @@
     const auto found = exchanges_.find(caller);
     if (found == exchanges_.end()) continue;
     auto& x = found->second;
-    if (!x.quota.asked.empty()) {
-      unresponsive_until_[x.quota.asked.back()] = now_ + kUnresponsive;
-    }
     ask_accountant(x);
   }
 }
@@ -254,8 +248,6 @@
   next_accounts_ = now_ + kAccountsPeriod;
   std::erase_if(empty_until_,
                 [&](const auto& pair) { return now_ >= pair.second; });
-  std::erase_if(unresponsive_until_,
-                [&](const auto& pair) { return now_ >= pair.second; });
   if (draining_) return;
   quota_accounts::fleet_view view;
   view.staying = staying_;
@@ -278,6 +270,10 @@
   auto others = watch_order();
   std::erase(others, options_.self);
   if (others.empty()) return;
+  std::vector<member_address> heard;
+  std::copy_if(others.begin(), others.end(), std::back_inserter(heard),
+               [&](member_address who) { return !is_passed_over(who); });
+  if (!heard.empty()) others = std::move(heard);
   const auto anyone = others[random_() % others.size()];
   const auto count = std::min(kConfirmers, others.size());
   const auto watcher = others[next_confirmer_++ % count];
--- a/src/process/roster.cc
+++ b/src/process/roster.cc
@@ -365,6 +365,30 @@
   return found != members_.end() && found->second.row.domain == options_.domain;
 }
 
+std::optional<std::uint32_t> roster::domain_of(member_address who) const {
+  if (who == options_.self) return options_.domain;
+  const auto found = members_.find(who);
+  if (found == members_.end()) return std::nullopt;
+  return found->second.row.domain;
+}
+
+std::vector<member_address> roster::members_in(time_point now,
+                                               std::uint32_t domain) const {
+  std::vector<member_address> alive;
+  std::vector<member_address> gone;
+  for (const auto& [address, known] : members_) {
+    if (known.row.domain != domain || known.row.leaving) continue;
+    (is_alive(now, known) ? alive : gone).push_back(address);
+  }
+  return alive.empty() ? gone : alive;
+}
+
+std::set<std::uint32_t> roster::domains() const {
+  std::set<std::uint32_t> out{options_.domain};
+  for (const auto& [address, known] : members_) out.insert(known.row.domain);
+  return out;
+}
+
 std::optional<time_point> roster::silent_since(time_point now,
                                                member_address who) const {
   const auto found = members_.find(who);
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "process/probe_log.h"
@@ -114,6 +115,16 @@
   bool is_large() const;
   bool is_leaving(member_address who) const;
   bool is_in_my_domain(member_address who) const;
+  /** Returns the hash of a member's failure domain; none: it is not known. */
+  std::optional<std::uint32_t> domain_of(member_address who) const;
+  /**
+   * Returns the members known in a failure domain that do not leave; those that
+   * are gone only where there are no others.
+   */
+  std::vector<member_address> members_in(time_point now,
+                                         std::uint32_t domain) const;
+  /** Returns the failure domains of all members, this one included. */
+  std::set<std::uint32_t> domains() const;
 
  private:
   struct member_state {
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -274,7 +274,8 @@
         peer_message(quota_answer{3, 5, quota_verdict::empty, 80ms}),
         peer_message(admission_request{4, 6, 250ms, 2, 1s}),
         peer_message(admission_answer{4, 6, true, 70ms, 0ms}),
-        peer_message(admission_end{4, 6, admission_outcome::rejected, 3ms})}) {
+        peer_message(admission_end{4, 6, admission_outcome::rejected, 3ms}),
+        peer_message(domain_alarm{77})}) {
     const auto decoded = decode_peer_message(encode_peer_message(message));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded.value(), message);
