Probe a domain only where word of life fails to come by itself

Cause: an overdue call in a domain that answers all the time cost a round of probes, which are priced, and could not make a suspicion anyway.

Ruled out: fewer members in a round; one more is not much to spare.

Change: a round begins after 100 ms without a sign of life.

Result: all 20 tests of domain_loss-test pass; the new one fails without it.

--- a/src/process/domain_watch.cc
+++ b/src/process/domain_watch.cc
@@ -26,6 +26,8 @@
 constexpr std::size_t kLeastSources = 3;
 /** There was no sign of life for so long. */
 constexpr duration kSilence = 200ms;
+/** Nobody is probed sooner: word of life is mostly on its way by itself. */
+constexpr duration kAskAfter = 100ms;
 /** Calls of this time tell whether most is unanswered. */
 constexpr duration kRecentCalls = 500ms;
 /** Members there answer in this time; the probe is repeated half way. */
@@ -186,6 +188,7 @@
     }
   }
   const bool asks = !known.under_way && !known.evidence.empty() &&
+                    now - known.lived >= kAskAfter &&
                     now - known.last_evidence <= kEvidenceLife &&
                     now - known.last_round >= kRoundPause;
   if (asks) out.probe.push_back(domain);
--- a/test/domain_loss-test.cc
+++ b/test/domain_loss-test.cc
@@ -117,6 +117,15 @@
   EXPECT_EQ(suspicions_, 0U);
 }
 
+TEST_F(watch, nobody_is_probed_where_word_of_life_comes_by_itself) {
+  for (std::uint64_t id = 1; id < 20; ++id) {
+    call(id, id, 50ms);
+    now_ += 60ms;
+    watch_.lived(now_, kThere, false);
+    EXPECT_TRUE(watch_.look(now_ + 30ms, kDomains).probe.empty());
+  }
+}
+
 TEST_F(watch, the_word_of_others_is_probed_before_it_counts) {
   watch_.silent(now_, kThere, {silent_source::kind::word, 0});
   there_answers_ = true;
