--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -97,9 +97,16 @@
 std::vector<target_state*> gateway_core::impl::targets_for(const exchange& x) {
   // Checked before failures are weighed: the few that may serve it are not to
   // be passed over because of others that may not.
-  return targets_.usable(
+  auto out = targets_.usable(
       now_, x.service->name,
       [&](const target_state& target) { return may_run_at(x, target); });
+  // Where nothing else is left, a belief is no reason to refuse.
+  const auto first_suspect = std::stable_partition(
+      out.begin(), out.end(), [&](const target_state* target) {
+        return !is_suspect(*target) || is_trial(x, *target);
+      });
+  if (first_suspect != out.begin()) out.erase(first_suspect, out.end());
+  return out;
 }
 
 std::optional<std::string_view> gateway_core::impl::why_unservable(
