Regions in the fakes: delays by distance, bound services, traffic counted

Cause: the fakes knew regions as a setting only; nothing in them took longer, was counted by distance or was judged by the regions that bind a request. The tree before this did not compile: a parameter `target` of domain_of() shadows a type of the class (-Wshadow).

Ruled out: delays for calls to targets and copies of the store too; they are not what the tests of this part are about.

Change: datagrams take 1, 2 and 8 ms by distance where regions are named; they and copies are counted by distance; every run is judged by the regions of its service and its workspace; streams can be cut behind their first event; the distance `proximity` stands with the value types, and where no region is named all domains are one region, as before.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -75,8 +75,8 @@
   return instances_.at(who)->domain;
 }
 
-std::string gateway_world::domain_of(const std::string& target) const {
-  return targets_.at(target)->domain;
+std::string gateway_world::domain_of(const std::string& id) const {
+  return targets_.at(id)->domain;
 }
 
 std::vector<std::string> gateway_world::engines() const {
@@ -241,6 +241,7 @@
     const auto life = from.life;
     const auto peer = fetch->from;
     const auto known = fetch->known;
+    ++traffic_[distance(from, *instances_.at(peer))].copies;
     later(2 * kLinkDelay, [this, who, life, peer, known] {
       auto& to = *instances_.at(who);
       if (to.life != life) return;
@@ -259,7 +260,9 @@
     if (!instances_.contains(peer) || !reachable(who, peer)) return;
     // Encoded and decoded, as on the wire.
     const auto bytes = encode_peer_message(datagram->message);
-    later(datagram_delay_, [this, who, peer, bytes] {
+    const auto far = distance(from, *instances_.at(peer));
+    note_datagram(far, datagram->message, bytes.size());
+    later(datagram_delay(far), [this, who, peer, bytes] {
       if (!reachable(who, peer)) return;
       auto decoded = decode_peer_message(bytes);
       if (!decoded) {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -25,6 +25,16 @@
   std::set<std::string> keys;
   double rate = 0;
   double burst = 0;
+  /** The only regions where its requests may run; none: all. */
+  std::vector<std::string> regions = {};
+};
+
+/** Datagrams over one distance: heartbeats, and all with IP's headers. */
+struct fake_traffic {
+  std::size_t heartbeats = 0;
+  std::size_t heartbeat_bytes = 0;
+  std::size_t bytes = 0;
+  std::size_t copies = 0;
 };
 
 /** What a world is made of. */
@@ -46,6 +56,10 @@
   std::vector<std::string> instance_domains = {"west", "east"};
   /** The region of each failure domain; one that is not named is its own. */
   std::map<std::string, std::string, std::less<>> regions;
+  /** The only regions that may run a service's requests; none: all. */
+  std::map<std::string, std::vector<std::string>> service_regions;
+  /** Objective of streams, in ms; 0: none, so that any queue is too long. */
+  std::uint32_t stream_objective_ms = 0;
   bool admission = true;
   /** None: callers need no keys. */
   std::vector<fake_workspace> workspaces;
@@ -127,7 +141,13 @@
   std::vector<std::string> engines() const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
-  std::string domain_of(const std::string& target) const;
+  std::string domain_of(const std::string& id) const;
+  /** Returns a copy of what was sent so far, by distance. */
+  std::map<gateway::proximity, fake_traffic> traffic() const {
+    return traffic_;
+  }
+  /** Returns the targets that hold an adapter or load it. */
+  std::vector<std::string> holders_of(const std::string& adapter) const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
@@ -136,6 +156,10 @@
   void break_target(const std::string& id, bool broken);
   /** The target runs requests and loses this share of the answers. */
   void lose_answers(const std::string& id, double share);
+  /** The target ends this share of its streams behind the first event. */
+  void cut_streams(const std::string& id, double share);
+  /** Returns who has a watch of the whole store under way. */
+  std::set<gateway::member_address> watchers() const;
   void publish_configuration(std::uint64_t version,
                              const std::string& engine_prefix);
   /** Publish the next version of the configuration. */
@@ -195,6 +219,20 @@
                    std::uint64_t after, duration wait);
   void publish_workspaces();
   std::string workspaces_text() const;
+  /** Returns whether a stream is to end early; then that is on its way. */
+  bool cuts_stream(const instance& from, const target& at,
+                   const gateway::action::call_target& call);
+  /** Judges a run by the regions of its service and its workspace. */
+  void judge_region(const target& at, const gateway_call& call);
+  std::string region_of(const std::string& domain) const;
+  gateway::proximity distance(const instance& from, const instance& to) const;
+  /** Returns how long a datagram is under way. */
+  duration datagram_delay(gateway::proximity distance) const;
+  void note_datagram(gateway::proximity distance,
+                     const gateway::peer_message& message, std::size_t bytes);
+  /** Return what binds routes and workspaces to regions, for the store. */
+  static std::string regions_text(const std::vector<std::string>& regions);
+  std::string service_regions(const std::string& service) const;
   /** Judges a run by its caller's key, and what the target was told of it. */
   void judge_key(const gateway::action::call_target& call);
   /** Returns when a plain target would be done; none: it is full. */
@@ -264,6 +302,7 @@
   std::size_t loads_ = 0;
   std::size_t rejections_ = 0;
   std::size_t store_calls_ = 0;
+  std::map<gateway::proximity, fake_traffic> traffic_;
   std::vector<std::string> violations_;
 };
 
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -21,6 +21,11 @@
 using gateway::any_event;
 
 inline constexpr duration kLinkDelay = 1ms;
+/** What a datagram takes longer where regions are named: 2 and 8 ms in all. */
+inline constexpr duration kRegionDelay = 1ms;
+inline constexpr duration kFarDelay = 7ms;
+/** Bytes of the IP and UDP heads. */
+inline constexpr std::size_t kDatagramHead = 28;
 inline constexpr std::string_view kModel = "m0";
 
 struct gateway_world::instance {
@@ -50,6 +55,7 @@
   time_point leaves_after;
   bool broken = false;
   double lost_answers = 0;
+  double cut_streams = 0;
   bool has_model = true;
   bool busy = false;
   std::map<std::string, std::uint32_t> adapters;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -143,21 +143,27 @@
       R"("models":[{{"name":"{}","weights_mb":40000,"load_s":0.6,)"
       R"("lora_mb":10}}]}})",
       options_.adapter_slots, kModel);
+  auto llm = service_regions("llm");
+  if (options_.stream_objective_ms > 0) {
+    llm += fmt::format(R"(,"slo_ms":{})", options_.stream_objective_ms);
+  }
+  const auto plain = service_regions("plain");
   put("op/config",
       fmt::format(
           R"({{"cfg_ver":{},"routes":[)"
           R"({{"host":"h","prefix":"{}","type":"stream","timeout_ms":8000,)"
-          R"("svc":"llm","attempts":1}},)"
+          R"("svc":"llm","attempts":1{}}},)"
           R"({{"host":"h","prefix":"/llm2/","type":"stream","resumable":true,)"
-          R"("timeout_ms":8000,"svc":"llm","attempts":2}},)"
+          R"("timeout_ms":8000,"svc":"llm","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/get/","type":"idempotent",)"
-          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)"
+          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/set/","type":"mutating",)"
-          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)"
+          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
-          R"("public":true,"timeout_ms":1500,"svc":"plain"}}],)"
+          R"("public":true,"timeout_ms":1500,"svc":"plain"{}}}],)"
           R"("svcs":[{{"name":"llm","engine":{}}},{{"name":"plain"}}]{}}})",
-          version, engine_prefix, engine, workspaces_text()));
+          version, engine_prefix, llm, llm, plain, plain, plain, engine,
+          workspaces_text()));
 }
 
 std::string gateway_world::workspaces_text() const {
@@ -169,8 +175,9 @@
     }
     list += fmt::format(
         R"({}{{"name":"{}","api_keys":[{}],"unit":"tokens","raw_tokens":200,)"
-        R"("rate_per_s":{},"burst":{}}})",
-        list.empty() ? "" : ",", w.name, keys, w.rate, w.burst);
+        R"("rate_per_s":{},"burst":{}{}}})",
+        list.empty() ? "" : ",", w.name, keys, w.rate, w.burst,
+        regions_text(w.regions));
   }
   return list.empty() ? list : fmt::format(R"(,"tenants":[{}])", list);
 }
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -90,12 +90,14 @@
   ++at.runs;
   ++runs_[call.request_id];
   judge_key(call);
+  judge_region(at, *calls_by_id_.at(call.request_id));
   const auto life = from.life;
   const auto who = from.address;
   auto* t = &at;
   later(*work, [t, adapter] {
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
+  if (cuts_stream(from, at, call)) return;
   if (at.broken) {
     answer(who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -19,6 +19,11 @@
 
 namespace seamglade::gateway {
 
+/** How far two failure domains are from each other; the nearest first. */
+enum class proximity : std::uint8_t { same_domain, same_region, other_region };
+
+std::string_view to_string(proximity distance);
+
 /** A service and its part of a route's requests. */
 struct service_share {
   std::string service;
--- a/src/process/region_map.h
+++ b/src/process/region_map.h
@@ -13,12 +13,14 @@
 #include <utility>
 #include <vector>
 
-namespace seamglade::gateway {
+#include "seamglade/gateway_types.h"
 
-/** How far two failure domains are from each other; the nearest first. */
-enum class proximity : std::uint8_t { same_domain, same_region, other_region };
+namespace seamglade::gateway {
 
-/** The region of each failure domain; one that is not named is its own. */
+/**
+ * The region of each failure domain; one that is not named is its own. Where
+ * none is named nothing is known of distances: all are one region.
+ */
 class region_map {
  public:
   using regions = std::map<std::string, std::string, std::less<>>;
@@ -26,6 +28,13 @@
   region_map() = default;
   explicit region_map(regions of_domains) : regions_(std::move(of_domains)) {}
 
+  bool has_several() const {
+    return std::any_of(regions_.begin(), regions_.end(),
+                       [&](const auto& named) {
+                         return named.second != regions_.begin()->second;
+                       });
+  }
+
   std::string_view region_of(std::string_view domain) const {
     const auto found = regions_.find(domain);
     return found == regions_.end() ? domain : std::string_view(found->second);
@@ -33,8 +42,8 @@
 
   proximity between(std::string_view a, std::string_view b) const {
     if (a == b) return proximity::same_domain;
-    return region_of(a) == region_of(b) ? proximity::same_region
-                                        : proximity::other_region;
+    const bool is_near = regions_.empty() || region_of(a) == region_of(b);
+    return is_near ? proximity::same_region : proximity::other_region;
   }
 
   /** Returns whether a domain lies in one of the regions; none: in any. */
--- a/src/version/gateway_types.cc
+++ b/src/version/gateway_types.cc
@@ -25,6 +25,18 @@
 
 }  // namespace
 
+std::string_view to_string(proximity distance) {
+  switch (distance) {
+    case proximity::same_domain:
+      return "domain";
+    case proximity::same_region:
+      return "region";
+    case proximity::other_region:
+      break;
+  }
+  return "other";
+}
+
 const model_profile* engine_profile::find(std::string_view model) const {
   const auto found =
       std::find_if(models.begin(), models.end(),
