The choice of a target counts three distances

Cause: the choice knew the own failure domain or not; a target 8 ms away and one next door counted the same, and copies by demand went where the adapter's order said, in any region: a step down that order costs 250 ms, any distance less.

Ruled out: a cost of distance above that of a step: then regions would not agree on where an adapter is loaded first. For unknown plain targets no expected time in any region, as before: each would be tried far away before a known one next door.

Change: `engine_option::distance`; 25 ms to another failure domain as before, 45 ms to another region. least_busy 1.5 and 2.7 requests. Plain targets by expected time and way, then distance. Where an adapter is held somewhere, the places for one more are those of the own region first. `distance` in the lines of `dispatch`.

--- a/src/process/engine_choice.cc
+++ b/src/process/engine_choice.cc
@@ -35,13 +35,34 @@
 constexpr duration kRecentLoadCost = 20ms;
 /** For each step down the rendezvous order: instances are to agree. */
 constexpr duration kOrderCost = 250ms;
-/** Bytes between failure domains are priced, and take their time. */
+/**
+ * Of another failure domain: the way there and back, 2 to 3 ms, and the price
+ * of the bytes between them, which counts for the rest.
+ */
 constexpr duration kFarCost = 25ms;
+/**
+ * ... and of another region: its way is some 14 ms longer, its bytes dearer.
+ * Less than what changes of home have to gain (kHomeGain), so that distance
+ * decides among equals and a busy region still overflows into others.
+ */
+constexpr duration kOtherRegionCost = 45ms;
 /** For a full target; in part for one that is full in part. */
 constexpr duration kFullCost = 150ms;
 /** What a change of the home has to gain. */
 constexpr duration kHomeGain = 80ms;
 
+duration distance_cost(proximity distance) {
+  switch (distance) {
+    case proximity::same_domain:
+      return {};
+    case proximity::same_region:
+      return kFarCost;
+    case proximity::other_region:
+      break;
+  }
+  return kOtherRegionCost;
+}
+
 duration reading_time(const engine_option& option, double tokens) {
   return duration(static_cast<std::int64_t>(tokens * option.us_per_token));
 }
@@ -94,7 +115,7 @@
   auto cost = expected_start(option, facts);
   if (!cost) return cost;
   *cost += kFullCost * option.work.running / option.slots;
-  if (!option.is_near) *cost += kFarCost;
+  *cost += distance_cost(option.distance);
   if (option.is_home) *cost -= kHomeGain;
   if (option.adapter == residence::recent) *cost += kRecentLoadCost;
   if (option.adapter == residence::absent) {
--- a/src/process/engine_choice.h
+++ b/src/process/engine_choice.h
@@ -32,7 +32,7 @@
   bool has_holder = false;
   /** A place for adapters is empty or not in use. */
   bool has_room = false;
-  bool is_near = false;
+  proximity distance = proximity::other_region;
   /** The request already waits for a load there. */
   bool is_home = false;
   /** Place in the adapter's rendezvous order, from 0. */
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -10,6 +10,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <tuple>
 
 #include "process/gateway_impl.h"
 #include "process/member_order.h"
@@ -23,10 +24,25 @@
 constexpr duration kAdmitterPatience = 25ms;
 /** What an admitter said of a target is good for the choice for so long. */
 constexpr duration kFreshWord = 250ms;
+/** There and back: to another failure domain, and to another region. */
+constexpr duration kRegionWay = 3ms;
+constexpr duration kOtherRegionWay = 17ms;
 /** Limits of when a request that found no place is asked back. */
 constexpr duration kLeastComeBack = 200ms;
 constexpr std::int64_t kComeBackSpreadMs = 600;
 
+duration way_to(proximity distance) {
+  switch (distance) {
+    case proximity::same_domain:
+      return {};
+    case proximity::same_region:
+      return kRegionWay;
+    case proximity::other_region:
+      break;
+  }
+  return kOtherRegionWay;
+}
+
 }  // namespace
 
 void gateway_core::impl::place_on_plain(
@@ -54,17 +70,43 @@
   wait_for(x, nullptr, "all_tried");
 }
 
+bool gateway_core::impl::is_word_fresh(const target_state& target) const {
+  return now_ - target.admission_heard < kFreshWord;
+}
+
+bool gateway_core::impl::may_be_asked(const exchange& x,
+                                      const target_state& target) {
+  return !x.tried.contains(target.entry.id) &&
+         !x.admission.full.contains(target.hash);
+}
+
+duration gateway_core::impl::least_expected(
+    const exchange& x, const std::vector<target_state*>& targets) const {
+  std::optional<duration> least;
+  for (const auto* target : targets) {
+    if (!may_be_asked(x, *target) || !is_word_fresh(*target)) continue;
+    least = std::min(least.value_or(target->admission_expected),
+                     target->admission_expected);
+  }
+  return least.value_or(duration{});
+}
+
 target_state* gateway_core::impl::next_to_ask(
     const exchange& x, const std::vector<target_state*>& targets) const {
+  const auto usual = least_expected(x, targets);
   target_state* best = nullptr;
-  std::pair<duration, std::uint64_t> least;
+  std::tuple<duration, proximity, std::uint64_t> least;
   for (auto* target : targets) {
-    if (x.tried.contains(target->entry.id)) continue;
-    if (x.admission.full.contains(target->hash)) continue;
-    const bool is_fresh = now_ - target->admission_heard < kFreshWord;
+    if (!may_be_asked(x, *target)) continue;
+    const auto distance = distance_to(*target);
+    // One in another region is not tried just since nothing is known of it.
+    const auto unknown =
+        distance == proximity::other_region ? usual : duration{};
+    const auto expected =
+        is_word_fresh(*target) ? target->admission_expected : unknown;
     // Unknown ones and equals are taken by chance, so that instances spread.
-    const std::pair cost{is_fresh ? target->admission_expected : duration{},
-                         mix(target->hash ^ hash_of(x.facts.id))};
+    const std::tuple cost{expected + way_to(distance), distance,
+                          mix(target->hash ^ hash_of(x.facts.id))};
     if (best != nullptr && least <= cost) continue;
     best = target;
     least = cost;
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -33,4 +33,8 @@
   return out;
 }
 
+proximity gateway_core::impl::distance_to(const target_state& target) const {
+  return regions_.between(options_.failure_domain, target.entry.failure_domain);
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -193,6 +193,11 @@
   /** Returns the target whose admitter is to be asked; null: none is left. */
   target_state* next_to_ask(const exchange& x,
                             const std::vector<target_state*>& targets) const;
+  bool is_word_fresh(const target_state& target) const;
+  static bool may_be_asked(const exchange& x, const target_state& target);
+  /** Returns the least time that a target of fresh word would take. */
+  duration least_expected(const exchange& x,
+                          const std::vector<target_state*>& targets) const;
   void ask_admitter(exchange& x, target_state& target);
   member_address admitter_of(target_hash target) const;
   void take_admission(exchange& x, target_state& target,
@@ -225,6 +230,7 @@
   bool may_run_at(const exchange& x, const target_state& target) const;
   /** Returns the targets that may get a request now. */
   std::vector<target_state*> targets_for(const exchange& x);
+  proximity distance_to(const target_state& target) const;
 
   // gateway_placement.cc
   void place(exchange& x);
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -12,8 +12,11 @@
 namespace seamglade::gateway {
 namespace {
 
-/** In requests: what a target in another failure domain is worse. */
+/** In requests: what a target in another failure domain is worse ... */
 constexpr double kFarPenalty = 1.5;
+/** ... and in another region: as much more as engine_choice.cc counts for it.
+ */
+constexpr double kOtherRegionPenalty = 2.7;
 /** What is told to targets as rank: the most urgent is 0, the default 5. */
 constexpr std::uint32_t kLowestRank = 9;
 /** A copy more is wanted where the best holder runs so many requests ... */
@@ -45,6 +48,18 @@
 /** A request waits for such word this long at most. */
 constexpr duration kAskWait = 15ms;
 
+double distance_penalty(proximity distance) {
+  switch (distance) {
+    case proximity::same_domain:
+      return 0;
+    case proximity::same_region:
+      return kFarPenalty;
+    case proximity::other_region:
+      break;
+  }
+  return kOtherRegionPenalty;
+}
+
 }  // namespace
 
 void gateway_core::impl::place(exchange& x) {
@@ -82,11 +97,10 @@
   if (targets.empty()) return nullptr;
   target_state* best = nullptr;
   double least = 0;
-  const auto& mine = options_.failure_domain;
   for (auto* target : targets) {
     if (x.tried.contains(target->entry.id)) continue;
     double load = target->work(now_).running;
-    if (target->entry.failure_domain != mine) load += kFarPenalty;
+    load += distance_penalty(distance_to(*target));
     // Equal ones are told apart by the request, so that instances spread.
     const auto tie = hash_of(x.facts.id + target->entry.id) % 1000;
     load += static_cast<double>(tie) / 2000.0;
@@ -159,7 +173,7 @@
   const auto& engine = *x.service->engine;
   out.has_room = in_use < engine.adapter_slots;
   out.has_holder = has_live_holder(target.hash);
-  out.is_near = target.entry.failure_domain == options_.failure_domain;
+  out.distance = distance_to(target);
   out.is_home = target.entry.id == x.home;
   out.work = target.work(now_);
   out.read_for = now_ - target.reading_known;
@@ -234,7 +248,15 @@
       lacking.push_back(target);
     }
   }
-  const auto order = in_order_of(x.facts.adapter, lacking, kLookedAt);
+  auto order = in_order_of(x.facts.adapter, lacking, kLookedAt);
+  // All regions agree on the first place. A copy serves the one that asks: a
+  // step down the order counts more than any distance.
+  if (lacking.size() < targets.size()) {
+    std::stable_partition(
+        order.begin(), order.end(), [this](const target_state* target) {
+          return distance_to(*target) != proximity::other_region;
+        });
+  }
   const auto facts = facts_of(x);
   std::vector<valued_target> out;
   for (std::size_t i = 0; i < order.size(); ++i) {
@@ -270,7 +292,8 @@
   if (ready.empty()) ready = value(x, holding);
   const auto elsewhere = homes(x, targets);
   const auto cheaper = [](const valued_target& a, const valued_target& b) {
-    return a.cost < b.cost;
+    return std::pair(a.cost, a.option.distance) <
+           std::pair(b.cost, b.option.distance);
   };
   const auto best = std::min_element(ready.begin(), ready.end(), cheaper);
   const auto home =
@@ -387,6 +410,7 @@
   log("dispatch",
       {{"request", x.facts.id},
        {"target", x.target},
+       {"distance", std::string(to_string(distance_to(target)))},
        {"adapter", x.facts.adapter.str()},
        {"version", static_cast<std::int64_t>(version)},
        {"waited_ms", to_ms(now_ - x.started)},
--- a/test/engine_choice-test.cc
+++ b/test/engine_choice-test.cc
@@ -22,7 +22,7 @@
   out.adapter = adapter;
   out.has_holder = true;
   out.has_room = true;
-  out.is_near = true;
+  out.distance = proximity::same_domain;
   out.slots = 64;
   out.us_per_token = 40;
   return out;
@@ -114,6 +114,36 @@
   EXPECT_GT(cost_of(full, facts), cost_of(idle(residence::recent), facts));
 }
 
+TEST(engine_choice, the_nearest_of_equals_is_taken) {
+  for (const auto where : {residence::ready, residence::loading,
+                           residence::recent, residence::absent}) {
+    auto far = idle(where);
+    far.distance = proximity::other_region;
+    auto near = idle(where);
+    near.distance = proximity::same_region;
+    EXPECT_LT(cost_of(idle(where), long_prompt()),
+              cost_of(near, long_prompt()));
+    EXPECT_LT(cost_of(near, long_prompt()), cost_of(far, long_prompt()));
+  }
+}
+
+TEST(engine_choice, another_region_is_better_than_a_queue_or_a_load_here) {
+  auto far = idle(residence::ready);
+  far.distance = proximity::other_region;
+  EXPECT_LT(cost_of(far, long_prompt()),
+            cost_of(busy(residence::ready, 1), long_prompt()));
+  EXPECT_LT(cost_of(far, long_prompt()),
+            cost_of(idle(residence::absent), long_prompt()));
+}
+
+TEST(engine_choice, a_request_that_waits_keeps_its_home_at_any_distance) {
+  auto home = idle(residence::absent);
+  home.is_home = true;
+  home.distance = proximity::other_region;
+  EXPECT_LT(cost_of(home, long_prompt()),
+            cost_of(idle(residence::absent), long_prompt()));
+}
+
 TEST(read_pace, stays_near_the_usual_until_enough_was_seen) {
   read_pace pace;
   EXPECT_DOUBLE_EQ(pace.us_per_token(40), 40);
