Bytes of datagrams by distance in the metrics

Cause: nothing showed how much word goes to other regions, which is priced.

Ruled out: counting in the decisions: only the shell knows what is sent.

Change: `seamglade_datagram_bytes_total` with the label `distance` (domain, region, other), counted where datagrams are sent, with 28 bytes each for the heads of IP and UDP.

--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -29,11 +29,28 @@
   return out;
 }
 
+prometheus::MetricFamily datagram_family(const datagram_bytes& sent) {
+  using gateway::proximity;
+  prometheus::MetricFamily out;
+  out.name = "seamglade_datagram_bytes_total";
+  out.help = "Bytes sent to other instances in datagrams, by distance";
+  out.type = prometheus::MetricType::Counter;
+  for (const auto distance : {proximity::same_domain, proximity::same_region,
+                              proximity::other_region}) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"distance", std::string(to_string(distance))}};
+    metric.counter.value = static_cast<double>(sent.to(distance));
+    out.metric.push_back(std::move(metric));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_client::counters& calls,
-                         std::uint64_t log_lines_dropped) {
+                         std::uint64_t log_lines_dropped,
+                         const datagram_bytes& datagrams) {
   std::vector<prometheus::MetricFamily> out;
   const auto counter = [&](const char* name, const char* help,
                            std::uint64_t value) {
@@ -78,6 +95,7 @@
           calls.skipped_answers);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
+  out.push_back(datagram_family(datagrams));
   gauge("seamglade_ready", "Whether new connections are taken",
         status.ready ? 1 : 0);
   gauge("seamglade_configuration_version", "Configuration in force",
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_GATEWAY_METRICS_H_
 #define SEAMGLADE_SRC_PROCESS_GATEWAY_METRICS_H_
 
+#include <array>
 #include <string>
 
 #include "connection/call_client.h"
@@ -13,10 +14,26 @@
 
 namespace seamglade::detail {
 
+/** Bytes sent in datagrams, with IP's and UDP's heads, by distance. */
+class datagram_bytes {
+ public:
+  void add(gateway::proximity distance, std::size_t payload) {
+    sent_.at(static_cast<std::size_t>(distance)) += payload + kHeads;
+  }
+  std::uint64_t to(gateway::proximity distance) const {
+    return sent_.at(static_cast<std::size_t>(distance));
+  }
+
+ private:
+  static constexpr std::size_t kHeads = 28;
+  std::array<std::uint64_t, 3> sent_{};
+};
+
 /** Returns the counters in Prometheus' text form. */
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_client::counters& calls,
-                         std::uint64_t log_lines_dropped);
+                         std::uint64_t log_lines_dropped,
+                         const datagram_bytes& datagrams = {});
 
 /** Returns what the instance believes, as JSON. */
 std::string status_page(const gateway::gateway_status& status);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -291,7 +291,9 @@
 }
 
 void gateway_shell::carry_out(action::send_datagram&& a) {
-  datagrams_.send(a.to, gateway::encode_peer_message(a.message));
+  const auto bytes = gateway::encode_peer_message(a.message);
+  datagram_bytes_.add(decisions_.distance_to(a.to), bytes.size());
+  datagrams_.send(a.to, bytes);
 }
 
 void gateway_shell::carry_out(action::set_limits&& a) {
@@ -321,8 +323,9 @@
 void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
   const auto status = decisions_.status(boot_now());
   if (path == kMetricsPath) {
-    reply_whole(metrics_, caller, kOk,
-                metrics_page(status, calls_.counts(), log_.dropped()));
+    reply_whole(
+        metrics_, caller, kOk,
+        metrics_page(status, calls_.counts(), log_.dropped(), datagram_bytes_));
   } else if (path == kStatusPath) {
     reply_whole(metrics_, caller, kOk, status_page(status));
   } else {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -13,6 +13,7 @@
 #include "connection/datagram_socket.h"
 #include "connection/gateway_server.h"
 #include "process/event_log.h"
+#include "process/gateway_metrics.h"
 #include "seamglade/gateway.h"
 #include "seamglade/gateway_config.h"
 
@@ -82,6 +83,7 @@
   gateway_server metrics_;
   gateway_server peers_;
   datagram_socket datagrams_;
+  datagram_bytes datagram_bytes_;
   call_client calls_;
   event_handle timer_;
   std::vector<event_handle> signals_;
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -398,9 +398,14 @@
   gateway_status status;
   status.requests = 5;
   status.ready = true;
-  const auto page = detail::metrics_page(status, {}, 0);
+  detail::datagram_bytes datagrams;
+  datagrams.add(proximity::other_region, 100);
+  datagrams.add(proximity::other_region, 44);
+  const auto page = detail::metrics_page(status, {}, 0, datagrams);
   EXPECT_NE(page.find("seamglade_requests_total 5"), std::string::npos);
   EXPECT_NE(page.find("# TYPE seamglade_ready gauge"), std::string::npos);
+  const std::string far = R"(seamglade_datagram_bytes_total{distance="other"})";
+  EXPECT_NE(page.find(far + " 200"), std::string::npos);
   EXPECT_NE(detail::status_page(status).find("\"ready\":true"),
             std::string::npos);
 }
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -114,6 +114,10 @@
 
 expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
   'seamglade_requests_total'
+expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+  'seamglade_datagram_bytes_total{distance="region"}'
+grep -q '"event":"dispatch".*"distance":"' "$work/g1.log" ||
+  fail 'no distance was logged'
 expect "$("$bin/seamglade" status --address "127.0.1.1:$((port + 3))")" 'ready'
 if grep BROKEN "$work/platform.out"; then fail 'a rule was broken'; fi
 duplicates=$(grep '^run' "$work/platform.out" | cut -d' ' -f2 | sort | uniq -d)
