A region whose members all died is asked no longer

Cause: a region that left a probe unanswered was asked in each beat until something came from it; from one that is lost nothing comes. Ruled out: a time limit; the members' standing tells it. Change: regions without a living member are forgotten among those that did not answer. Result: membership.a_region_that_died_is_asked_no_longer passes.

--- a/src/process/roster.cc
+++ b/src/process/roster.cc
@@ -184,7 +184,7 @@
     targets.resize(probes_.is_in_doubt()
                        ? std::min(kDoubtFanout, targets.size())
                        : kFanout);
-    add_unanswering(all, targets);
+    if (!unanswered_.empty()) add_unanswering(all, targets);
   }
   // Two parts of a fleet that were cut from each other meet again.
   if (is_large() && !gone.empty()) {
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -145,7 +145,7 @@
   void order_by_distance(std::vector<member_address>& members);
   /** Where a region did not answer, adds one of each other region. */
   void add_unanswering(const std::vector<member_address>& shuffled,
-                       std::vector<member_address>& targets) const;
+                       std::vector<member_address>& targets);
   /** Returns whether it is the first of its region, so that more are asked. */
   bool note_unanswered(member_address subject);
   /** Returns whether a whole other region seems to be cut off from here. */
--- a/src/process/roster_distance.cc
+++ b/src/process/roster_distance.cc
@@ -71,7 +71,13 @@
 // A cut between regions is to be noticed as soon as in a fleet of one region,
 // though calm ones hear little of each other.
 void roster::add_unanswering(const std::vector<member_address>& shuffled,
-                             std::vector<member_address>& targets) const {
+                             std::vector<member_address>& targets) {
+  // A region whose members are all gone does not answer any more.
+  std::set<std::uint32_t> present;
+  for (const auto who : shuffled) present.insert(region_of(who));
+  std::erase_if(unanswered_, [&](const auto& region) {
+    return !present.contains(region.first);
+  });
   if (unanswered_.empty()) return;
   std::set<std::uint32_t> asked{region_of(options_.self)};
   for (const auto who : shuffled) {
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -388,6 +388,23 @@
   EXPECT_EQ(fleet.alive(), std::pair(std::size_t{72}, std::size_t{72}));
 }
 
+TEST(membership, a_region_that_died_is_asked_no_longer) {
+  members fleet(72, 0.01, 3);
+  const auto heartbeats = [&] {
+    return fleet.beats_to(proximity::same_domain) +
+           fleet.beats_to(proximity::same_region) +
+           fleet.beats_to(proximity::other_region);
+  };
+  fleet.run_for(5s);
+  for (const auto who : fleet.in_region(1)) fleet.kill(who);
+  fleet.run_for(60s);
+  const auto before = heartbeats();
+  fleet.run_for(20s);
+  // 50 beats of three by 48 members, and two dead seeds in each fourth beat;
+  // one more in each beat would be 10,800.
+  EXPECT_LT(heartbeats() - before, 9000U);
+}
+
 /** Fleets of three regions: a small one, and larger ones. */
 class of_regions : public testing::TestWithParam<std::size_t> {
  protected:
