--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -136,4 +136,8 @@
   return true;
 }
 
+proximity gateway_core::impl::distance_to(const target_state& target) const {
+  return regions_.between(options_.failure_domain, target.entry.failure_domain);
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -38,11 +38,6 @@
 /** Returns whole milliseconds, for the log. */
 inline std::int64_t to_ms(duration time) { return time / 1ms; }
 
-/** Returns the key by which members tell their failure domain. */
-inline domain_key key_of_domain(const std::string& domain) {
-  return static_cast<domain_key>(hash_of(domain));
-}
-
 /** Members are grouped by the file that works on them. */
 class gateway_core::impl {
  public:
@@ -52,6 +47,9 @@
   time_point next_wakeup() const;
   gateway_status status(time_point now) const;
   store_changes changes_after(copy_extent known) const;
+  proximity distance_to(member_address member) const {
+    return roster_.distance_to(member);
+  }
 
  private:
   // gateway.cc
@@ -108,6 +106,8 @@
   bool is_watcher_of_mesh() const;
   bool is_watcher_of_large_fleet();
   const std::vector<member_address>& watch_order();
+  /** Puts the first of each region before all others. */
+  void put_regions_first();
   std::size_t watch_rank();
 
   // gateway_members.cc
@@ -116,6 +116,8 @@
   void take(member_address from, const target_claim& claimed);
   void take(member_address from, const probe_request& message);
   void take(member_address from, const probe_answer& message);
+  /** Returns how old the own copy must be to ask another domain for one. */
+  duration far_copy_age(member_address from) const;
   void merge_rows(member_address from, const std::vector<member_row>& rows,
                   std::size_t known_there);
   void check_probes();
@@ -218,6 +220,11 @@
   /** Returns the target whose admitter is to be asked; null: none is left. */
   target_state* next_to_ask(const exchange& x,
                             const std::vector<target_state*>& targets) const;
+  bool is_word_fresh(const target_state& target) const;
+  static bool may_be_asked(const exchange& x, const target_state& target);
+  /** Returns the least time that a target of fresh word would take. */
+  duration least_expected(const exchange& x,
+                          const std::vector<target_state*>& targets) const;
   void ask_admitter(exchange& x, target_state& target);
   member_address admitter_of(target_hash target) const;
   void take_admission(exchange& x, target_state& target,
@@ -262,6 +269,7 @@
   bool may_run_at(const exchange& x, const target_state& target) const;
   /** Returns the targets that may get a request now. */
   std::vector<target_state*> targets_for(const exchange& x);
+  proximity distance_to(const target_state& target) const;
 
   // gateway_loss.cc
   void watch_call(const exchange& x, const target_state& target);
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -35,7 +35,7 @@
                                     const target_state& target) {
   const auto& domain = target.entry.failure_domain;
   if (domain == options_.failure_domain) return;
-  const auto key = key_of_domain(domain);
+  const auto key = domain_hash(domain);
   domain_names_.try_emplace(key, domain);
   watch_.called(now_, key, target.hash, x.call,
                 waits_[x.service->name].bound());
@@ -59,7 +59,7 @@
 void gateway_core::impl::note_life_of(const target_id& target) {
   const auto* found = targets_.find(target);
   if (found == nullptr) return;
-  note_life_in(key_of_domain(found->entry.failure_domain), false);
+  note_life_in(domain_hash(found->entry.failure_domain), false);
 }
 
 void gateway_core::impl::note_life_in(domain_key domain, bool is_member) {
@@ -75,7 +75,7 @@
 
 void gateway_core::impl::take(member_address from,
                               const domain_alarm& message) {
-  if (message.domain == key_of_domain(options_.failure_domain)) {
+  if (message.domain == domain_hash(options_.failure_domain)) {
     do_act(
         action::send_datagram{from, probe_answer{from, roster_.sample(from)}});
     return;
@@ -111,7 +111,7 @@
   auto known = roster_.domains();
   for (const auto* target : targets_.staying(now_)) {
     const auto& name = target->entry.failure_domain;
-    const auto key = key_of_domain(name);
+    const auto key = domain_hash(name);
     known.insert(key);
     domain_names_.try_emplace(key, name);
   }
@@ -119,7 +119,7 @@
 }
 
 void gateway_core::impl::check_doubts() {
-  const auto mine = key_of_domain(options_.failure_domain);
+  const auto mine = domain_hash(options_.failure_domain);
   for (const auto who : doubts_.newly_doubtful(now_)) {
     // One that lives is heard at once, and doubtful no longer.
     do_act(action::send_datagram{who, probe_request{options_.self, who}});
@@ -241,7 +241,7 @@
                                   const target_state& target) const {
   const bool may_fail = x.way->repeatable && x.way->attempts > 1 && x.runs == 0;
   return may_fail &&
-         watch_.is_trial_due(now_, key_of_domain(target.entry.failure_domain));
+         watch_.is_trial_due(now_, domain_hash(target.entry.failure_domain));
 }
 
 bool gateway_core::impl::is_passed_over(member_address who) const {
