--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -266,6 +266,7 @@
     const auto bytes = encode_peer_message(datagram->message);
     const auto far = distance(from, *instances_.at(peer));
     note_datagram(far, datagram->message, bytes.size());
+    count_traffic(datagram->message, bytes.size());
     later(datagram_delay(far), [this, who, peer, bytes] {
       if (!reachable(who, peer)) return;
       auto decoded = decode_peer_message(bytes);
@@ -276,6 +277,8 @@
       post(*instances_.at(peer),
            event::datagram{who, std::move(decoded.value())});
     });
+  } else if (const auto* line = std::get_if<action::log_line>(&any)) {
+    count_word_age(*line);
   }
 }
 
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -87,6 +87,20 @@
   time_point ended;
 };
 
+/** What instances sent each other of one kind of message. */
+struct peer_traffic {
+  std::size_t datagrams = 0;
+  /** With the headers of IP and UDP. */
+  std::size_t bytes = 0;
+};
+
+/** How old the word was by which requests went to engines. */
+struct word_age {
+  std::size_t dispatched = 0;
+  /** Without word of the engine's holder younger than 150 ms. */
+  std::size_t stale = 0;
+};
+
 /**
  * Instances, targets and a store on one event queue.
  *
@@ -199,6 +213,11 @@
   std::size_t loads() const { return loads_; }
   std::size_t store_calls() const { return store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
+  /** Returns what was sent so far, by the kind of message. */
+  const std::map<std::string, peer_traffic>& traffic_by_kind() const {
+    return traffic_by_kind_;
+  }
+  const word_age& word_ages() const { return word_ages_; }
 
   /** Every broken rule, in words; empty is good. */
   const std::vector<std::string>& violations() const { return violations_; }
@@ -222,6 +241,8 @@
   void post(instance& to, gateway::any_event event);
   void tick(gateway::member_address who, std::uint64_t life);
   void carry_out(instance& from, gateway::any_action action);
+  void count_traffic(const gateway::peer_message& message, std::size_t bytes);
+  void count_word_age(const gateway::action::log_line& line);
   void serve_call(instance& from, const gateway::action::call_target& call);
   void run_request(instance& from, target& at,
                    const gateway::action::call_target& call);
@@ -329,6 +350,8 @@
   std::size_t rejections_ = 0;
   std::size_t store_calls_ = 0;
   std::map<gateway::proximity, fake_traffic> traffic_;
+  std::map<std::string, peer_traffic> traffic_by_kind_;
+  word_age word_ages_;
   std::vector<std::string> violations_;
 };
 
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -260,6 +260,8 @@
   std::size_t suspect_domains = 0;
   /** Calls given up and made elsewhere since their domain was suspect. */
   std::uint64_t left_calls = 0;
+  /** Words of holders that built on others which were not heard here. */
+  std::uint64_t unusable_words = 0;
   /** Age of that word; longest where there is none. */
   duration key_age{};
   /** Workspaces that this instance accounts for. */
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -223,6 +223,7 @@
   orders_from_.erase(target);
   resting_.erase(target);
   sent_editions_.erase(target);
+  residency_logs_.erase(target);
   announce(hash);
 }
 
