--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -101,6 +101,7 @@
   options.key_bound = options_.key_bound;
   options.admission = options_.admission;
   options.quota = options_.quota;
+  options.cold = options_.cold;
   options.seeds = {instances_.begin()->first};
   if (instances_.size() > 1) {
     options.seeds.push_back(std::next(instances_.begin())->first);
--- a/fakes/gateway_world_faults.cc
+++ b/fakes/gateway_world_faults.cc
@@ -7,7 +7,7 @@
 
 namespace seamglade::fakes {
 
-void gateway_world::restart_engine(const std::string& id) {
+std::string gateway_world::restart_engine(const std::string& id) {
   auto node = targets_.extract(id);
   auto& old = *node.mapped();
   put("servers/" + id, std::nullopt);
@@ -25,7 +25,9 @@
   node.key() = old.id;
   auto* t = &old;
   targets_.insert(std::move(node));
+  begin_cold(*t, 0ms);
   publish_target(*t);
+  return t->id;
 }
 
 void gateway_world::drain_target(const std::string& id) {
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <deque>
 
 #include "gateway_world.h"
 
@@ -74,6 +75,11 @@
   std::size_t holder_changes = 0;
   std::size_t runs = 0;
   std::size_t orders = 0;
+  time_point cold_until;
+  /** All have had time to hear that it is cold. */
+  time_point cold_known_from;
+  /** When requests came while it was known to be cold, of the last second. */
+  std::deque<time_point> cold_arrivals;
   /** When each request at a plain target is done. */
   std::vector<time_point> ends;
   /** Reports are as old as the first of these. */
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -90,6 +90,7 @@
     refuse(503);
     return;
   }
+  const bool falls_over = judge_cold(at);
   ++at.runs;
   ++runs_[call.request_id];
   run_domains_[call.request_id].insert(at.domain);
@@ -103,7 +104,7 @@
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
   if (cuts_stream(from, at, call)) return;
-  if (at.broken) {
+  if (at.broken || falls_over) {
     answer(at, who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
            "failed", *work);
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -246,6 +246,17 @@
   return frames::CreateDomainAlarm(b, from.domain);
 }
 
+fb::Offset<frames::ColdRequest> write(fb::FlatBufferBuilder& b,
+                                      const cold_request& from) {
+  return frames::CreateColdRequest(b, from.request, from.target);
+}
+
+fb::Offset<frames::ColdAnswer> write(fb::FlatBufferBuilder& b,
+                                     const cold_answer& from) {
+  return frames::CreateColdAnswer(b, from.request, from.target, from.is_granted,
+                                  from.spent_for.count());
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -436,6 +447,15 @@
   return domain_alarm{from.domain()};
 }
 
+peer_message read(const frames::ColdRequest& from) {
+  return cold_request{from.request(), from.target()};
+}
+
+peer_message read(const frames::ColdAnswer& from) {
+  return cold_answer{from.request(), from.target(), from.is_granted(),
+                     duration(from.spent_for_us())};
+}
+
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
 frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
 frames::Body kind_of(const residency_message&) {
@@ -467,6 +487,8 @@
   return frames::Body::AdmissionEnd;
 }
 frames::Body kind_of(const domain_alarm&) { return frames::Body::DomainAlarm; }
+frames::Body kind_of(const cold_request&) { return frames::Body::ColdRequest; }
+frames::Body kind_of(const cold_answer&) { return frames::Body::ColdAnswer; }
 
 }  // namespace
 
@@ -503,6 +525,8 @@
   if (const auto* word = frame->body_as_AdmissionAnswer()) return read(*word);
   if (const auto* end = frame->body_as_AdmissionEnd()) return read(*end);
   if (const auto* alarm = frame->body_as_DomainAlarm()) return read(*alarm);
+  if (const auto* ask = frame->body_as_ColdRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_ColdAnswer()) return read(*word);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/failure_domains.cc
+++ b/src/process/failure_domains.cc
@@ -72,4 +72,10 @@
                     [](const auto& pair) { return pair.second.is_evacuated; }));
 }
 
+bool failure_domains::is_returning(time_point now,
+                                   std::string_view domain) const {
+  const auto found = domains_.find(domain);
+  return found != domains_.end() && now < found->second.returning_until;
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -59,6 +59,7 @@
   }
   auto* target = next_to_ask(x, targets);
   if (target != nullptr) return ask_admitter(x, *target);
+  if (wait_for_grant(x, targets)) return;
   const bool is_rejected = x.admission.full_for || !x.tried.empty();
   if (is_rejected && x.runs == 0) {
     const auto spread =
@@ -101,12 +102,14 @@
   std::tuple<duration, proximity, std::uint64_t> least;
   for (auto* target : targets) {
     if (!may_be_asked(x, *target)) continue;
+    if (is_spent(*target)) continue;
     const auto distance = distance_to(*target);
     // One in another region is not tried just since nothing is known of it.
     const auto unknown =
         distance == proximity::other_region ? usual : duration{};
-    const auto expected =
+    const auto told =
         is_word_fresh(*target) ? target->admission_expected : unknown;
+    const auto expected = is_cold(*target) ? told + kColdCost : told;
     // Unknown ones and equals are taken by chance, so that instances spread.
     const std::tuple cost{expected + way_to(distance), distance,
                           mix(target->hash ^ hash_of(x.facts.id))};
@@ -176,6 +179,16 @@
   } else if (success && is_whole) {
     message.outcome = admission_outcome::served;
   }
+  tell_admitter(x, message);
+}
+
+void gateway_core::impl::release_place(exchange& x) {
+  if (!std::exchange(x.admission.is_held, false)) return;
+  tell_admitter(x, {x.admission.request, hash_of(x.admission.target)});
+}
+
+void gateway_core::impl::tell_admitter(const exchange& x,
+                                       const admission_end& message) {
   if (x.admission.admitter == options_.self) {
     ledger_.end(now_, options_.self, message);
   } else {
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -76,8 +76,8 @@
 void gateway_core::impl::take(member_address from,
                               const domain_alarm& message) {
   if (message.domain == domain_hash(options_.failure_domain)) {
-    do_act(
-        action::send_datagram{from, probe_answer{from, roster_.sample(from)}});
+    do_act(action::send_datagram{from,
+                                 probe_answer{from, roster_.sample(from), {}}});
     return;
   }
   watch_.silent(now_, message.domain, {silent_source::kind::word, 0});
