--- a/test/evacuation-test.cc
+++ b/test/evacuation-test.cc
@@ -244,6 +244,21 @@
   for (const auto& [id, orders] : before) EXPECT_GT(w_.orders_at(id), orders);
 }
 
+// They may have lost all that they held, and by then their next report is not
+// due: a question, the order that sets the fence and a question are.
+TEST_P(evacuation, what_targets_hold_is_read_anew_after_it) {
+  load_adapters();
+  w_.evacuate(kEast);
+  w_.run_for(1s);
+  std::map<std::string, std::size_t> before;
+  for (const auto& id : engines_in(kEast)) before[id] = w_.orders_at(id);
+  w_.take_back(kEast);
+  w_.run_for(1500ms);
+  for (const auto& [id, orders] : before) {
+    EXPECT_GE(w_.orders_at(id) - orders, 3U) << id;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(fleets, evacuation, testing::Values(5, 24));
 
 /** All targets of the services are in one domain. */
