Each that hears of an evacuation tells the next four

Ruled out: all first-hand readers telling all (the square of the fleet); word passed to members drawn at random: some are missed. Change: where the fleet is large, whoever learns of it otherwise than as a watcher of the whole store tells the four behind it in the watchers' order: four messages an instance. evacuation-test runs at 72 instances too.

--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -18,6 +18,13 @@
 
 /** Operators alone know when it ends: callers are not to come at once. */
 constexpr duration kComeBackLater = 1s;
+/**
+ * Members that each tells of an evacuation, those behind it in an order that
+ * all share: where the store turns most away and none of the watchers is in
+ * touch, word goes round from the few that read it, past lost messages and past
+ * members that are down.
+ */
+constexpr std::size_t kToldNext = 4;
 constexpr std::string_view kAllEvacuated = "domains_evacuated";
 constexpr std::string_view kNoRegion = "no_allowed_region";
 
@@ -53,6 +60,22 @@
   return true;
 }
 
+void gateway_core::impl::pass_on_evacuations(
+    const std::vector<store_item>& news) {
+  if (!roster_.is_large()) return;
+  news_message message;
+  for (const auto& item : news) {
+    if (platform_.evacuated_by_key(item.key)) message.items.push_back(item);
+  }
+  if (message.items.empty()) return;
+  const auto& ring = watch_order();
+  const auto mine = watch_rank();
+  for (std::size_t i = 1; i <= std::min(kToldNext, ring.size()); ++i) {
+    const auto to = ring[(mine + i) % ring.size()];
+    if (to != options_.self) do_act(action::send_datagram{to, message});
+  }
+}
+
 duration gateway_core::impl::longest_cold_time() const {
   duration longest{};
   if (!config_) return longest;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -222,6 +222,8 @@
   /** Returns whether it is news. */
   bool evacuate(const evacuation& word, std::uint64_t revision);
   bool take_back(std::string_view domain, std::uint64_t revision);
+  /** Tells the next few members; each that hears news of it does the same. */
+  void pass_on_evacuations(const std::vector<store_item>& news);
   /** Returns the longest time for which a service's targets are cold. */
   duration longest_cold_time() const;
   /** Returns whether a target is to get neither orders nor reports now. */
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -284,9 +284,10 @@
     if (take_item(item, lapsed, source)) urgent.push_back(item);
   }
   // What operators write reaches most at the same moment: of these the few
-  // tell it that watch the whole store.
+  // tell all that watch the whole store.
   const bool first_hand = source == kFromStore && store_age() < kTellerContact;
   const bool is_first_copy = changes.whole && !had_copy;
+  if (!first_hand && !is_first_copy) pass_on_evacuations(urgent);
   if (first_hand && !is_first_copy && !urgent.empty()) {
     // A message holds few items: what concerns a whole domain goes first.
     std::stable_partition(urgent.begin(), urgent.end(),
--- a/test/evacuation-test.cc
+++ b/test/evacuation-test.cc
@@ -259,7 +259,7 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(fleets, evacuation, testing::Values(5, 24));
+INSTANTIATE_TEST_SUITE_P(fleets, evacuation, testing::Values(5, 24, 72));
 
 /** All targets of the services are in one domain. */
 class only_domain : public testing::TestWithParam<std::size_t> {
