Cold targets get a grant for each request; sight and cold_ledger

Cause: cold_left, cold_time and cold_rate were read and used by nothing. Change: sight (taken out of quota_accounts, which behaves as before); cold_ledger, grantor_of; cold_request and cold_answer; gateway_cold.cc, asked by dispatch, through which all that is sent to a target passes; cold targets cost 200 ms (6 requests where loads are compared); an entry that has more left than before is news in a large fleet too; counters, log lines, docs. The fakes' targets turn cold, restart cold, count what comes and fall over. A parameter of the fakes that -Wshadow refused here is renamed.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -75,8 +75,8 @@
   return instances_.at(who)->domain;
 }
 
-std::string gateway_world::domain_of(const std::string& target) const {
-  return targets_.at(target)->domain;
+std::string gateway_world::domain_of(const std::string& id) const {
+  return targets_.at(id)->domain;
 }
 
 std::vector<std::string> gateway_world::engines() const {
@@ -101,6 +101,7 @@
   options.key_bound = options_.key_bound;
   options.admission = options_.admission;
   options.quota = options_.quota;
+  options.cold = options_.cold;
   options.seeds = {instances_.begin()->first};
   if (instances_.size() > 1) {
     options.seeds.push_back(std::next(instances_.begin())->first);
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -52,6 +52,10 @@
   /** How long a key may run that was taken away. */
   duration key_bound = 5s;
   gateway::quota_bounds quota = {8s, 0.25, 11000};
+  /** Requests a second that a cold target bears; 0: none is ever cold. */
+  double cold_rate = 0;
+  duration cold_time = 3s;
+  gateway::cold_bounds cold = {1.5, 5};
 };
 
 /** One request of a caller and what became of it. */
@@ -128,7 +132,12 @@
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
   std::string domain_of(const std::string& target) const;
-  void restart_engine(const std::string& id);
+  /** It comes back under another id, cold if any is. Returns the id. */
+  std::string restart_engine(const std::string& id);
+  /** A target turns cold that goes on. */
+  void make_cold(const std::string& id);
+  /** Returns the most requests that came to a cold target in one second. */
+  std::size_t most_while_cold() const { return most_while_cold_; }
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
   void lapse_target(const std::string& id);
@@ -200,6 +209,9 @@
   /** Returns when a plain target would be done; none: it is full. */
   std::optional<duration> plain_work(target& at);
   void judge_quota(const std::string& workspace, const gateway_call& call);
+  /** Counts a request that came; returns whether the target fails it. */
+  bool judge_cold(target& at);
+  void begin_cold(target& at, duration told_within);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
   void lose_store_call(gateway::member_address who, std::uint64_t life,
@@ -263,6 +275,7 @@
   caller_id next_caller_ = 1;
   std::size_t loads_ = 0;
   std::size_t rejections_ = 0;
+  std::size_t most_while_cold_ = 0;
   std::size_t store_calls_ = 0;
   std::vector<std::string> violations_;
 };
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <deque>
 
 #include "gateway_world.h"
 
@@ -63,6 +64,11 @@
   bool last_in_touch = false;
   std::size_t holder_changes = 0;
   std::size_t runs = 0;
+  time_point cold_until;
+  /** All have had time to hear that it is cold. */
+  time_point cold_known_from;
+  /** When requests came while it was known to be cold, of the last second. */
+  std::deque<time_point> cold_arrivals;
   /** When each request at a plain target is done. */
   std::vector<time_point> ends;
   /** Reports are as old as the first of these. */
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -122,11 +122,16 @@
           : std::string("[]");
   const bool is_bounded = !which.engine && options_.plain_slots > 0;
   const auto slots = is_bounded ? options_.plain_slots : 64U;
+  const auto left = (which.cold_until - now_) / 1ms;
+  const auto cold = options_.cold_rate > 0
+                        ? fmt::format(R"(,"cold_left_ms":{})",
+                                      std::max<std::int64_t>(0, left))
+                        : std::string();
   return fmt::format(
       R"({{"svc":"{}","addr":"{}","zone":"{}","slots":{},"state":"{}",)"
-      R"("models":{}}})",
+      R"("models":{}{}}})",
       which.service, which.address, which.domain, slots,
-      which.draining ? "draining" : "ready", models);
+      which.draining ? "draining" : "ready", models, cold);
 }
 
 void gateway_world::publish_target(target& which) {
@@ -143,6 +148,12 @@
       R"("models":[{{"name":"{}","weights_mb":40000,"load_s":0.6,)"
       R"("lora_mb":10}}]}})",
       options_.adapter_slots, kModel);
+  const auto cold =
+      options_.cold_rate > 0
+          ? fmt::format(R"(,"cold_start_s":{},"cold_per_s":{})",
+                        static_cast<double>(options_.cold_time / 1ms) / 1000,
+                        options_.cold_rate)
+          : std::string();
   put("op/config",
       fmt::format(
           R"({{"cfg_ver":{},"routes":[)"
@@ -156,8 +167,9 @@
           R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)"
           R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
           R"("public":true,"timeout_ms":1500,"svc":"plain"}}],)"
-          R"("svcs":[{{"name":"llm","engine":{}}},{{"name":"plain"}}]{}}})",
-          version, engine_prefix, engine, workspaces_text()));
+          R"("svcs":[{{"name":"llm","engine":{}{}}},{{"name":"plain"{}}}])"
+          R"({}}})",
+          version, engine_prefix, engine, cold, cold, workspaces_text()));
 }
 
 std::string gateway_world::workspaces_text() const {
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -87,6 +87,7 @@
     refuse(503);
     return;
   }
+  const bool falls_over = judge_cold(at);
   ++at.runs;
   ++runs_[call.request_id];
   judge_key(call);
@@ -96,7 +97,7 @@
   later(*work, [t, adapter] {
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
-  if (at.broken) {
+  if (at.broken || falls_over) {
     answer(who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
            "failed", *work);
@@ -336,7 +337,7 @@
   if (at.history.size() > kKeptStates) at.history.erase(at.history.begin());
 }
 
-void gateway_world::restart_engine(const std::string& id) {
+std::string gateway_world::restart_engine(const std::string& id) {
   auto node = targets_.extract(id);
   auto& old = *node.mapped();
   put("servers/" + id, std::nullopt);
@@ -354,7 +355,9 @@
   node.key() = old.id;
   auto* t = &old;
   targets_.insert(std::move(node));
+  begin_cold(*t, 0ms);
   publish_target(*t);
+  return t->id;
 }
 
 void gateway_world::drain_target(const std::string& id) {
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -259,6 +259,11 @@
   duration key_age{};
   /** Workspaces that this instance accounts for. */
   std::size_t accounts = 0;
+  /** Given and refused here, as the grantor of cold targets. */
+  std::uint64_t cold_granted = 0;
+  std::uint64_t cold_refused = 0;
+  /** Questions for such a grant that were not answered in time. */
+  std::uint64_t cold_unanswered = 0;
 };
 
 /** All decisions of one instance of the direct path. */
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -298,12 +298,32 @@
   friend bool operator==(const admission_end&, const admission_end&) = default;
 };
 
+/** Asks a cold target's grantor whether one request may go there. */
+struct cold_request {
+  /** Names the question at the sender. */
+  std::uint64_t request = 0;
+  target_hash target = 0;
+
+  friend bool operator==(const cold_request&, const cold_request&) = default;
+};
+
+/** A grant is for one request, to be sent at once. */
+struct cold_answer {
+  std::uint64_t request = 0;
+  target_hash target = 0;
+  bool is_granted = false;
+  /** Where it is refused: the sender is not to ask for the target sooner. */
+  duration spent_for{};
+
+  friend bool operator==(const cold_answer&, const cold_answer&) = default;
+};
+
 using peer_message =
     std::variant<heartbeat, interest_message, residency_message, news_message,
                  loads_message, probe_request, probe_answer,
                  confirmation_request, confirmation_answer, quota_request,
                  quota_answer, admission_request, admission_answer,
-                 admission_end>;
+                 admission_end, cold_request, cold_answer>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -166,6 +166,17 @@
                                     from.took.count());
 }
 
+fb::Offset<frames::ColdRequest> write(fb::FlatBufferBuilder& b,
+                                      const cold_request& from) {
+  return frames::CreateColdRequest(b, from.request, from.target);
+}
+
+fb::Offset<frames::ColdAnswer> write(fb::FlatBufferBuilder& b,
+                                     const cold_answer& from) {
+  return frames::CreateColdAnswer(b, from.request, from.target, from.is_granted,
+                                  from.spent_for.count());
+}
+
 template <typename Rows, typename Read>
 void each(const Rows* rows, Read read) {
   if (rows == nullptr) return;
@@ -310,6 +321,15 @@
       duration(from.took_us())};
 }
 
+peer_message read(const frames::ColdRequest& from) {
+  return cold_request{from.request(), from.target()};
+}
+
+peer_message read(const frames::ColdAnswer& from) {
+  return cold_answer{from.request(), from.target(), from.is_granted(),
+                     duration(from.spent_for_us())};
+}
+
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
 frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
 frames::Body kind_of(const residency_message&) {
@@ -340,6 +360,8 @@
 frames::Body kind_of(const admission_end&) {
   return frames::Body::AdmissionEnd;
 }
+frames::Body kind_of(const cold_request&) { return frames::Body::ColdRequest; }
+frames::Body kind_of(const cold_answer&) { return frames::Body::ColdAnswer; }
 
 }  // namespace
 
@@ -375,6 +397,8 @@
   if (const auto* ask = frame->body_as_AdmissionRequest()) return read(*ask);
   if (const auto* word = frame->body_as_AdmissionAnswer()) return read(*word);
   if (const auto* end = frame->body_as_AdmissionEnd()) return read(*end);
+  if (const auto* ask = frame->body_as_ColdRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_ColdAnswer()) return read(*word);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/process/engine_choice.cc
+++ b/src/process/engine_choice.cc
@@ -96,6 +96,7 @@
   *cost += kFullCost * option.work.running / option.slots;
   if (!option.is_near) *cost += kFarCost;
   if (option.is_home) *cost -= kHomeGain;
+  if (option.is_cold) *cost += kColdCost + option.grant_wait;
   if (option.adapter == residence::recent) *cost += kRecentLoadCost;
   if (option.adapter == residence::absent) {
     *cost += duration(static_cast<std::int64_t>(
--- a/src/process/engine_choice.h
+++ b/src/process/engine_choice.h
@@ -35,6 +35,10 @@
   bool is_near = false;
   /** The request already waits for a load there. */
   bool is_home = false;
+  /** It started lately, and is slow. */
+  bool is_cold = false;
+  /** Until it may get a request, where it is cold. */
+  duration grant_wait{};
   /** Place in the adapter's rendezvous order, from 0. */
   std::size_t order = 0;
   target_work work;
@@ -54,6 +58,12 @@
   duration load_time{};
 };
 
+/**
+ * What a cold target costs a request beyond its place in the queue: its prompt
+ * is read slowly, and a grant is taken that another may need more.
+ */
+inline constexpr duration kColdCost = 200ms;
+
 /** Returns how long the target reads before it comes to the request. */
 duration reading_ahead(const engine_option& option, const choice_facts& facts);
 
--- a/src/process/failure_domains.cc
+++ b/src/process/failure_domains.cc
@@ -66,4 +66,10 @@
   return found != domains_.end() && found->second.is_evacuated;
 }
 
+bool failure_domains::is_returning(time_point now,
+                                   std::string_view domain) const {
+  const auto found = domains_.find(domain);
+  return found != domains_.end() && now < found->second.returning_until;
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/failure_domains.h
+++ b/src/process/failure_domains.h
@@ -47,6 +47,9 @@
 
   domain_state state(time_point now, std::string_view domain) const;
   bool is_evacuated(std::string_view domain) const;
+  /** Returns whether its targets may be cold still, also where it is suspect.
+   */
+  bool is_returning(time_point now, std::string_view domain) const;
 
  private:
   struct record {
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -40,6 +40,7 @@
   }
   auto* target = next_to_ask(x, targets);
   if (target != nullptr) return ask_admitter(x, *target);
+  if (wait_for_grant(x, targets)) return;
   const bool is_rejected = x.admission.full_for || !x.tried.empty();
   if (is_rejected && x.runs == 0) {
     const auto spread =
@@ -61,9 +62,11 @@
   for (auto* target : targets) {
     if (x.tried.contains(target->entry.id)) continue;
     if (x.admission.full.contains(target->hash)) continue;
+    if (is_spent(*target)) continue;
     const bool is_fresh = now_ - target->admission_heard < kFreshWord;
     // Unknown ones and equals are taken by chance, so that instances spread.
-    const std::pair cost{is_fresh ? target->admission_expected : duration{},
+    const auto expected = is_fresh ? target->admission_expected : duration{};
+    const std::pair cost{is_cold(*target) ? expected + kColdCost : expected,
                          mix(target->hash ^ hash_of(x.facts.id))};
     if (best != nullptr && least <= cost) continue;
     best = target;
@@ -126,6 +129,16 @@
   } else if (success && is_whole) {
     message.outcome = admission_outcome::served;
   }
+  tell_admitter(x, message);
+}
+
+void gateway_core::impl::release_place(exchange& x) {
+  if (!std::exchange(x.admission.is_held, false)) return;
+  tell_admitter(x, {x.admission.request, hash_of(x.admission.target)});
+}
+
+void gateway_core::impl::tell_admitter(const exchange& x,
+                                       const admission_end& message) {
   if (x.admission.admitter == options_.self) {
     ledger_.end(now_, options_.self, message);
   } else {
--- /dev/null
+++ b/src/process/gateway_cold.cc
@@ -0,0 +1,223 @@
+// seamglade - the direct path: requests to cold targets
+//
+// A cold target bears few requests a second, and the bound on what it gets
+// holds for all instances together. So each request to one needs a grant of the
+// target's grantor, the first in a rendezvous order among the living. Without
+// one nothing is sent there, whatever is lost by it: the request goes elsewhere
+// or waits.
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "process/gateway_impl.h"
+#include "process/status_codes.h"
+
+namespace seamglade::gateway {
+namespace {
+
+/**
+ * A grantor that has not answered in this time is done without; a grant that
+ * comes later is lost, so that none is used in another second than it was for.
+ */
+constexpr duration kGrantorPatience = 25ms;
+/** ... and its target is passed over for so long. */
+constexpr duration kUnansweredPause = 250ms;
+/** Targets are taken over and given up so far apart. */
+constexpr duration kLedgerPeriod = 250ms;
+/** Others are heard before targets are taken over, as with accounts. */
+constexpr duration kHearMembers = 400ms;
+/**
+ * How long the views of two instances may differ of who lives. Where all hear
+ * all: a heartbeat's period (0.25 s), once more for word that came through
+ * others, and the looks at both ends.
+ */
+constexpr duration kSettling = 1s;
+/**
+ * In a large fleet: ten dead of 195 are missed by the first after 2.6 s and by
+ * all within 4, and as much again for a cut, in which many are probed.
+ */
+constexpr duration kLargeSettling = 3s;
+
+}  // namespace
+
+bool gateway_core::impl::is_cold(const target_state& target) const {
+  const auto& domain = target.entry.failure_domain;
+  if (!target.is_cold(now_) && !domains_.is_returning(now_, domain)) {
+    return false;
+  }
+  const auto* service = config_->find_service(target.entry.service);
+  return service != nullptr && service->cold_rate > 0;
+}
+
+bool gateway_core::impl::is_spent(const target_state& target) const {
+  if (!is_cold(target)) return false;
+  if (now_ < target.cold_refused_until) return true;
+  // One question at a time: where little is left, each refused one is told
+  // another time, and several of one instance would take others' turns.
+  return std::any_of(
+      cold_asks_.begin(), cold_asks_.end(), [&](const auto& pair) {
+        return pair.second.target == target.hash && now_ < pair.second.until;
+      });
+}
+
+std::vector<target_state*> gateway_core::impl::without_spent(
+    const std::vector<target_state*>& targets) const {
+  auto out = targets;
+  std::erase_if(
+      out, [this](const target_state* target) { return is_spent(*target); });
+  return out.empty() ? targets : out;
+}
+
+duration gateway_core::impl::grant_wait(const target_state& target) const {
+  if (!is_cold(target)) return {};
+  return std::max(duration{}, target.cold_refused_until - now_);
+}
+
+bool gateway_core::impl::awaits_grant(exchange& x) {
+  if (!x.cold.answer_until) return false;
+  if (now_ < *x.cold.answer_until) return true;
+  ++counts_.cold_unanswered;
+  auto* target = targets_.find(x.cold.target);
+  if (target == nullptr) {
+    x.cold.answer_until.reset();
+    release_place(x);
+    return false;
+  }
+  log("cold_unanswered", {{"request", x.facts.id},
+                          {"target", target->entry.id},
+                          {"grantor", static_cast<std::int64_t>(x.cold.who)}});
+  pass_over(x, *target, kUnansweredPause);
+  return false;
+}
+
+void gateway_core::impl::ask_grantor(exchange& x, target_state& target) {
+  x.now = exchange::phase::waiting;
+  x.cold.target = target.hash;
+  x.cold.request = next_cold_request_++;
+  const cold_request request{x.cold.request, target.hash};
+  // One that is alone in leaving may be asked by nobody.
+  x.cold.who = grantor_of(target.hash, staying_).value_or(options_.self);
+  if (x.cold.who == options_.self) {
+    take_grant(x, target, answer_cold(request));
+    return;
+  }
+  x.cold.answer_until = now_ + kGrantorPatience;
+  cold_asks_[request.request] = {x.caller, target.hash, *x.cold.answer_until};
+  do_act(action::send_datagram{x.cold.who, request});
+}
+
+void gateway_core::impl::pass_over(exchange& x, target_state& target,
+                                   duration span) {
+  x.cold.answer_until.reset();
+  target.cold_refused_until = std::max(target.cold_refused_until, now_ + span);
+  release_place(x);
+}
+
+void gateway_core::impl::take_grant(exchange& x, target_state& target,
+                                    const cold_answer& answer) {
+  log("cold_grant", {{"request", x.facts.id},
+                     {"target", target.entry.id},
+                     {"granted", static_cast<std::int64_t>(answer.is_granted)},
+                     {"entry_age_ms", to_ms(now_ - target.entry_heard)},
+                     {"left_ms", to_ms(target.cold_until - now_)},
+                     {"spent_for_ms", to_ms(answer.spent_for)}});
+  if (!answer.is_granted) {
+    pass_over(x, target, std::max<duration>(answer.spent_for, 1ms));
+    place(x);
+    return;
+  }
+  x.cold.answer_until.reset();
+  x.cold.granted = target.hash;
+  dispatch(x, target);
+}
+
+bool gateway_core::impl::use_grant(exchange& x, const target_state& target) {
+  return std::exchange(x.cold.granted, 0) == target.hash;
+}
+
+bool gateway_core::impl::wait_for_grant(
+    exchange& x, const std::vector<target_state*>& targets) {
+  target_state* next = nullptr;
+  for (auto* target : targets) {
+    const bool is_out = x.tried.contains(target->entry.id) ||
+                        x.admission.full.contains(target->hash);
+    if (is_out || !is_spent(*target)) continue;
+    if (next == nullptr ||
+        target->cold_refused_until < next->cold_refused_until) {
+      next = target;
+    }
+  }
+  if (next == nullptr) return false;
+  const auto at = std::max(next->cold_refused_until, now_ + 1ms);
+  if (at >= x.refuse_at && x.runs == 0 && !x.head_sent) {
+    refuse(x, kUnavailable, at - now_, "targets_cold");
+    return true;
+  }
+  x.cold.again_at = at;
+  // A stream that goes on, or an adapter that is there, is to wait at a target.
+  const bool has_home = x.head_sent || !x.facts.adapter.model.empty();
+  wait_for(x, has_home ? next : nullptr, "cold");
+  return true;
+}
+
+duration gateway_core::impl::come_back(const exchange& x,
+                                       duration usual) const {
+  return std::max(usual, x.cold.again_at - now_);
+}
+
+cold_answer gateway_core::impl::answer_cold(const cold_request& request) {
+  // Who may be cut off knows too little of what others give.
+  if (was_isolated_ || draining_) close_cold();
+  const auto answer = cold_.take(now_, request);
+  ++(answer.is_granted ? counts_.cold_granted : counts_.cold_refused);
+  return answer;
+}
+
+void gateway_core::impl::close_cold() {
+  cold_.close();
+  next_cold_update_ = now_ + kHearMembers;
+}
+
+void gateway_core::impl::tick_cold() {
+  std::erase_if(cold_asks_,
+                [&](const auto& pair) { return now_ >= pair.second.until; });
+  if (!config_) return;
+  if (was_isolated_ || draining_) return close_cold();
+  if (now_ < next_cold_update_) return;
+  next_cold_update_ = now_ + kLedgerPeriod;
+  std::vector<cold_candidate> candidates;
+  for (const auto* target : targets_.staying(now_)) {
+    const auto* service = config_->find_service(target->entry.service);
+    if (service == nullptr || service->cold_rate <= 0) continue;
+    candidates.push_back({target->hash, service->cold_rate, is_cold(*target)});
+  }
+  cold_.update(now_, view_of_fleet(), candidates,
+               roster_.is_large() ? kLargeSettling : kSettling);
+}
+
+void gateway_core::impl::take(member_address from,
+                              const cold_request& message) {
+  do_act(action::send_datagram{from, answer_cold(message)});
+}
+
+void gateway_core::impl::take(member_address, const cold_answer& message) {
+  const auto ask = cold_asks_.extract(message.request);
+  auto* target = targets_.find(message.target);
+  if (ask.empty() || target == nullptr) return;
+  const auto found = exchanges_.find(ask.mapped().caller);
+  auto* x = found == exchanges_.end() ? nullptr : &found->second;
+  // A grant that comes late might be used in a second that has its own.
+  const bool is_awaited = x != nullptr && x->cold.answer_until &&
+                          x->cold.request == message.request &&
+                          now_ < *x->cold.answer_until;
+  waiting_dirty_ = true;
+  if (!is_awaited) return;
+  if (may_run_at(*x, *target)) return take_grant(*x, *target, message);
+  x->cold.answer_until.reset();
+  release_place(*x);
+  place(*x);
+}
+
+}  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "process/admission_ledger.h"
+#include "process/cold_ledger.h"
 #include "process/engine_choice.h"
 #include "process/failure_domains.h"
 #include "process/quota_accounts.h"
@@ -182,6 +183,7 @@
   /** Until others were heard: what this instance knows of them is old. */
   void close_accounts();
   void open_accounts();
+  fleet_view view_of_fleet() const;
   void ask_confirmations();
   void take(member_address from, const confirmation_request& message);
   void take(member_address from, const confirmation_answer& message);
@@ -199,10 +201,41 @@
                       const admission_answer& answer);
   /** A call to a plain target ended: its place is free. */
   void end_admission(exchange& x, bool success);
+  /** A place is given back unused. */
+  void release_place(exchange& x);
+  void tell_admitter(const exchange& x, const admission_end& message);
   void take(member_address from, const admission_request& message);
   void take(member_address from, const admission_answer& message);
   void take(member_address from, const admission_end& message);
 
+  // gateway_cold.cc
+  bool is_cold(const target_state& target) const;
+  /** Returns whether a cold target is not to be asked for just now. */
+  bool is_spent(const target_state& target) const;
+  /** Returns those that are not spent; all, where all are. */
+  std::vector<target_state*> without_spent(
+      const std::vector<target_state*>& targets) const;
+  /** Returns how long a cold target has nothing left. */
+  duration grant_wait(const target_state& target) const;
+  /** Returns whether a request still waits for a grantor's answer. */
+  bool awaits_grant(exchange& x);
+  void ask_grantor(exchange& x, target_state& target);
+  /** A cold target gets nothing from here for so long. */
+  void pass_over(exchange& x, target_state& target, duration span);
+  void take_grant(exchange& x, target_state& target, const cold_answer& answer);
+  /** Returns whether the request was granted for the target just now. */
+  static bool use_grant(exchange& x, const target_state& target);
+  /** Lets a request wait, or refuses it, if cold targets have nothing left. */
+  bool wait_for_grant(exchange& x, const std::vector<target_state*>& targets);
+  /** Returns when a request that was not run is worth another try. */
+  duration come_back(const exchange& x, duration usual) const;
+  cold_answer answer_cold(const cold_request& request);
+  /** Until others were heard, as with accounts. */
+  void close_cold();
+  void tick_cold();
+  void take(member_address from, const cold_request& message);
+  void take(member_address from, const cold_answer& message);
+
   // gateway_work.cc
   /** A request of this instance goes to a target. */
   void work_began(exchange& x, target_state& target);
@@ -362,6 +395,17 @@
   std::uint64_t next_admission_ = 1;
   std::map<std::uint64_t, caller_id> admissions_;
 
+  // Cold targets.
+  cold_ledger cold_;
+  time_point next_cold_update_{};
+  std::uint64_t next_cold_request_ = 1;
+  struct cold_ask {
+    caller_id caller = 0;
+    target_hash target = 0;
+    time_point until;
+  };
+  std::map<std::uint64_t, cold_ask> cold_asks_;
+
   // Peers.
   struct peer_state {
     std::uint64_t store_revision = 0;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -70,6 +70,13 @@
   counter("seamglade_overloaded_total",
           "Refused since no plain target would have been in time",
           status.overloaded);
+  counter("seamglade_cold_granted_total", "Grants given for cold targets",
+          status.cold_granted);
+  counter("seamglade_cold_refused_total", "Grants refused for cold targets",
+          status.cold_refused);
+  counter("seamglade_cold_unanswered_total",
+          "Questions for such a grant without an answer in time",
+          status.cold_unanswered);
   counter("seamglade_connections_opened_total", "Connections opened",
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -14,6 +14,8 @@
 
 /** In requests: what a target in another failure domain is worse. */
 constexpr double kFarPenalty = 1.5;
+/** In requests: what a cold target is worse, which is slow. */
+constexpr double kColdPenalty = 6;
 /** What is told to targets as rank: the most urgent is 0, the default 5. */
 constexpr std::uint32_t kLowestRank = 9;
 /** A copy more is wanted where the best holder runs so many requests ... */
@@ -50,6 +52,7 @@
 void gateway_core::impl::place(exchange& x) {
   const auto& answer_until = x.admission.answer_until;
   if (answer_until && now_ < *answer_until) return;
+  if (awaits_grant(x)) return;
   const auto targets = targets_for(x);
   if (targets.empty()) {
     wait_for(x, nullptr, "no_target");
@@ -70,11 +73,8 @@
     exchange& x, const std::vector<target_state*>& targets) {
   auto* target = least_busy(candidates(targets, x), x);
   if (target == nullptr) target = least_busy(targets, x);
-  if (target == nullptr) {
-    wait_for(x, nullptr, "all_tried");
-    return;
-  }
-  dispatch(x, *target);
+  if (target != nullptr) return dispatch(x, *target);
+  if (!wait_for_grant(x, targets)) wait_for(x, nullptr, "all_tried");
 }
 
 target_state* gateway_core::impl::least_busy(
@@ -84,9 +84,10 @@
   double least = 0;
   const auto& mine = options_.failure_domain;
   for (auto* target : targets) {
-    if (x.tried.contains(target->entry.id)) continue;
+    if (x.tried.contains(target->entry.id) || is_spent(*target)) continue;
     double load = target->work(now_).running;
     if (target->entry.failure_domain != mine) load += kFarPenalty;
+    if (is_cold(*target)) load += kColdPenalty;
     // Equal ones are told apart by the request, so that instances spread.
     const auto tie = hash_of(x.facts.id + target->entry.id) % 1000;
     load += static_cast<double>(tie) / 2000.0;
@@ -161,6 +162,8 @@
   out.has_holder = has_live_holder(target.hash);
   out.is_near = target.entry.failure_domain == options_.failure_domain;
   out.is_home = target.entry.id == x.home;
+  out.is_cold = is_cold(target);
+  out.grant_wait = grant_wait(target);
   out.work = target.work(now_);
   out.read_for = now_ - target.reading_known;
   out.slots = std::max(1U, engine.slots);
@@ -258,7 +261,7 @@
       holding.push_back(target);
     }
   }
-  const auto looked_at = candidates(holding, x);
+  const auto looked_at = candidates(without_spent(holding), x);
   // An adapter that nobody is known to hold may be there or on its way: what
   // the store tells of targets is seconds old in a large fleet, and of 4,062
   // loads on a day of high load there 1,416 were of adapters held elsewhere.
@@ -278,6 +281,7 @@
   const bool has_home = home != elsewhere.end();
   if (best != ready.end() && (!has_home || best->cost <= home->cost)) {
     if (best->option.work.running < best->option.slots) {
+      if (wait_for_grant(x, {best->target})) return;
       want_copy(x, *best, elsewhere);
       dispatch(x, *best->target);
       return;
@@ -349,6 +353,8 @@
 }
 
 void gateway_core::impl::dispatch(exchange& x, target_state& target) {
+  // All that is sent to a target comes through here.
+  if (is_cold(target) && !use_grant(x, target)) return ask_grantor(x, target);
   if (!x.home.empty()) interest_dirty_.insert(x.home);
   x.home.clear();
   x.asked_until.reset();
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -383,7 +383,7 @@
   } else if (x.runs > 0) {
     refuse(x, kGatewayTimeout, {}, "no_answer_in_time");
   } else {
-    refuse(x, kUnavailable, kComeBackSoon, "no_place_in_time");
+    refuse(x, kUnavailable, come_back(x, kComeBackSoon), "no_place_in_time");
   }
 }
 
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -45,6 +45,11 @@
 constexpr duration kFetchAgain = 300ms;
 constexpr std::string_view kFromStore = "store";
 
+/** Its time as a cold target began anew: what is sent there has a bound. */
+bool is_colder(const target_entry& before, const target_entry& now) {
+  return now.cold_left > before.cold_left;
+}
+
 /**
  * Adapters come and go all the time, and holders are asked for them. Told to
  * all, each such change went to each instance.
@@ -52,7 +57,7 @@
 bool is_same_but_for_adapters(const target_entry& a, const target_entry& b) {
   return a.service == b.service && a.address == b.address &&
          a.failure_domain == b.failure_domain && a.draining == b.draining &&
-         a.slots == b.slots && a.models == b.models;
+         a.slots == b.slots && a.models == b.models && !is_colder(a, b);
 }
 
 }  // namespace
@@ -342,13 +347,15 @@
 
 bool gateway_core::impl::take_entry(target_entry&& entry) {
   const auto* known = targets_.find(entry.id);
-  const bool is_news =
-      known == nullptr || known->entry.draining != entry.draining;
+  const bool is_news = known == nullptr ||
+                       known->entry.draining != entry.draining ||
+                       is_colder(known->entry, entry);
   if (is_news) {
     log("target_listed",
         {{"target", entry.id},
          {"service", entry.service},
-         {"draining", static_cast<std::int64_t>(entry.draining)}});
+         {"draining", static_cast<std::int64_t>(entry.draining)},
+         {"cold_left_ms", to_ms(entry.cold_left)}});
   }
   targets_.list(now_, std::move(entry));
   return is_news;
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -257,7 +257,11 @@
   std::erase_if(unresponsive_until_,
                 [&](const auto& pair) { return now_ >= pair.second; });
   if (draining_) return;
-  quota_accounts::fleet_view view;
+  accounts_.update(now_, *config_, view_of_fleet());
+}
+
+fleet_view gateway_core::impl::view_of_fleet() const {
+  fleet_view view;
   view.staying = staying_;
   for (const auto& member : roster_.silent(now_)) {
     view.silent.push_back(member.who);
@@ -268,7 +272,7 @@
       if (seed != options_.self) view.silent.push_back(seed);
     }
   }
-  accounts_.update(now_, *config_, view);
+  return view;
 }
 
 void gateway_core::impl::ask_confirmations() {
--- a/src/process/quota_accounts.cc
+++ b/src/process/quota_accounts.cc
@@ -13,11 +13,6 @@
 namespace seamglade::gateway {
 namespace {
 
-/**
- * A silent member is taken to serve on elsewhere for so long: cuts between
- * regions last minutes.
- */
-constexpr duration kMissing = 30min;
 /** Of the excess that operators allow, parts go to: both sides of a cut ... */
 constexpr double kCutPart = 0.2;
 /**
@@ -36,32 +31,29 @@
 
 }  // namespace
 
-void quota_accounts::look_around(time_point now, const fleet_view& view) {
-  for (const auto who : view.silent) missing_.try_emplace(who, now);
-  for (const auto who : view.staying) missing_.erase(who);
-  std::erase_if(missing_,
-                [&](const auto& pair) { return now - pair.second > kMissing; });
-  const auto visible = static_cast<double>(view.staying.size());
-  const auto known = visible + static_cast<double>(missing_.size());
-  seen_ = std::min(1.0, visible / known * (1 + kCutPart * bounds_.excess));
+double quota_accounts::seen() const {
+  return std::min(1.0, sight_.part() * (1 + kCutPart * bounds_.excess));
 }
 
 void quota_accounts::adjust(time_point now, const workspace& which,
                             double share) {
   const auto& quota = which.quota;
   const auto rate = quota.rate * share;
+  const auto seen_part = seen();
   const auto span = seconds(bounds_.window) * bounds_.excess * kStartPart;
   auto& account =
-      accounts_.try_emplace(which.hash, now, rate * seen_ * span).first->second;
+      accounts_.try_emplace(which.hash, now, rate * seen_part * span)
+          .first->second;
   const auto overdraft = bounds_.slack * kOverdraftPart * share;
   // A request is granted by one account alone.
-  const auto capacity = std::max(kLeastCapacity, quota.burst * share * seen_);
-  account.configure(now, rate * seen_, capacity, overdraft);
+  const auto capacity =
+      std::max(kLeastCapacity, quota.burst * share * seen_part);
+  account.configure(now, rate * seen_part, capacity, overdraft);
 }
 
 void quota_accounts::update(time_point now, const configuration& config,
                             const fleet_view& view) {
-  look_around(now, view);
+  sight_.look(now, view);
   const auto accountants = std::min(kAccountants, view.staying.size());
   if (accountants == 0) return close();
   const auto share = 1.0 / static_cast<double>(accountants);
--- a/src/process/quota_accounts.h
+++ b/src/process/quota_accounts.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <vector>
 
+#include "process/sight.h"
 #include "process/token_bucket.h"
 #include "seamglade/gateway.h"
 
@@ -31,13 +32,6 @@
   quota_accounts(member_address self, quota_bounds bounds)
       : self_(self), bounds_(bounds) {}
 
-  /** The fleet as this instance sees it. */
-  struct fleet_view {
-    /** Those that live and stay, this one included. */
-    std::vector<member_address> staying;
-    /** Those that fell silent without having said that they go. */
-    std::vector<member_address> silent;
-  };
   /** Opens, adjusts and closes accounts; to be called some times a second. */
   void update(time_point now, const configuration& config,
               const fleet_view& view);
@@ -48,18 +42,15 @@
 
   std::size_t size() const { return accounts_.size(); }
   /** Returns the part of the known fleet that is seen, with its allowance. */
-  double seen() const { return seen_; }
+  double seen() const;
 
  private:
-  void look_around(time_point now, const fleet_view& view);
   void adjust(time_point now, const workspace& which, double share);
 
   member_address self_;
   quota_bounds bounds_;
   std::map<std::uint64_t, token_bucket> accounts_;
-  /** Silent members, and since when; they may be on the other side of a cut. */
-  std::map<member_address, time_point> missing_;
-  double seen_ = 0;
+  sight sight_;
 };
 
 }  // namespace seamglade::gateway
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -101,6 +101,10 @@
   }
   state.gone = false;
   state.entry_heard = now;
+  // Counted from now, not from when it was written: later is safer.
+  if (entry.cold_left > duration{}) {
+    state.cold_until = std::max(state.cold_until, now + entry.cold_left);
+  }
   state.entry = std::move(entry);
 }
 
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -55,6 +55,11 @@
   duration admission_expected{};
   time_point admission_heard;
 
+  /** It is cold until then at most, as its entries told. */
+  time_point cold_until;
+  /** Before then, nothing is left of what it may get while it is cold. */
+  time_point cold_refused_until;
+
   std::uint32_t failures_in_a_row = 0;
   time_point ejected_until;
   duration ejection{};
@@ -71,6 +76,7 @@
   /** Returns whether its holder's word still holds. */
   bool is_residency_fresh(time_point now) const;
   bool is_ejected(time_point now) const { return now < ejected_until; }
+  bool is_cold(time_point now) const { return now < cold_until; }
   /** Returns whether the target gets no new work any more. */
   bool has_left(time_point now) const {
     return entry.draining || (gone && now >= lapsed_until);
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -68,6 +68,18 @@
     std::optional<duration> full_for;
   };
   admission_state admission;
+  /** The grant of a cold target that it asks for. */
+  struct cold_state {
+    std::uint64_t request = 0;
+    target_hash target = 0;
+    member_address who = 0;
+    std::optional<time_point> answer_until;
+    /** The target that it may be sent to, now; 0: none. */
+    target_hash granted = 0;
+    /** All had nothing left; the first may have something then. */
+    time_point again_at;
+  };
+  cold_state cold;
   /** The target that is to load the adapter; empty: none. */
   target_id home;
 
