Test that claims go to one whose digest differs

Cause: the digest of claims in heartbeats had a fleet's test alone. Ruled out: none. Change: a test of one instance that answers three digests.

--- a/test/peer_bytes-test.cc
+++ b/test/peer_bytes-test.cc
@@ -71,6 +71,47 @@
   EXPECT_LT((bytes_of(w, "probe_answer") - answers) / 5 / instances, 1900U);
 }
 
+/** Returns the claims in what an instance answers to a heartbeat. */
+std::vector<gateway::target_claim> answered_claims(
+    gateway::gateway_core& core, time_point now,
+    const gateway::heartbeat& beat) {
+  for (const auto& any : core.handle(now, gateway::event::datagram{2, beat})) {
+    const auto* sent = std::get_if<gateway::action::send_datagram>(&any);
+    if (sent == nullptr) continue;
+    const auto* answer = std::get_if<gateway::probe_answer>(&sent->message);
+    if (answer != nullptr) return answer->claims;
+  }
+  return {};
+}
+
+TEST(peer_bytes, claims_are_told_to_one_whose_digest_differs) {
+  const auto platform = gateway::make_platform_dialect();
+  gateway::gateway_options options;
+  options.self = 1;
+  gateway::gateway_core core(options, *platform);
+  gateway::heartbeat beat;
+  for (gateway::member_address who = 2; who < 30; ++who) {
+    beat.rows.push_back({who, 1, 1, 1});
+  }
+  beat.members = 30;
+  beat.claims = {{77, 5, 9}};
+  const time_point start{1000s};
+  // One that compares nothing is told nothing.
+  EXPECT_TRUE(answered_claims(core, start, beat).empty());
+  beat.claims_digest = 1;
+  EXPECT_EQ(answered_claims(core, start + 10ms, beat), beat.claims);
+  std::uint64_t own = 0;
+  for (const auto& any : core.handle(start + 1s, gateway::event::tick{})) {
+    const auto* sent = std::get_if<gateway::action::send_datagram>(&any);
+    if (sent == nullptr) continue;
+    const auto* told = std::get_if<gateway::heartbeat>(&sent->message);
+    if (told != nullptr) own = std::max(own, told->claims_digest);
+  }
+  ASSERT_GT(own, 1U);
+  beat.claims_digest = own;
+  EXPECT_TRUE(answered_claims(core, start + 1010ms, beat).empty());
+}
+
 TEST(peer_bytes, who_missed_a_change_of_holders_learns_of_it) {
   gateway_world w(three_domains());
   w.run_for(kLargeSettled);
