Holders tell what one lacks, by hash; heartbeats carry a digest of claims

Cause: word of targets was most of what instances tell each other: each interest was answered with all places by name, and each heartbeat carried 24 claims that its receiver knew. Claims of others go in the answer to one whose digest differs; work at held targets is left out of a large fleet's heartbeats. The fakes count bytes by kind.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -75,8 +75,8 @@
   return instances_.at(who)->domain;
 }
 
-std::string gateway_world::domain_of(const std::string& target) const {
-  return targets_.at(target)->domain;
+std::string gateway_world::domain_of(const std::string& id) const {
+  return targets_.at(id)->domain;
 }
 
 std::vector<std::string> gateway_world::engines() const {
@@ -259,6 +259,7 @@
     if (!instances_.contains(peer) || !reachable(who, peer)) return;
     // Encoded and decoded, as on the wire.
     const auto bytes = encode_peer_message(datagram->message);
+    count_traffic(datagram->message, bytes.size());
     later(datagram_delay_, [this, who, peer, bytes] {
       if (!reachable(who, peer)) return;
       auto decoded = decode_peer_message(bytes);
@@ -269,6 +270,8 @@
       post(*instances_.at(peer),
            event::datagram{who, std::move(decoded.value())});
     });
+  } else if (const auto* line = std::get_if<action::log_line>(&any)) {
+    count_word_age(*line);
   }
 }
 
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -71,6 +71,20 @@
   time_point ended;
 };
 
+/** What instances sent each other of one kind of message. */
+struct peer_traffic {
+  std::size_t datagrams = 0;
+  /** With the headers of IP and UDP. */
+  std::size_t bytes = 0;
+};
+
+/** How old the word was by which requests went to engines. */
+struct word_age {
+  std::size_t dispatched = 0;
+  /** Without word of the engine's holder younger than 150 ms. */
+  std::size_t stale = 0;
+};
+
 /**
  * Instances, targets and a store on one event queue.
  *
@@ -127,7 +141,7 @@
   std::vector<std::string> engines() const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
-  std::string domain_of(const std::string& target) const;
+  std::string domain_of(const std::string& id) const;
   void restart_engine(const std::string& id);
   void drain_target(const std::string& id);
   /** Its entry goes, though it lives; or is back. */
@@ -156,6 +170,11 @@
   std::size_t loads() const { return loads_; }
   std::size_t store_calls() const { return store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
+  /** Returns what was sent so far, by the kind of message. */
+  const std::map<std::string, peer_traffic>& traffic() const {
+    return traffic_;
+  }
+  const word_age& word_ages() const { return word_ages_; }
 
   /** Every broken rule, in words; empty is good. */
   const std::vector<std::string>& violations() const { return violations_; }
@@ -179,6 +198,8 @@
   void post(instance& to, gateway::any_event event);
   void tick(gateway::member_address who, std::uint64_t life);
   void carry_out(instance& from, gateway::any_action action);
+  void count_traffic(const gateway::peer_message& message, std::size_t bytes);
+  void count_word_age(const gateway::action::log_line& line);
   void serve_call(instance& from, const gateway::action::call_target& call);
   void run_request(instance& from, target& at,
                    const gateway::action::call_target& call);
@@ -264,6 +285,8 @@
   std::size_t loads_ = 0;
   std::size_t rejections_ = 0;
   std::size_t store_calls_ = 0;
+  std::map<std::string, peer_traffic> traffic_;
+  word_age word_ages_;
   std::vector<std::string> violations_;
 };
 
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -255,6 +255,8 @@
   std::uint64_t unmetered = 0;
   /** Refused since no plain target would have served them in time. */
   std::uint64_t overloaded = 0;
+  /** Words of holders that built on others which were not heard here. */
+  std::uint64_t unusable_words = 0;
   /** Age of that word; longest where there is none. */
   duration key_age{};
   /** Workspaces that this instance accounts for. */
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -95,6 +95,11 @@
   bool watching = false;
   /** The sender's own claims, and some it has heard of. */
   std::vector<target_claim> claims;
+  /**
+   * Of all claims that the sender knows: a receiver that knows others tells
+   * some of them in its answer. 0: not to be compared.
+   */
+  std::uint64_t claims_digest = 0;
   std::vector<target_load> loads;
 
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
@@ -102,6 +107,8 @@
 
 /** What an instance has to do with one adapter at one target. */
 struct adapter_interest {
+  adapter_hash adapter{};
+  /** On the wire only where requests wait: what runs has a place already. */
   adapter_name name;
   /** The version that must be in force; 0: any. */
   std::uint32_t version = 0;
@@ -121,12 +128,26 @@
                          const adapter_interest&) = default;
 };
 
+/** Up to where one knows a holder's word on its target. */
+struct known_word {
+  /** None (0): it knows nothing. */
+  std::uint64_t fence = 0;
+  /** None (0): not all that there was. */
+  std::uint64_t edition = 0;
+
+  friend bool operator==(const known_word&, const known_word&) = default;
+};
+
 /** All the sender has to do with a target; replaces what it said before. */
 struct interest_message {
   target_hash target = 0;
   std::vector<adapter_interest> rows;
   /** The sender's work there. */
   target_work work;
+  /** A request waits for the answer; else this only reports. */
+  bool asks = false;
+  /** What need not be told again. */
+  known_word known;
 
   friend bool operator==(const interest_message&,
                          const interest_message&) = default;
@@ -134,7 +155,8 @@
 
 /** An adapter at a target, as its holder believes. */
 struct adapter_place {
-  held_adapter what;
+  adapter_hash adapter{};
+  std::uint32_t version = 0;
   bool ready = false;
   /** Requests of all instances that run on it there. */
   std::uint32_t running = 0;
@@ -142,17 +164,30 @@
   friend bool operator==(const adapter_place&, const adapter_place&) = default;
 };
 
-/** What a target holds, from the instance that gives it orders. */
+/**
+ * What a target holds, from the instance that gives it orders. A receiver that
+ * knows a former edition is told what has changed since; `running` always goes
+ * along, since it changes without an edition.
+ */
 struct residency_message {
   target_hash target = 0;
   std::uint64_t fence = 0;
   /** Rises with every change under one fence. */
   std::uint64_t edition = 0;
+  /** Only changes since this edition are told; 0: the places are all. */
+  std::uint64_t since = 0;
   /** The work of all instances there, as they told the sender. */
   target_work work;
   /** How long a load from the weight store takes there. */
   duration load_time{};
   std::vector<adapter_place> places;
+  /** Adapters that went since. */
+  std::vector<adapter_hash> gone;
+  /**
+   * Requests on each place that there is in this edition, in the order of their
+   * hashes, 255 at most; empty: none runs.
+   */
+  std::vector<std::uint8_t> running;
 
   friend bool operator==(const residency_message&,
                          const residency_message&) = default;
@@ -195,6 +230,8 @@
   member_address origin = 0;
   /** The subject's own row first. */
   std::vector<member_row> rows;
+  /** Some of what the subject knows, where the origin knows others. */
+  std::vector<target_claim> claims;
 
   friend bool operator==(const probe_answer&, const probe_answer&) = default;
 };
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -153,6 +153,16 @@
   friend auto operator<=>(const adapter_name&, const adapter_name&) = default;
 };
 
+/**
+ * Names an adapter in short between instances. Two of one hash would be taken
+ * for each other: the worst is a call to a target that refuses what it does not
+ * hold, and an adapter that stays loaded for the other's sake.
+ */
+enum class adapter_hash : std::uint64_t {};
+
+/** Returns the hash of an adapter's full name; the same on every instance. */
+adapter_hash hash_of(const adapter_name& name);
+
 /** An adapter that a target holds, at a version. */
 struct held_adapter {
   adapter_name name;
--- a/src/connection/gateway_wire.cc
+++ b/src/connection/gateway_wire.cc
@@ -4,6 +4,8 @@
 // SPDX-License-Identifier: MIT
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 #include "gateway_wire_generated.h"
 #include "seamglade/gateway_peers.h"
@@ -49,41 +51,111 @@
   return out;
 }
 
+std::vector<frames::TargetClaim> write(const std::vector<target_claim>& from) {
+  std::vector<frames::TargetClaim> out;
+  for (const auto& c : from) out.emplace_back(c.target, c.fence, c.holder);
+  return out;
+}
+
 fb::Offset<frames::Heartbeat> write(fb::FlatBufferBuilder& b,
                                     const heartbeat& from) {
   const auto rows = write(from.rows);
-  std::vector<frames::TargetClaim> claims;
-  for (const auto& c : from.claims)
-    claims.emplace_back(c.target, c.fence, c.holder);
+  const auto claims = write(from.claims);
   const auto loads = write(from.loads);
   return frames::CreateHeartbeatDirect(
       b, &rows, from.members, from.store_revision, from.store_age.count(),
-      from.copy_age.count(), from.watching, &claims, &loads);
+      from.copy_age.count(), from.watching, &claims, from.claims_digest,
+      &loads);
+}
+
+/** Returns a number as one of a smaller type: its bound where it is beyond. */
+template <typename Small, typename Number>
+Small narrowed(Number number) {
+  using limits = std::numeric_limits<Small>;
+  if (std::cmp_greater(number, limits::max())) return limits::max();
+  if (std::cmp_less(number, limits::min())) return limits::min();
+  return static_cast<Small>(number);
+}
+
+/** The models that rows name, each once. */
+class model_list {
+ public:
+  std::uint16_t index_of(const std::string& model) {
+    const auto at = std::find(names_.begin(), names_.end(), model);
+    const auto index = at - names_.begin();
+    if (at == names_.end()) names_.push_back(model);
+    return narrowed<std::uint16_t>(index);
+  }
+  fb::Offset<fb::Vector<fb::Offset<fb::String>>> write(
+      fb::FlatBufferBuilder& b) const {
+    return names_.empty() ? 0 : b.CreateVectorOfStrings(names_);
+  }
+
+ private:
+  std::vector<std::string> names_;
+};
+
+fb::Offset<frames::Wish> write(fb::FlatBufferBuilder& b, model_list& models,
+                               const adapter_interest& from) {
+  const auto adapter = b.CreateString(from.name.adapter);
+  const frames::WishFacts facts(
+      from.version, narrowed<std::int32_t>(from.waited.count()),
+      narrowed<std::int32_t>(from.slack.count()),
+      narrowed<std::uint16_t>(from.waiting),
+      narrowed<std::uint16_t>(from.running), narrowed<std::uint16_t>(from.rank),
+      models.index_of(from.name.model));
+  return frames::CreateWish(b, &facts, adapter);
+}
+
+/** Returns a vector, or none where it would be empty. */
+template <typename Row>
+fb::Offset<fb::Vector<const Row*>> structs(fb::FlatBufferBuilder& b,
+                                           const std::vector<Row>& rows) {
+  return rows.empty() ? 0 : b.CreateVectorOfStructs(rows);
 }
 
 fb::Offset<frames::Interest> write(fb::FlatBufferBuilder& b,
                                    const interest_message& from) {
-  std::vector<fb::Offset<frames::AdapterInterest>> rows;
+  model_list models;
+  std::vector<frames::AdapterRun> runs;
+  std::vector<fb::Offset<frames::Wish>> wishes;
   for (const auto& r : from.rows) {
-    rows.push_back(frames::CreateAdapterInterestDirect(
-        b, r.name.model.c_str(), r.name.adapter.c_str(), r.version, r.waiting,
-        r.running, r.rank, r.waited.count(), r.slack.count()));
+    if (r.waiting > 0) {
+      wishes.push_back(write(b, models, r));
+    } else {
+      runs.emplace_back(static_cast<std::uint64_t>(r.adapter), r.running);
+    }
   }
-  const auto work = write(from.work);
-  return frames::CreateInterestDirect(b, from.target, &rows, &work);
+  const frames::KnownWord known(from.known.fence, from.known.edition);
+  const frames::InterestHead head(from.target, known, write(from.work),
+                                  from.asks);
+  const auto run_list = structs(b, runs);
+  const auto model_names = models.write(b);
+  const auto wish_list =
+      wishes.empty() ? fb::Offset<fb::Vector<fb::Offset<frames::Wish>>>()
+                     : b.CreateVector(wishes);
+  return frames::CreateInterest(b, &head, run_list, model_names, wish_list);
 }
 
 fb::Offset<frames::Residency> write(fb::FlatBufferBuilder& b,
                                     const residency_message& from) {
-  std::vector<fb::Offset<frames::AdapterPlace>> places;
+  std::vector<frames::AdapterPlace> rows;
   for (const auto& p : from.places) {
-    places.push_back(frames::CreateAdapterPlaceDirect(
-        b, p.what.name.model.c_str(), p.what.name.adapter.c_str(),
-        p.what.version, p.ready, p.running));
+    rows.emplace_back(static_cast<std::uint64_t>(p.adapter), p.version,
+                      p.ready);
   }
-  const auto work = write(from.work);
-  return frames::CreateResidencyDirect(b, from.target, from.fence, from.edition,
-                                       &work, from.load_time.count(), &places);
+  std::vector<std::uint64_t> gone;
+  for (const auto a : from.gone) gone.push_back(static_cast<std::uint64_t>(a));
+  const frames::ResidencyHead head(
+      from.target, from.fence, from.edition, from.since,
+      narrowed<std::uint32_t>(from.load_time.count()), write(from.work));
+  const auto places = structs(b, rows);
+  const auto gone_list = gone.empty() ? fb::Offset<fb::Vector<std::uint64_t>>()
+                                      : b.CreateVector(gone);
+  const auto running = from.running.empty()
+                           ? fb::Offset<fb::Vector<std::uint8_t>>()
+                           : b.CreateVector(from.running);
+  return frames::CreateResidency(b, &head, places, gone_list, running);
 }
 
 fb::Offset<frames::StoreItem> write(fb::FlatBufferBuilder& b,
@@ -118,7 +190,9 @@
 fb::Offset<frames::ProbeAnswer> write(fb::FlatBufferBuilder& b,
                                       const probe_answer& from) {
   const auto rows = write(from.rows);
-  return frames::CreateProbeAnswerDirect(b, from.origin, &rows);
+  const auto claims = write(from.claims);
+  return frames::CreateProbeAnswerDirect(b, from.origin, &rows,
+                                         claims.empty() ? nullptr : &claims);
 }
 
 fb::Offset<frames::ConfirmationRequest> write(
@@ -181,6 +255,15 @@
           from.beat(),    from.leaving(), standing};
 }
 
+std::vector<target_claim> read_claims(
+    const fb::Vector<const frames::TargetClaim*>* from) {
+  std::vector<target_claim> out;
+  each(from, [&](const frames::TargetClaim& c) {
+    out.push_back({c.target(), c.fence(), c.holder()});
+  });
+  return out;
+}
+
 peer_message read(const frames::Heartbeat& from) {
   heartbeat out;
   each(from.rows(),
@@ -190,9 +273,8 @@
   out.store_age = duration(from.store_age_us());
   out.copy_age = duration(from.copy_age_us());
   out.watching = from.watching();
-  each(from.claims(), [&](const frames::TargetClaim& c) {
-    out.claims.push_back({c.target(), c.fence(), c.holder()});
-  });
+  out.claims = read_claims(from.claims());
+  out.claims_digest = from.claims_digest();
   each(from.loads(), [&](const frames::TargetLoad& l) {
     out.loads.push_back({l.target(), read(l.work())});
   });
@@ -207,34 +289,65 @@
   return out;
 }
 
+adapter_interest read(const frames::Wish& from, std::string model) {
+  adapter_interest out;
+  out.name = {std::move(model), text(from.adapter())};
+  out.adapter = hash_of(out.name);
+  const auto& facts = *from.facts();
+  out.version = facts.version();
+  out.waiting = facts.waiting();
+  out.running = facts.running();
+  out.rank = facts.rank();
+  out.waited = duration(facts.waited_us());
+  out.slack = duration(facts.slack_us());
+  return out;
+}
+
 peer_message read(const frames::Interest& from) {
   interest_message out;
-  out.target = from.target();
-  each(from.rows(), [&](const frames::AdapterInterest& r) {
-    out.rows.push_back({{text(r.model()), text(r.adapter())},
-                        r.version(),
-                        r.waiting(),
-                        r.running(),
-                        r.rank(),
-                        duration(r.waited_us()),
-                        duration(r.slack_us())});
+  if (const auto* head = from.head()) {
+    out.target = head->target();
+    out.work = read(head->work());
+    out.asks = head->asks();
+    out.known = {head->known().fence(), head->known().edition()};
+  }
+  each(from.wishes(), [&](const frames::Wish& w) {
+    const auto* models = from.models();
+    const auto* facts = w.facts();
+    const bool is_whole = facts != nullptr && models != nullptr &&
+                          facts->model() < models->size();
+    if (is_whole) {
+      out.rows.push_back(read(w, text(models->Get(facts->model()))));
+    }
+  });
+  each(from.runs(), [&](const frames::AdapterRun& r) {
+    adapter_interest row;
+    row.adapter = adapter_hash{r.adapter()};
+    row.running = r.running();
+    out.rows.push_back(std::move(row));
   });
-  if (const auto* work = from.work()) out.work = read(*work);
   return out;
 }
 
 peer_message read(const frames::Residency& from) {
   residency_message out;
-  out.target = from.target();
-  out.fence = from.fence();
-  out.edition = from.edition();
-  out.load_time = duration(from.load_time_us());
-  if (const auto* work = from.work()) out.work = read(*work);
+  if (const auto* head = from.head()) {
+    out.target = head->target();
+    out.fence = head->fence();
+    out.edition = head->edition();
+    out.since = head->since();
+    out.load_time = duration(head->load_time_us());
+    out.work = read(head->work());
+  }
   each(from.places(), [&](const frames::AdapterPlace& p) {
-    out.places.push_back({{{text(p.model()), text(p.adapter())}, p.version()},
-                          p.ready(),
-                          p.running()});
+    out.places.push_back({adapter_hash{p.adapter()}, p.version(), p.ready()});
   });
+  if (const auto* gone = from.gone()) {
+    for (const auto hash : *gone) out.gone.push_back(adapter_hash{hash});
+  }
+  if (const auto* running = from.running()) {
+    out.running.assign(running->begin(), running->end());
+  }
   return out;
 }
 
@@ -265,6 +378,7 @@
   out.origin = from.origin();
   each(from.rows(),
        [&](const frames::MemberRow& r) { out.rows.push_back(read(r)); });
+  out.claims = read_claims(from.claims());
   return out;
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -16,6 +16,7 @@
 #include "process/failure_domains.h"
 #include "process/quota_accounts.h"
 #include "process/region_map.h"
+#include "process/residency_log.h"
 #include "process/retry_budget.h"
 #include "process/roster.h"
 #include "process/target_keeper.h"
@@ -104,7 +105,10 @@
   void announce(target_hash target);
   void announce_claims();
   void send_heartbeats();
-  void add_heard_claims(heartbeat& message, std::size_t most);
+  void add_heard_claims(std::vector<target_claim>& claims, std::size_t most);
+  void answer_heartbeat(member_address from, const heartbeat& message);
+  /** Returns a number that two share who know the same claims. */
+  std::uint64_t claims_digest() const;
   void add_own_claims(heartbeat& message) const;
   target_id target_id_of(target_hash target);
 
@@ -120,7 +124,16 @@
   void spread_news(const std::vector<store_item>& news);
   void send_interests();
   void send_residencies();
-  residency_message residency_of(const target_keeper& keeper) const;
+  /** Returns what one lacks of a target's state that knows so much. */
+  residency_message residency_of(const target_keeper& keeper,
+                                 const known_word& known);
+  /** Answers an instance's interest in a target, where it gains by it. */
+  void answer_interest(member_address from, const interest_message& message,
+                       const target_keeper& keeper);
+  /** `asks`: a request waits for the holder's word. */
+  static interest_message interest_of(const target_state& target,
+                                      std::vector<adapter_interest> rows,
+                                      bool asks);
   std::vector<adapter_interest> interest_in(const target_state& target) const;
 
   // gateway_orders.cc
@@ -387,7 +400,13 @@
   time_point loads_sent_{};
   std::set<target_id> interest_dirty_;
   std::map<target_id, std::pair<std::uint64_t, time_point>> sent_editions_;
-  std::map<std::pair<member_address, target_hash>, time_point> told_;
+  /** What an instance was told of a target, and what it knows of it. */
+  struct told_word {
+    time_point at;
+    known_word known;
+  };
+  std::map<std::pair<member_address, target_hash>, told_word> told_;
+  std::map<target_id, residency_log> residency_logs_;
 
   // Orders.
   struct claim_state {
--- a/src/process/gateway_members.cc
+++ b/src/process/gateway_members.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "seamglade/rendezvous.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -53,10 +54,8 @@
 
 void gateway_core::impl::take(member_address from, const heartbeat& message) {
   merge_rows(from, message.rows, message.members);
-  if (roster_.is_large()) {
-    do_act(action::send_datagram{
-        from, probe_answer{from, roster_.sample(from, message.members)}});
-  }
+  for (const auto& claimed : message.claims) take(from, claimed);
+  if (roster_.is_large()) answer_heartbeat(from, message);
   if (roster_.is_large() && !std::exchange(range_spread_, true)) {
     range_not_before_ = std::max(
         range_not_before_,
@@ -67,7 +66,6 @@
   peer.store_age = message.store_age;
   peer.watching = message.watching;
   peer.heard = now_;
-  for (const auto& claimed : message.claims) take(from, claimed);
   for (const auto& load : message.loads) {
     if (auto* target = targets_.find(load.target)) {
       take(from, *target, load.work);
@@ -102,7 +100,8 @@
                               const probe_request& message) {
   if (message.subject == options_.self) {
     do_act(action::send_datagram{
-        from, probe_answer{message.origin, roster_.sample(message.origin)}});
+        from,
+        probe_answer{message.origin, roster_.sample(message.origin), {}}});
     return;
   }
   do_act(action::send_datagram{message.subject, message});
@@ -113,6 +112,7 @@
   merge_rows(from, message.rows, message.rows.size());
   if (message.rows.empty()) return;
   if (message.origin == options_.self) {
+    for (const auto& claimed : message.claims) take(from, claimed);
     roster_.answered(now_, message.rows.front().address);
     return;
   }
@@ -129,7 +129,7 @@
     log("member_suspected", {{"peer", static_cast<std::int64_t>(suspect)}},
         true);
     do_act(action::send_datagram{
-        suspect, probe_answer{suspect, roster_.sample(suspect)}});
+        suspect, probe_answer{suspect, roster_.sample(suspect), {}}});
   }
   if (!step.accuse.empty()) next_beat_ = now_;
   note_silent_members();
@@ -165,7 +165,7 @@
   auto message = own_heartbeat();
   if (tells_all) message.rows = roster_.all_rows();
   add_own_claims(message);
-  if (tells_all) add_heard_claims(message, kGreetingClaims);
+  if (tells_all) add_heard_claims(message.claims, kGreetingClaims);
   do_act(action::send_datagram{newcomer, std::move(message)});
 }
 
@@ -235,7 +235,28 @@
   }
 }
 
-void gateway_core::impl::add_heard_claims(heartbeat& message,
+void gateway_core::impl::answer_heartbeat(member_address from,
+                                          const heartbeat& message) {
+  probe_answer answer;
+  answer.origin = from;
+  answer.rows = roster_.sample(from, message.members);
+  const bool knows_others =
+      message.claims_digest != 0 && message.claims_digest != claims_digest();
+  if (knows_others) add_heard_claims(answer.claims, kHeardClaims);
+  do_act(action::send_datagram{from, std::move(answer)});
+}
+
+std::uint64_t gateway_core::impl::claims_digest() const {
+  std::uint64_t sum = 0;
+  for (const auto& [target, known] : claims_) {
+    if (known.fence == 0) continue;
+    sum ^= mix(target ^ mix(known.fence ^ mix(known.holder)));
+  }
+  // None means that there is nothing to compare.
+  return std::max<std::uint64_t>(1, sum);
+}
+
+void gateway_core::impl::add_heard_claims(std::vector<target_claim>& claims,
                                           std::size_t most) {
   if (claims_.empty()) return;
   auto at = claims_.upper_bound(next_claim_told_);
@@ -244,8 +265,8 @@
     if (at == claims_.end()) at = claims_.begin();
     next_claim_told_ = at->first;
     const auto& known = at->second;
-    if (known.fence == 0 || known.holder == options_.self) continue;
-    message.claims.push_back({at->first, known.fence, known.holder});
+    if (known.fence == 0) continue;
+    claims.push_back({at->first, known.fence, known.holder});
   }
 }
 
@@ -254,10 +275,18 @@
   roster_.beat(now_);
   auto message = own_heartbeat();
   add_own_claims(message);
-  add_heard_claims(message, kHeardClaims);
+  // In a large fleet a changed claim was told to all; who missed it is told as
+  // soon as it shows that it knows others, so that calm costs 8 bytes.
+  if (roster_.is_large()) {
+    message.claims_digest = claims_digest();
+  } else {
+    add_heard_claims(message.claims, kHeardClaims);
+  }
   for (const auto* target : targets_.staying(now_)) {
     if (message.loads.size() >= kMaxLoads) break;
     if (target->own.running == 0) continue;
+    // Its holder knows, and is asked.
+    if (roster_.is_large() && has_live_holder(target->hash)) continue;
     message.loads.push_back({target->hash, target->own});
   }
   for (const auto to : roster_.heartbeat_targets(now_)) {
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -65,6 +65,9 @@
   counter("seamglade_over_quota_total",
           "Refused since the workspace had used its quota up",
           status.over_quota);
+  counter("seamglade_unusable_words_total",
+          "Words of targets' holders that built on others not heard here.",
+          status.unusable_words);
   counter("seamglade_unmetered_total", "Refused since no accountant answered",
           status.unmetered);
   counter("seamglade_overloaded_total",
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -222,6 +222,7 @@
   const auto node = keepers_.extract(found);
   orders_from_.erase(target);
   sent_editions_.erase(target);
+  residency_logs_.erase(target);
   announce(hash);
 }
 
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -125,8 +125,7 @@
     if (keepers_.contains(target->entry.id)) continue;
     const auto holder = claims_[target->hash].holder;
     do_act(action::send_datagram{
-        holder,
-        interest_message{target->hash, interest_in(*target), target->own}});
+        holder, interest_of(*target, interest_in(*target), true)});
     asked = true;
   }
   if (asked) x.asked_until = now_ + kAskWait;
@@ -144,7 +143,7 @@
       if (!place.ready || place.running > 0) ++in_use;
       if (!place.ready) ++out.loads;
     }
-    if (const auto load = target.loading.find(name);
+    if (const auto load = target.loading.find(hash_of(name));
         load != target.loading.end()) {
       out.adapter = residence::loading;
       out.loading_for = now_ - load->second;
@@ -153,7 +152,7 @@
   if (target.holds(now_, name, version_of(name))) {
     out.adapter = residence::ready;
   } else if (out.adapter != residence::loading &&
-             target.held_lately.contains(name)) {
+             target.held_lately.contains(hash_of(name))) {
     out.adapter = residence::recent;
   }
   const auto& engine = *x.service->engine;
@@ -205,7 +204,7 @@
     target_state* target;
   };
   std::vector<ranked> order;
-  const auto adapter = hash_of(name.str());
+  const auto adapter = static_cast<std::uint64_t>(hash_of(name));
   for (auto* target : targets) {
     order.push_back({mix(adapter ^ target->hash), target});
   }
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -292,9 +292,7 @@
   if (misplaced) {
     if (auto* target = target_of(x)) {
       // What was believed of its adapters is wrong until its holder speaks.
-      std::erase_if(target->residency.places, [&](const auto& place) {
-        return place.what.name == x.facts.adapter;
-      });
+      target->forget_place(x.facts.adapter);
       // It may run there yet, once the adapter is loaded.
       x.tried.erase(x.target);
     }
--- a/src/process/target_content.cc
+++ b/src/process/target_content.cc
@@ -97,6 +97,7 @@
   }
   place found;
   found.now = now_in;
+  found.hash = hash_of(name);
   found.version = version;
   found.since = told.now;
   found.used = told.now - kRecentUse;
@@ -152,14 +153,14 @@
 }
 
 std::vector<adapter_place> target_keeper::places() const {
-  std::map<adapter_name, std::uint32_t> running;
+  std::map<adapter_hash, std::uint32_t> running;
   for (const auto& [from, known] : interests_) {
-    for (const auto& row : known.rows) running[row.name] += row.running;
+    for (const auto& row : known.rows) running[row.adapter] += row.running;
   }
   std::vector<adapter_place> out;
   for (const auto& [name, held] : places_) {
-    out.push_back(
-        {{name, held.version}, held.now == phase::ready, running[name]});
+    out.push_back({held.hash, held.version, held.now == phase::ready,
+                   running[held.hash]});
   }
   return out;
 }
--- a/src/process/target_keeper.cc
+++ b/src/process/target_keeper.cc
@@ -87,9 +87,11 @@
                                  std::vector<adapter_interest> rows,
                                  target_work work) {
   for (const auto& row : rows) {
-    const auto found = places_.find(row.name);
-    if (found == places_.end()) continue;
     if (row.running + row.waiting == 0) continue;
+    const auto found = std::find_if(
+        places_.begin(), places_.end(),
+        [&](const auto& pair) { return pair.second.hash == row.adapter; });
+    if (found == places_.end()) continue;
     auto& known = found->second;
     known.demand = faded(known.demand, now - known.used) + 1;
     known.used = now;
@@ -173,16 +175,16 @@
 }
 
 std::optional<adapter_name> target_keeper::victim(time_point now) const {
-  std::set<adapter_name> in_use;
+  std::set<adapter_hash> in_use;
   for (const auto& [from, known] : interests_) {
     for (const auto& row : known.rows) {
-      if (row.running + row.waiting > 0) in_use.insert(row.name);
+      if (row.running + row.waiting > 0) in_use.insert(row.adapter);
     }
   }
   std::optional<adapter_name> best;
   double least = 0;
   for (const auto& [name, held] : places_) {
-    if (held.now != phase::ready || in_use.contains(name)) continue;
+    if (held.now != phase::ready || in_use.contains(held.hash)) continue;
     if (now - held.used < kRecentUse || now - held.since < kRecentUse) continue;
     const double demand = faded(held.demand, now - held.used);
     if (!best || demand < least) {
@@ -197,6 +199,7 @@
   const auto [at, is_new] = places_.try_emplace(wanted.name);
   auto& held = at->second;
   if (!is_new) held.replaces = held.version;
+  held.hash = hash_of(wanted.name);
   held.now = phase::loading;
   held.version = wanted.version;
   held.since = now;
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -113,6 +113,8 @@
   enum class phase : std::uint8_t { loading, ready, unloading };
   struct place {
     phase now = phase::loading;
+    /** Of its name: by it instances tell what runs on it. */
+    adapter_hash hash{};
     std::uint32_t version = 0;
     time_point since;
     time_point used;
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/residency_log.h"
 #include "seamglade/rendezvous.h"
 
 namespace seamglade::gateway {
@@ -39,11 +40,8 @@
   }
   // The store's entries lag: a holder's word of the same time is newer.
   if (is_residency_fresh(now) && entry_heard - residency_heard < kEntryLag) {
-    return std::any_of(residency.places.begin(), residency.places.end(),
-                       [&](const adapter_place& place) {
-                         return place.ready && place.what.name == name &&
-                                place.what.version >= version;
-                       });
+    const auto* place = find_place(residency.places, hash_of(name));
+    return place != nullptr && place->ready && place->version >= version;
   }
   return std::any_of(entry.adapters.begin(), entry.adapters.end(),
                      [&](const held_adapter& held) {
@@ -56,10 +54,8 @@
 }
 
 std::uint32_t target_state::running_on(const adapter_name& name) const {
-  const auto found = std::find_if(
-      residency.places.begin(), residency.places.end(),
-      [&](const adapter_place& place) { return place.what.name == name; });
-  return found == residency.places.end() ? 0 : found->running;
+  const auto* place = find_place(residency.places, hash_of(name));
+  return place == nullptr ? 0 : place->running;
 }
 
 target_work target_state::work(time_point now) const {
@@ -74,22 +70,30 @@
           std::max(total.reading_urgent, told.reading_urgent)};
 }
 
-void target_state::take_residency(time_point now, residency_message word) {
+bool target_state::take_residency(time_point now, residency_message word) {
+  if (!merge_word(residency, std::move(word))) return false;
   const auto known = std::exchange(loading, {});
-  for (const auto& place : word.places) {
-    const auto& name = place.what.name;
-    held_lately[name] = now;
+  for (const auto& place : residency.places) {
+    held_lately[place.adapter] = now;
     if (place.ready) continue;
-    const auto since = known.find(name);
-    loading[name] = since == known.end() ? now : since->second;
+    const auto since = known.find(place.adapter);
+    loading[place.adapter] = since == known.end() ? now : since->second;
   }
   while (held_lately.size() > kHeldLately) {
     held_lately.erase(std::min_element(
         held_lately.begin(), held_lately.end(),
         [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
-  residency = std::move(word);
   residency_heard = now;
+  return true;
+}
+
+void target_state::forget_place(const adapter_name& name) {
+  std::erase_if(residency.places,
+                [adapter = hash_of(name)](const adapter_place& place) {
+                  return place.adapter == adapter;
+                });
+  residency.edition = 0;
 }
 
 void target_table::list(time_point now, target_entry entry) {
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -41,9 +41,9 @@
   /** How fast it reads prompts. */
   read_pace pace;
   /** What it is known to have held, and until when it was seen. */
-  std::map<adapter_name, time_point> held_lately;
+  std::map<adapter_hash, time_point> held_lately;
   /** Loads under way there, and when they were first heard of. */
-  std::map<adapter_name, time_point> loading;
+  std::map<adapter_hash, time_point> loading;
 
   /** What its holder says it holds. */
   residency_message residency;
@@ -66,8 +66,15 @@
   std::uint32_t running_on(const adapter_name& name) const;
   /** Returns the work of all instances, as last heard. */
   target_work work(time_point now) const;
-  /** Takes a holder's word on what is there. */
-  void take_residency(time_point now, residency_message word);
+  /**
+   * Takes a holder's word on what is there; returns false where it builds on
+   * word that was not heard here.
+   */
+  bool take_residency(time_point now, residency_message word);
+  /** The target refused an adapter: until its holder tells all anew. */
+  void forget_place(const adapter_name& name);
+  /** Returns up to where its holder's word is known here. */
+  known_word known() const { return {residency.fence, residency.edition}; }
   /** Returns whether its holder's word still holds. */
   bool is_residency_fresh(time_point now) const;
   bool is_ejected(time_point now) const { return now < ejected_until; }
--- a/src/version/gateway_types.cc
+++ b/src/version/gateway_types.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include "seamglade/rendezvous.h"
+
 namespace seamglade::gateway {
 namespace {
 
@@ -61,6 +63,10 @@
   return adapter.empty() ? model : model + "/" + adapter;
 }
 
+adapter_hash hash_of(const adapter_name& name) {
+  return adapter_hash{stable_hash(name.str())};
+}
+
 std::string_view to_string(engine_order_status status) {
   using enum engine_order_status;
   switch (status) {
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -256,18 +256,33 @@
   beat.store_age = 10ms;
   beat.watching = true;
   beat.claims = {{11, 12, 13}};
+  beat.claims_digest = 17;
   beat.loads = {{14, {15, 1200, 400}}};
-  interest_message interest{
-      7,
-      {{{"m", "a"}, 2, 1, 3, 0, 40ms}, {{"m", "b"}, 0, 0, 1, 2, 0ms}},
-      {1, 800, 0}};
-  residency_message residency{
-      7, 8, 9, {3, 1200, 400}, 310ms, {{{{"m", "a"}, 2}, true}}};
+  const adapter_name a{"m", "a"};
+  const adapter_name b{"m", "b"};
+  const adapter_name c{"n", "c"};
+  interest_message interest{7,
+                            {{hash_of(a), a, 2, 1, 3, 0, 40ms, -5ms},
+                             {hash_of(c), c, 0, 2, 0, 2, 0ms, 900ms},
+                             // Of what only runs the name is not told.
+                             {hash_of(b), {}, 0, 0, 1}},
+                            {1, 800, 0},
+                            true,
+                            {8, 6}};
+  residency_message residency{7,
+                              8,
+                              9,
+                              6,
+                              {3, 1200, 400},
+                              310ms,
+                              {{hash_of(a), 2, true}},
+                              {hash_of(b)},
+                              {3, 0}};
   for (const peer_message& message :
        {peer_message(beat), peer_message(interest), peer_message(residency),
         peer_message(loads_message{{{14, {2, 900, 30}}}}),
         peer_message(probe_request{4, 5}),
-        peer_message(probe_answer{4, beat.rows}),
+        peer_message(probe_answer{4, beat.rows, beat.claims}),
         peer_message(confirmation_request{9s}),
         peer_message(confirmation_answer{9s, 40ms, 12}),
         peer_message(quota_request{3, 5, 1540}),
--- a/test/target_keeper-test.cc
+++ b/test/target_keeper-test.cc
@@ -33,6 +33,7 @@
 adapter_interest wants(const std::string& name) {
   adapter_interest row;
   row.name = {"m", name};
+  row.adapter = hash_of(row.name);
   row.waiting = 1;
   return row;
 }
@@ -136,7 +137,7 @@
 bool is_ready(const target_keeper& keeper, const std::string& name) {
   const auto places = keeper.places();
   return std::any_of(places.begin(), places.end(), [&](const auto& place) {
-    return place.ready && place.what.name.adapter == name;
+    return place.ready && place.adapter == hash_of(adapter_name{"m", name});
   });
 }
 
@@ -239,7 +240,7 @@
   c.keeper.next_step(c.now, true);
   c.keeper.report_read(c.now, c.now, report(1, {"x"}));
   ASSERT_EQ(c.keeper.places().size(), 1U);
-  EXPECT_EQ(c.keeper.places()[0].what.name.adapter, "a");
+  EXPECT_EQ(c.keeper.places()[0].adapter, hash_of(adapter_name{"m", "a"}));
 }
 
 /** Steps a new keeper to its fence order, and answers the first report. */
@@ -310,7 +311,7 @@
   ASSERT_EQ(step.version, 2U);
   c.keeper.order_answered(c.now, engine_order_status::busy);
   ASSERT_EQ(c.keeper.places().size(), 1U);
-  EXPECT_EQ(c.keeper.places()[0].what.version, 1U);
+  EXPECT_EQ(c.keeper.places()[0].version, 1U);
   EXPECT_TRUE(c.keeper.places()[0].ready);
 }
 
