--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -29,8 +29,10 @@
   std::vector<std::string> regions = {};
 };
 
-/** Datagrams over one distance: heartbeats, and all with IP's headers. */
+/** Datagrams over one distance: some kinds, and all with IP's headers. */
 struct fake_traffic {
+  /** Questions for places at plain targets. */
+  std::size_t place_questions = 0;
   std::size_t heartbeats = 0;
   std::size_t heartbeat_bytes = 0;
   std::size_t bytes = 0;
--- a/fakes/gateway_world_regions.cc
+++ b/fakes/gateway_world_regions.cc
@@ -38,6 +38,9 @@
                                   std::size_t bytes) {
   auto& sent = traffic_[distance];
   sent.bytes += bytes + kDatagramHead;
+  if (std::holds_alternative<gateway::admission_request>(message)) {
+    ++sent.place_questions;
+  }
   if (!std::holds_alternative<gateway::heartbeat>(message)) return;
   ++sent.heartbeats;
   sent.heartbeat_bytes += bytes + kDatagramHead;
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -130,7 +130,7 @@
   const admission_request request{x.admission.request, target.hash,
                                   x.started + objective - now_, x.rank(),
                                   x.until - now_};
-  const auto admitter = admitter_of(target.hash);
+  const auto admitter = admitter_of(target);
   x.admission.admitter = admitter;
   if (admitter == options_.self) {
     const auto answer =
@@ -143,8 +143,24 @@
   do_act(action::send_datagram{admitter, request});
 }
 
-member_address gateway_core::impl::admitter_of(target_hash target) const {
-  const auto first = first_members(target, staying_, kAdmitters);
+std::vector<member_address> gateway_core::impl::members_near(
+    const target_state& target) const {
+  if (!roster_.has_several_regions()) return staying_;
+  const auto region =
+      roster_.region_of_domain(domain_hash(target.entry.failure_domain));
+  std::vector<member_address> near;
+  std::copy_if(
+      staying_.begin(), staying_.end(), std::back_inserter(near),
+      [&](member_address who) { return roster_.region_of(who) == region; });
+  return near.empty() ? staying_ : near;
+}
+
+member_address gateway_core::impl::admitter_of(
+    const target_state& target) const {
+  // Requests run near as a rule. With an admitter anywhere, two questions of
+  // three went to another region and back: 16 of the 25 ms that it has.
+  const auto near = members_near(target);
+  const auto first = first_members(target.hash, near, kAdmitters);
   const auto heard =
       std::find_if(first.begin(), first.end(),
                    [&](member_address who) { return !is_passed_over(who); });
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -241,7 +241,9 @@
   duration least_expected(const exchange& x,
                           const std::vector<target_state*>& targets) const;
   void ask_admitter(exchange& x, target_state& target);
-  member_address admitter_of(target_hash target) const;
+  /** Returns the staying members of the target's region; none there: all. */
+  std::vector<member_address> members_near(const target_state& target) const;
+  member_address admitter_of(const target_state& target) const;
   void take_admission(exchange& x, target_state& target,
                       const admission_answer& answer);
   /** A call to a plain target ended: its place is free. */
--- a/src/process/read_pace.h
+++ b/src/process/read_pace.h
@@ -12,6 +12,9 @@
 
 namespace seamglade::gateway {
 
+/** Microseconds for a token of a prompt before anything was seen. */
+inline constexpr double kFirstPace = 40;
+
 /**
  * Microseconds that a target takes for a token of a prompt.
  *
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -131,6 +131,10 @@
   std::set<std::uint32_t> domains() const;
   /** Returns how far a member is; one that is not known is far. */
   proximity distance_to(member_address who) const;
+  /** Returns a number that tells the regions of failure domains apart. */
+  std::uint32_t region_of_domain(std::uint32_t domain) const {
+    return options_.regions.region_of(domain);
+  }
   /** Returns a number that tells members' regions apart. */
   std::uint32_t region_of(member_address who) const;
   bool has_several_regions() const { return options_.regions.has_several(); }
--- a/test/region-test.cc
+++ b/test/region-test.cc
@@ -256,6 +256,22 @@
   EXPECT_EQ(count(w_).served, 300U);
 }
 
+TEST_P(free_ones, places_are_asked_for_in_the_region) {
+  const auto far = [this] {
+    return w_.traffic()[proximity::other_region].place_questions;
+  };
+  const auto before = far();
+  const auto entries = members_of(w_, "b");
+  for (int i = 0; i < 300; ++i) {
+    w_.at(w_.now() + i * 10ms, [this, entries, i] {
+      w_.call_plain(entries[static_cast<std::size_t>(i) % entries.size()],
+                    i % 2 == 0);
+    });
+  }
+  w_.run_for(5s);
+  EXPECT_LE(far() - before, 20U);
+}
+
 TEST_P(free_ones, copies_go_to_the_region_that_asks) {
   const auto entries = members_of(w_, "c");
   for (const std::string adapter : {"p0", "p1", "p2", "p3"}) {
