Log lines name a request by its caller and its content

Cause: a request that returns under another id could not be told from others of its adapter and prompt length, so the logs of the incident could not tell a request that ends targets from an adapter that does. Ruled out: the caller's headers as its name (ids, deadlines and hints differ on each return); the content alone (a caller could get another's request blamed). Change: a fingerprint of caller (workspace, else the address of its connection) and content (method, host, path, body) on each request; dispatch and call_broken tell it. Nothing is decided by it.

--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -319,6 +319,17 @@
   std::string last_event;
 };
 
+/** Names a caller's request on each of its returns. */
+struct request_fingerprint {
+  /** Hash of its workspace, else of the address that it comes from. */
+  std::uint64_t caller = 0;
+  /** Hash of method, host, path and body. */
+  std::uint64_t content = 0;
+
+  friend auto operator<=>(const request_fingerprint&,
+                          const request_fingerprint&) = default;
+};
+
 /** A caller's request as it was read; passed on unchanged. */
 struct caller_message {
   std::string method;
@@ -328,6 +339,8 @@
   /** Headers that concern the request, not the connection. */
   std::vector<http_header> headers;
   std::shared_ptr<const std::string> body;
+  /** IPv4 number, in host order, that its connection comes from. */
+  std::uint32_t caller_address = 0;
 };
 
 }  // namespace seamglade::gateway
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -69,9 +69,12 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(where.port);
   inet_pton(AF_INET, where.host.c_str(), &address.sin_addr);
-  const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
-                           void* self) {
-    static_cast<gateway_server*>(self)->accept(fd);
+  const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr* from,
+                           int, void* self) {
+    // The listener is bound to an IPv4 address.
+    const auto* peer = reinterpret_cast<const sockaddr_in*>(from);
+    static_cast<gateway_server*>(self)->accept(fd,
+                                               ntohl(peer->sin_addr.s_addr));
   };
   listener_.reset(evconnlistener_new_bind(
       base_, accepted, this,
@@ -81,7 +84,7 @@
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
-void gateway_server::accept(evutil_socket_t fd) {
+void gateway_server::accept(evutil_socket_t fd, std::uint32_t from) {
   if (connections_.size() >= kMaxConnections) {
     evutil_closesocket(fd);
     return;
@@ -92,6 +95,7 @@
   auto& c = *made;
   c.owner = this;
   c.number = next_number_++;
+  c.caller_address = from;
   c.io.reset(bufferevent_socket_new(base_, fd, BEV_OPT_CLOSE_ON_FREE));
   const auto fired = [](evutil_socket_t, short, void* arg) {
     auto* self = static_cast<connection*>(arg);
@@ -170,6 +174,7 @@
   c.keep = c.reader->keeps_connection();
   c.old_version = c.reader->is_old_version();
   auto message = c.reader->take();
+  message.caller_address = c.caller_address;
   c.bodyless = message.method == "HEAD";
   c.now = phase::answering;
   c.caller = next_caller_++;
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -76,6 +76,7 @@
   struct connection {
     gateway_server* owner = nullptr;
     std::uint64_t number = 0;
+    std::uint32_t caller_address = 0;
     bufferevent_handle io;
     event_handle timer;
     std::unique_ptr<request_reader> reader;
@@ -89,7 +90,8 @@
     time_point since;
   };
 
-  void accept(evutil_socket_t fd);
+  /** `from`: the caller's IPv4 number, in host order. */
+  void accept(evutil_socket_t fd, std::uint32_t from);
   void on_readable(connection& c);
   void on_event(connection& c, short what);
   void on_timer(connection& c);
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "request/request_fingerprint.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -97,6 +98,8 @@
        {"workspace", facts.workspace},
        {"key_age_ms", x.owner == nullptr ? -1 : to_ms(key_age())},
        {"prompt", x.facts.prompt_tokens},
+       {"caller", to_hex(x.fingerprint.caller)},
+       {"content", to_hex(x.fingerprint.content)},
        {"objective_ms", to_ms(x.way->objective)}});
   do_act(std::move(call));
 }
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -7,6 +7,7 @@
 
 #include "process/gateway_impl.h"
 #include "process/status_codes.h"
+#include "request/request_fingerprint.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -128,6 +129,8 @@
   }
   x.facts = std::move(facts.value());
   if (!admit_key(x)) return;
+  x.fingerprint = fingerprint_of(
+      x.message, x.owner == nullptr ? std::string_view() : x.owner->name);
   auto allowed = x.way->timeout;
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
   x.until = x.started + allowed;
@@ -331,6 +334,8 @@
       {{"request", x.facts.id},
        {"target", x.target},
        {"status", x.status},
+       {"caller", to_hex(x.fingerprint.caller)},
+       {"content", to_hex(x.fingerprint.content)},
        {"after_ms", to_ms(now_ - x.called_at)}},
       true);
   if (x.head_sent) {
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -30,6 +30,7 @@
   caller_id caller = 0;
   caller_message message;
   request_facts facts;
+  request_fingerprint fingerprint;
   /** Keeps `way` alive when a new configuration comes into force. */
   std::shared_ptr<const configuration> config;
   const route* way = nullptr;
