--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -286,8 +286,8 @@
 gateway_call& gateway_world::submit(member_address entry,
                                     const std::string& path,
                                     std::vector<http_header> headers,
-                                    bool repeatable,
-                                    const std::string& adapter) {
+                                    bool repeatable, const std::string& adapter,
+                                    const caller_content& content) {
   auto& i = *instances_.at(entry);
   calls_.push_back(std::make_unique<gateway_call>());
   auto& made = *calls_.back();
@@ -296,6 +296,7 @@
   made.entry = entry;
   made.repeatable = repeatable;
   made.adapter = adapter;
+  made.content = content.body;
   made.sent = now_;
   headers.push_back({"X-Request-Id", made.id});
   headers.push_back({"X-Deadline-Ms", "8000"});
@@ -304,7 +305,8 @@
   message.target = path;
   message.host = "h";
   message.headers = std::move(headers);
-  message.body = std::make_shared<const std::string>("body");
+  message.body = std::make_shared<const std::string>(content.body);
+  message.caller_address = content.address;
   if (!i.core) {
     made.aborted = true;
     made.ended = now_;
@@ -319,14 +321,28 @@
 gateway_call& gateway_world::call_engine(member_address entry,
                                          const std::string& adapter,
                                          bool repeatable) {
+  return call_engine_with(entry, adapter, {}, repeatable);
+}
+
+gateway_call& gateway_world::call_engine_with(member_address entry,
+                                              const std::string& adapter,
+                                              caller_content content,
+                                              bool repeatable) {
   return submit(entry, repeatable ? "/llm2/x" : "/llm/x",
                 {{"X-Model", fmt::format("{}/{}", kModel, adapter)},
                  {"X-Token-Count", "100,10"}},
-                repeatable, adapter);
+                repeatable, adapter, content);
 }
 
 gateway_call& gateway_world::call_plain(member_address entry, bool repeatable) {
-  return submit(entry, repeatable ? "/get/x" : "/set/x", {}, repeatable, "");
+  return call_plain_with(entry, {}, repeatable);
+}
+
+gateway_call& gateway_world::call_plain_with(member_address entry,
+                                             caller_content content,
+                                             bool repeatable) {
+  return submit(entry, repeatable ? "/get/x" : "/set/x", {}, repeatable, "",
+                content);
 }
 
 gateway_call& gateway_world::call_with_key(member_address entry,
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -89,10 +89,30 @@
   bool complete = false;
   bool aborted = false;
   duration retry_after{};
+  /** What it sent. */
+  std::string content;
   time_point sent;
   time_point ended;
 };
 
+/** What a caller sends beside the usual, and where it comes from. */
+struct caller_content {
+  std::string body = "body";
+  /** IPv4 number of its connection. */
+  std::uint32_t address = 0;
+};
+
+/** What a request did that ends the targets that run it. */
+struct crash_count {
+  /** Targets that it ended. */
+  std::size_t ended = 0;
+  /** Requests of others that broke with them. */
+  std::size_t broken_others = 0;
+  time_point third_end;
+  /** It reached targets so often later than `contact` after the third end. */
+  std::size_t late_arrivals = 0;
+};
+
 /** What instances sent each other of one kind of message. */
 struct peer_traffic {
   std::size_t datagrams = 0;
@@ -129,7 +149,13 @@
   gateway_call& call_engine(gateway::member_address entry,
                             const std::string& adapter,
                             bool repeatable = false);
+  gateway_call& call_engine_with(gateway::member_address entry,
+                                 const std::string& adapter,
+                                 caller_content content,
+                                 bool repeatable = false);
   gateway_call& call_plain(gateway::member_address entry, bool repeatable);
+  gateway_call& call_plain_with(gateway::member_address entry,
+                                caller_content content, bool repeatable);
   /** Calls a plain service; the workspace's limit counts so many tokens. */
   gateway_call& call_with_key(gateway::member_address entry,
                               const std::string& key, std::uint32_t tokens);
@@ -182,6 +208,17 @@
   std::vector<std::string> holders_of(const std::string& adapter) const;
   /** It comes back under another id, cold if any is. Returns the id. */
   std::string restart_engine(const std::string& id);
+  /**
+   * From now on a target ends soon after it has begun to run this body. It
+   * refuses connections for `down`, and is back under another id.
+   */
+  void end_targets_with(const std::string& body, duration down = 3s);
+  /** A target ends by itself; back as above. */
+  void crash_target(const std::string& id, duration down = 3s);
+  /** Resets all connections to a target, which runs on. */
+  void reset_connections(const std::string& id);
+  /** Returns what a body has done that ends targets. */
+  const crash_count& crashes_of(const std::string& body) const;
   /** A target turns cold that goes on. */
   void make_cold(const std::string& id);
   /** Returns the most requests that came to a cold target in one second. */
@@ -248,7 +285,8 @@
 
   gateway_call& submit(gateway::member_address entry, const std::string& path,
                        std::vector<http_header> headers, bool repeatable,
-                       const std::string& adapter);
+                       const std::string& adapter,
+                       const caller_content& content = {});
   void post(instance& to, gateway::any_event event);
   void tick(gateway::member_address who, std::uint64_t life);
   void carry_out(instance& from, gateway::any_action action);
@@ -295,6 +333,10 @@
   /** Counts a request that came; returns whether the target fails it. */
   bool judge_cold(target& at);
   void begin_cold(target& at, duration told_within);
+  /** Notes a run of a body that ends targets; the target's end is then due. */
+  void judge_crash(const instance& from, target& at, const std::string& body);
+  void end_target(const std::string& id, const std::string& body);
+  void break_calls(target& at);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
   void lose_store_call(gateway::member_address who, std::uint64_t life,
@@ -362,6 +404,9 @@
   caller_id next_caller_ = 1;
   std::size_t loads_ = 0;
   std::size_t rejections_ = 0;
+  /** Bodies that end targets, and for how long these are down. */
+  std::map<std::string, duration> ending_bodies_;
+  std::map<std::string, crash_count> crashes_;
   std::size_t most_while_cold_ = 0;
   std::size_t store_calls_ = 0;
   std::map<gateway::proximity, fake_traffic> traffic_;
--- /dev/null
+++ b/fakes/gateway_world_crashes.cc
@@ -0,0 +1,90 @@
+// seamglade - the direct path's world: requests that end the targets they run
+// on
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "gateway_world_impl.h"
+
+namespace seamglade::fakes {
+namespace {
+
+/** From the start of a run to the end of its target. */
+constexpr duration kEndsAfter = 80ms;
+/** A request that has ended so many is to reach few more ... */
+constexpr std::size_t kJudgedEnds = 3;
+/** ... of those that are sent so much later, by instances in touch. */
+constexpr duration kContact = 3s;
+constexpr std::size_t kAllowedLate = 3;
+
+}  // namespace
+
+void gateway_world::end_targets_with(const std::string& body, duration down) {
+  ending_bodies_[body] = down;
+}
+
+const crash_count& gateway_world::crashes_of(const std::string& body) const {
+  static const crash_count kNone;
+  const auto found = crashes_.find(body);
+  return found == crashes_.end() ? kNone : found->second;
+}
+
+void gateway_world::judge_crash(const instance& from, target& at,
+                                const std::string& body) {
+  if (!ending_bodies_.contains(body)) return;
+  auto& count = crashes_[body];
+  const bool in_touch = !from.cut && from.side == 0 &&
+                        now_ - from.disturbed > kContact &&
+                        now_ >= from.frozen_until;
+  const bool late = count.ended >= kJudgedEnds &&
+                    now_ - kLinkDelay > count.third_end + kContact;
+  if (in_touch && late && ++count.late_arrivals == kAllowedLate + 1) {
+    violation(fmt::format("a body that ended {} targets reached {} more",
+                          count.ended, count.late_arrivals));
+  }
+  later(kEndsAfter, [this, id = at.id, body, life = at.blackouts, t = &at] {
+    if (t->id == id && t->blackouts == life) end_target(id, body);
+  });
+}
+
+void gateway_world::end_target(const std::string& id, const std::string& body) {
+  auto& t = *targets_.at(id);
+  auto& count = crashes_[body];
+  ++count.ended;
+  if (count.ended == kJudgedEnds) count.third_end = now_;
+  for (const auto& open : t.open_calls) {
+    if (open.content != body) ++count.broken_others;
+  }
+  crash_target(id, ending_bodies_.at(body));
+}
+
+void gateway_world::crash_target(const std::string& id, duration down) {
+  auto& t = *targets_.at(id);
+  if (t.down) return;
+  t.down = true;
+  ++t.blackouts;
+  break_calls(t);
+  // Its entry is the former one until it starts again.
+  later(down, [this, id] {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) return;
+    auto* ended = found->second.get();
+    restart_engine(id);
+    ended->down = false;
+  });
+}
+
+void gateway_world::reset_connections(const std::string& id) {
+  break_calls(*targets_.at(id));
+}
+
+void gateway_world::break_calls(target& at) {
+  for (const auto& open : std::exchange(at.open_calls, {})) {
+    auto& i = *instances_.at(open.who);
+    if (i.life != open.life || i.cancelled.contains(open.call)) continue;
+    i.cancelled.insert(open.call);
+    post(i, event::answer_end{open.call, event::answer_end::how::broken});
+  }
+}
+
+}  // namespace seamglade::fakes
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -59,6 +59,16 @@
   /** Without power; how often it was: answers under way are lost then. */
   bool dark = false;
   std::size_t blackouts = 0;
+  /** It has ended: connections to it are refused. */
+  bool down = false;
+  /** Calls that are not answered yet. */
+  struct open_call {
+    member_address who = 0;
+    std::uint64_t life = 0;
+    call_id call = 0;
+    std::string content;
+  };
+  std::vector<open_call> open_calls;
   duration slower{};
   double cut_streams = 0;
   bool has_model = true;
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -48,7 +48,7 @@
     auto& i = *instances_.at(who);
     if (i.life != life || i.cancelled.contains(call.call)) return;
     auto* t = by_address(call.address);
-    if (t == nullptr) {
+    if (t == nullptr || t->down) {
       post(i, event::answer_end{call.call, event::answer_end::how::not_sent});
       return;
     }
@@ -97,6 +97,8 @@
   judge_evacuation(from, at, "a request");
   judge_key(call);
   judge_region(at, *calls_by_id_.at(call.request_id));
+  at.open_calls.push_back({from.address, from.life, call.call, *call.body});
+  judge_crash(from, at, *call.body);
   const auto life = from.life;
   const auto who = from.address;
   auto* t = &at;
@@ -213,6 +215,9 @@
                 headers = std::move(headers),
                 body = std::move(body)]() mutable {
     if (t->blackouts != blackouts) return;
+    std::erase_if(t->open_calls, [&](const auto& open) {
+      return open.who == to && open.life == life && open.call == call;
+    });
     auto& i = *instances_.at(to);
     if (i.life != life || i.cancelled.contains(call)) return;
     post(i, event::answer_head{call, status, "", std::move(headers)});
@@ -233,7 +238,7 @@
     if (i.life != life) return;
     auto status = engine_order_status::unanswered;
     auto* t = by_address(order.address);
-    if (t != nullptr && !t->dark) {
+    if (t != nullptr && !t->dark && !t->down) {
       status = t->id == order.target ? take_order(i, *t, order.order)
                                      : engine_order_status::misplaced;
     }
@@ -343,7 +348,7 @@
     auto* t = by_address(ask.address);
     event::report_answer answer{ask.call, std::nullopt};
     const bool is_dark = t != nullptr && t->dark;
-    if (t != nullptr && !is_dark) {
+    if (t != nullptr && !is_dark && !t->down) {
       ++t->orders;
       judge_evacuation(*instances_.at(who), *t, "a question");
       // The state of a while ago: the newest entry that is old enough.
