--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -18,6 +18,7 @@
 #include "process/end_watch.h"
 #include "process/engine_choice.h"
 #include "process/failure_domains.h"
+#include "process/gateway_state.h"
 #include "process/quarantine.h"
 #include "process/quota_accounts.h"
 #include "process/region_map.h"
@@ -39,6 +40,11 @@
 /** A copy so fresh says that the store answers somebody. */
 inline constexpr duration kStoreBack = 1500ms;
 
+/** An answer is given this long before the time is up. */
+inline constexpr duration kAnswerMargin = 30ms;
+/** When a request that was not run is worth another try. */
+inline constexpr duration kComeBackSoon = 300ms;
+
 /** Returns whole milliseconds, for the log. */
 inline std::int64_t to_ms(duration time) { return time / 1ms; }
 
@@ -480,26 +486,7 @@
   /** The staying members as they watch the store, the first first. */
   std::vector<member_address> watch_order_;
   time_point watch_order_until_{};
-  /** In a large fleet each instance reads what operators write by itself. */
-  struct operator_watch {
-    bool under_way = false;
-    std::uint64_t after = 0;
-    time_point next;
-    time_point sent;
-    duration wait{};
-    /** When the store was last taken to be away. */
-    time_point doubted;
-    /** Watches that were given up before they ended. */
-    unsigned given_up = 0;
-    duration after_failure{};
-  };
   operator_watch operator_watch_;
-  /** What others said that operators have written. */
-  struct operators_word {
-    std::uint64_t revision = 0;
-    /** Since when it is known to be lacking here. */
-    time_point since;
-  };
   operators_word operators_told_;
   /** Nobody was known to be without the store since it last answered. */
   bool is_store_back_ = true;
@@ -529,20 +516,9 @@
   cold_ledger cold_;
   time_point next_cold_update_{};
   std::uint64_t next_cold_request_ = 1;
-  struct cold_ask {
-    caller_id caller = 0;
-    target_hash target = 0;
-    time_point until;
-  };
   std::map<std::uint64_t, cold_ask> cold_asks_;
 
   // Peers.
-  struct peer_state {
-    std::uint64_t store_revision = 0;
-    duration store_age{};
-    bool watching = false;
-    time_point heard;
-  };
   roster roster_;
   /** The members that live and stay, as of a moment ago, in order. */
   std::vector<member_address> staying_;
@@ -550,33 +526,16 @@
   std::map<member_address, peer_state> peers_;
   time_point next_beat_{};
   std::set<member_address> silent_members_;
-  struct sent_interest {
-    std::vector<adapter_interest> rows;
-    time_point at;
-    member_address to = 0;
-  };
   std::map<target_id, sent_interest> sent_interests_;
   /** Targets at which this instance's work has changed since it was told. */
   std::set<target_id> loads_dirty_;
   time_point loads_sent_{};
   std::set<target_id> interest_dirty_;
   std::map<target_id, std::pair<std::uint64_t, time_point>> sent_editions_;
-  /** What an instance was told of a target, and what it knows of it. */
-  struct told_word {
-    time_point at;
-    known_word known;
-  };
   std::map<std::pair<member_address, target_hash>, told_word> told_;
   std::map<target_id, residency_log> residency_logs_;
 
   // Orders.
-  struct claim_state {
-    member_address holder = 0;
-    std::uint64_t fence = 0;
-    time_point heard;
-    /** The holder said in a planned stop that it gives no more orders. */
-    bool handed_over = false;
-  };
   std::map<target_hash, claim_state> claims_;
   target_hash next_claim_told_ = 0;
   /** Changed claims that are still to be told to all, and how often. */
@@ -585,11 +544,6 @@
   std::map<target_id, std::unique_ptr<target_keeper>> keepers_;
   std::map<target_id, time_point> orders_from_;
   std::map<target_hash, time_point> stepped_back_;
-  struct engine_call {
-    target_id target;
-    std::uint64_t fence = 0;
-    time_point asked;
-  };
   std::map<engine_call_id, engine_call> engine_calls_;
   engine_call_id next_engine_call_ = 1;
   time_point next_claim_check_{};
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -22,8 +22,12 @@
  * to blame was among these at each end whose calls the logs tell whole.
  */
 constexpr duration kProvenRun = 1s;
-/** Blame is told so often, with this pause: a datagram may be lost. */
-constexpr unsigned kTold = 2;
+/**
+ * A quarantine is told so often, with this pause: a datagram may be lost. Other
+ * blame is told once, most of it of innocents: a loss costs one more target.
+ */
+constexpr unsigned kToldOfQuarantine = 2;
+constexpr unsigned kToldOfBlame = 1;
 constexpr duration kToldPause = 200ms;
 /** Rows in one message: 3.2 KB of those that were there at four ends. */
 constexpr std::size_t kMostRows = 32;
@@ -78,7 +82,8 @@
   for (const auto& request : requests) {
     const bool was_refused = quarantine_.refused_for(now_, request).has_value();
     if (!quarantine_.note_end(now_, request, hash_of(target))) continue;
-    untold_blame_[request] = kTold;
+    const bool is_refused = quarantine_.refused_for(now_, request).has_value();
+    untold_blame_[request] = is_refused ? kToldOfQuarantine : kToldOfBlame;
     note_quarantine(request, was_refused, "seen");
   }
   next_blame_ = now_;
@@ -86,7 +91,7 @@
 
 void gateway_core::impl::clear_blame(const exchange& x) {
   if (!quarantine_.note_answer(now_, x.fingerprint)) return;
-  untold_blame_[x.fingerprint] = kTold;
+  untold_blame_[x.fingerprint] = kToldOfBlame;
   next_blame_ = now_;
   log("blame_cleared",
       {{"request", x.facts.id}, {"content", to_hex(x.fingerprint.content)}});
--- /dev/null
+++ b/src/process/gateway_state.h
@@ -0,0 +1,83 @@
+// seamglade - what an instance of the direct path keeps of others, by matter
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
+#define SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
+
+#include <vector>
+
+#include "seamglade/controller.h"
+#include "seamglade/gateway_peers.h"
+
+namespace seamglade::gateway {
+
+/** In a large fleet each instance reads what operators write by itself. */
+struct operator_watch {
+  bool under_way = false;
+  std::uint64_t after = 0;
+  time_point next;
+  time_point sent;
+  duration wait{};
+  /** When the store was last taken to be away. */
+  time_point doubted;
+  /** Watches that were given up before they ended. */
+  unsigned given_up = 0;
+  duration after_failure{};
+};
+
+/** What others said that operators have written. */
+struct operators_word {
+  std::uint64_t revision = 0;
+  /** Since when it is known to be lacking here. */
+  time_point since;
+};
+
+/** A question to the grantor of a cold target. */
+struct cold_ask {
+  caller_id caller = 0;
+  target_hash target = 0;
+  time_point until;
+};
+
+/** How far a peer knows the store, as it last said. */
+struct peer_state {
+  std::uint64_t store_revision = 0;
+  duration store_age{};
+  bool watching = false;
+  time_point heard;
+};
+
+/** What a target's holder was last told of the interest in it. */
+struct sent_interest {
+  std::vector<adapter_interest> rows;
+  time_point at;
+  member_address to = 0;
+};
+
+/** What an instance was told of a target, and what it knows of it. */
+struct told_word {
+  time_point at;
+  known_word known;
+};
+
+/** Who gives a target its orders, as far as was heard. */
+struct claim_state {
+  member_address holder = 0;
+  std::uint64_t fence = 0;
+  time_point heard;
+  /** The holder said in a planned stop that it gives no more orders. */
+  bool handed_over = false;
+};
+
+/** An order or a report under way. */
+struct engine_call {
+  target_id target;
+  std::uint64_t fence = 0;
+  time_point asked;
+};
+
+}  // namespace seamglade::gateway
+
+#endif  // SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -57,7 +57,6 @@
 /** Others are heard before accounts are opened, after a start or a pause. */
 constexpr duration kHearMembers = 400ms;
 
-constexpr duration kComeBackSoon = 300ms;
 /** An empty account is asked again this soon at the earliest. */
 constexpr duration kLeastEmpty = 20ms;
 /** Limits of when a workspace that has used its quota up is asked back. */
