--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -192,6 +192,7 @@
                  {"reason", std::string(reason)},
                  {"adapter", x.facts.adapter.str()},
                  {"target", x.target},
+                 {"content", to_hex(x.fingerprint.content)},
                  {"after_ms", to_ms(now_ - x.started)}});
   action::reply_head head;
   head.caller = x.caller;
