Real processes: a request that ends engines ends two of them

Cause: the probe of a target that ended was tested on its own, not in a process before targets that end. Ruled out: a stand-in that exits (its store would go with it). Change: the platform's stand-in ends an engine that begins to run a certain body: connections break, new ones are refused, it is back under another id after a second. Three instances get that body 24 times in turn.

--- a/src/process/gateway_members.cc
+++ b/src/process/gateway_members.cc
@@ -25,7 +25,7 @@
 /** Who stays is looked up anew after this time. */
 constexpr duration kStayingLife = 50ms;
 constexpr std::size_t kMaxLoads = 40;
-/** Quarantined requests that a heartbeat names: 150 bytes at two ends each. */
+/** Quarantined requests that a heartbeat names: 164 bytes, two ends each. */
 constexpr std::size_t kQuarantinedTold = 2;
 /** ... and that a greeting does. */
 constexpr std::size_t kQuarantinedGreeted = 16;
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -31,6 +31,10 @@
 constexpr int kEvents = 6;
 constexpr std::size_t kAdapterSlots = 3;
 constexpr std::string_view kModel = "base";
+/** A body that begins so ends the target that begins to run it. */
+constexpr std::string_view kDeadly = "deadly";
+constexpr duration kEndsAfter = 30ms;
+constexpr duration kDownFor = 1s;
 
 std::string encode_base64(const std::string& text) {
   using namespace boost::archive::iterators;
@@ -113,10 +117,18 @@
     }
   }
 
+  void erase(const std::string& key) {
+    items_[key] = {++revision_, std::nullopt};
+    for (const auto& [caller, after] : std::exchange(watches_, {})) {
+      answer_watch(caller, after);
+    }
+  }
+
  private:
   struct item {
     std::uint64_t revision = 0;
-    std::string value;
+    /** None: it was deleted. */
+    std::optional<std::string> value;
   };
 
   void serve(caller_id caller, const caller_message& m) {
@@ -128,7 +140,11 @@
       return;
     }
     if (m.target.starts_with("/kv-range")) {
-      json out{{"items", list(0)}, {"more", false}, {"at", revision_}};
+      json items = json::array();
+      for (auto& i : list(0)) {
+        if (!i.contains("gone")) items.push_back(i);
+      }
+      json out{{"items", items}, {"more", false}, {"at", revision_}};
       reply(server_, caller, 200, out.dump());
       return;
     }
@@ -153,8 +169,12 @@
     json out = json::array();
     for (const auto& [key, i] : items_) {
       if (i.revision <= after) continue;
+      if (!i.value) {
+        out.push_back({{"tls_key", key}, {"rev", i.revision}, {"gone", true}});
+        continue;
+      }
       out.push_back({{"tls_key", key},
-                     {"value", encode_base64(i.value)},
+                     {"value", encode_base64(*i.value)},
                      {"rev", i.revision},
                      {"made", i.revision},
                      {"lease", 0}});
@@ -178,14 +198,8 @@
 class target {
  public:
   target(world& w, store& s, std::string id, bool engine)
-      : world_(w),
-        store_(s),
-        id_(std::move(id)),
-        engine_(engine),
-        server_(w.base(),
-                on_request([this](auto c, const auto& m) { serve(c, m); })) {
-    address_ = server_.listen({"127.0.0.1", 0}).value().str();
-    publish();
+      : world_(w), store_(s), id_(std::move(id)), engine_(engine) {
+    start();
   }
 
  private:
@@ -197,6 +211,37 @@
         {{{"name", kModel}, {"cfg_ver", 1}, {"adapters", names}}});
   }
 
+  void start() {
+    server_ = std::make_unique<gateway_server>(
+        world_.base(),
+        on_request([this](auto c, const auto& m) { serve(c, m); }));
+    address_ = server_->listen({"127.0.0.1", 0}).value().str();
+    publish();
+  }
+
+  /** All its connections break, new ones are refused; it comes back anew. */
+  void end() {
+    std::cout << "end " << id_ << std::endl;
+    server_.reset();
+    ++life_;
+    adapters_.clear();
+    pending_.clear();
+    sequence_ = 0;
+    fence_ = 0;
+    world_.after(kDownFor, [this] {
+      store_.erase("servers/" + id_);
+      id_ += "+";
+      start();
+    });
+  }
+
+  /** Runs a task later, unless the target has ended by then. */
+  void while_alive(duration wait, std::function<void()> task) {
+    world_.after(wait, [this, life = life_, task = std::move(task)] {
+      if (life == life_) task();
+    });
+  }
+
   void publish() {
     store_.put("servers/" + id_, {{"svc", engine_ ? "llm" : "desk"},
                                   {"addr", address_},
@@ -212,7 +257,7 @@
       for (const auto& name : pending_) {
         pending.push_back(fmt::format("{}/{}@1", kModel, name));
       }
-      reply(server_, caller, 200,
+      reply(*server_, caller, 200,
             json{{"models", models()},
                  {"busy", false},
                  {"seq", sequence_},
@@ -221,11 +266,11 @@
       return;
     }
     if (header_of(m, "X-Expect-Replica") != id_) {
-      reply(server_, caller, 421, "", {{"X-Not-Executed", "1"}});
+      reply(*server_, caller, 421, "", {{"X-Not-Executed", "1"}});
       return;
     }
     if (m.target == "/order") {
-      reply(server_, caller, take_order(json::parse(*m.body)), "");
+      reply(*server_, caller, take_order(json::parse(*m.body)), "");
       return;
     }
     run(caller, m);
@@ -249,7 +294,7 @@
       std::cout << "BROKEN " << id_ << " beyond its places" << std::endl;
     }
     pending_.insert(name);
-    world_.after(kLoadTime, [this, name] {
+    while_alive(kLoadTime, [this, name] {
       pending_.erase(name);
       adapters_.insert(name);
       ++sequence_;
@@ -263,24 +308,28 @@
     const auto model = header_of(m, "X-Model");
     const auto name = model.substr(model.find('/') + 1);
     if (engine_ && !adapters_.contains(name)) {
-      reply(server_, caller, 421, "",
+      reply(*server_, caller, 421, "",
             {{"X-Request-Id", request}, {"X-Not-Executed", "1"}});
       return;
     }
     std::cout << "run " << request << " " << id_ << " " << m.method << " "
               << m.target << " " << m.body->size() << std::endl;
+    if (m.body->starts_with(kDeadly)) {
+      while_alive(kEndsAfter, [this] { end(); });
+      return;
+    }
     const std::vector<http_header> headers{{"X-Request-Id", request},
                                            {"X-Server-Stamp", id_}};
     if (!engine_) {
-      reply(server_, caller, 200, "answer to " + request, headers);
+      reply(*server_, caller, 200, "answer to " + request, headers);
       return;
     }
-    server_.begin(caller, {200, "", headers, std::nullopt});
+    server_->begin(caller, {200, "", headers, std::nullopt});
     for (int i = 1; i <= kEvents; ++i) {
-      world_.after(kEventTime * i, [this, caller, i, request] {
-        server_.write(caller, std::make_shared<const std::string>(fmt::format(
-                                  "id: {}\ndata: {}\n\n", i, request)));
-        if (i == kEvents) server_.finish(caller);
+      while_alive(kEventTime * i, [this, caller, i, request] {
+        server_->write(caller, std::make_shared<const std::string>(fmt::format(
+                                   "id: {}\ndata: {}\n\n", i, request)));
+        if (i == kEvents) server_->finish(caller);
       });
     }
   }
@@ -289,7 +338,8 @@
   store& store_;
   std::string id_;
   bool engine_;
-  gateway_server server_;
+  std::unique_ptr<gateway_server> server_;
+  std::uint64_t life_ = 0;
   std::string address_;
   std::set<std::string> adapters_;
   std::set<std::string> pending_;
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -89,6 +89,24 @@
   expect "$answer" ' 200'
 done
 
+# A request that ends its targets, at each instance in turn: the first two runs
+# end one each, all others are refused, and every instance knows.
+deadly() { call "$1" /draft/x "$2" -H 'X-Model: base/q' -d 'deadly prompt'; }
+for i in $(seq 24); do
+  answer=$(deadly $((i % 3 + 1)) "q$i")
+  expect "$answer" ' 50'
+  sleep 0.1
+done
+ended=$(grep -c '^end ' "$work/platform.out")
+[ "$ended" -eq 2 ] || fail "a request ended $ended targets"
+expect "$answer" ' 503'
+for n in 1 2 3; do
+  wait_for "$work/g$n.log" '"event":"request_quarantined"' >/dev/null ||
+    fail "g$n has not heard of the request"
+done
+expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+  'seamglade_quarantined 1'
+
 # A killed instance: the others serve, also what it held.
 kill -KILL "${pid_of[g3]}"
 for i in $(seq 1 12); do
