An end counts once for each request that comes

Cause: a stream of an innocent whose engine ended was sent on by the gateway, and met the request that ends engines there: two ends, refused for ten minutes. Ruled out: three ends in place of two (a target more for each deadly request, and none is left for what is under way after a kill of all instances). Change: only the first of a request's calls that break can be blamed, so that returns alone add up. What was at an end before is not repeated by the gateway when another call of it breaks, or a deadly one that may be repeated ends four.

--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -188,6 +188,8 @@
   end_call(x, false, false);
   // No longer among the runs that a quarantine stops.
   x.now = exchange::phase::waiting;
+  // One that came before and was at an end may have ended this target too.
+  const bool was_blamed = quarantine_.is_blamed(x.fingerprint);
   suspect_request(x);
   log("call_broken",
       {{"request", x.facts.id},
@@ -200,7 +202,7 @@
   if (x.head_sent) {
     x.events.drop_rest();
     const bool resumes = x.way->resumable && !x.events.last_id().empty();
-    if (resumes && may_retry(x, true)) {
+    if (resumes && !was_blamed && may_retry(x, true)) {
       retry(x, "resume");
       return;
     }
@@ -210,7 +212,7 @@
     return;
   }
   x.events.drop_rest();
-  if (may_retry(x, true)) {
+  if (!was_blamed && may_retry(x, true)) {
     retry(x, "broken");
     return;
   }
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -366,7 +366,7 @@
   /** Returns whether a call that just broke may be why its target ended. */
   bool may_have_ended_target(const exchange& x);
   /** A call broke: finds out whether its target ended. */
-  void suspect_request(const exchange& x);
+  void suspect_request(exchange& x);
   void on(event::target_probed&& e);
   /** Without notice, a target went or started again. */
   void note_replaced(const target_id& target, std::string_view reason);
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -7,7 +7,7 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
-#include <algorithm>
+#include <utility>
 
 #include "process/gateway_impl.h"
 #include "process/status_codes.h"
@@ -43,8 +43,9 @@
   return !is_suspect(*target);
 }
 
-void gateway_core::impl::suspect_request(const exchange& x) {
+void gateway_core::impl::suspect_request(exchange& x) {
   if (!may_have_ended_target(x)) return;
+  if (std::exchange(x.is_suspected, true)) return;
   const auto& target = *target_of(x);
   switch (ends_.call_broke(now_, target.hash, x.fingerprint)) {
     case end_watch::verdict::to_probe:
--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -110,6 +110,11 @@
   return left > duration{} ? std::optional(left) : std::nullopt;
 }
 
+bool quarantine::is_blamed(const request_fingerprint& request) const {
+  const auto found = records_.find(request);
+  return found != records_.end() && !found->second.ends.empty();
+}
+
 blame_row quarantine::row_of(time_point now,
                              const request_fingerprint& request) const {
   blame_row out;
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -41,6 +41,8 @@
   /** Returns for how long a request is not to run; none: it may. */
   std::optional<duration> refused_for(time_point now,
                                       const request_fingerprint& request) const;
+  /** Returns whether it was at an end, and not answered whole since. */
+  bool is_blamed(const request_fingerprint& request) const;
   /** Returns what is known of a request, for others. */
   blame_row row_of(time_point now, const request_fingerprint& request) const;
   /** Returns some of those that are refused now, others each time. */
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -92,6 +92,12 @@
   /** Prompt tokens that the target had to read up to its first event. */
   std::uint32_t tokens_ahead = 0;
   bool is_reading = false;
+  /**
+   * A call of it broke where its target may have ended. Only one end counts for
+   * each request that comes: the gateway's own repeat of an innocent one may go
+   * where a deadly one is (9 of 60 drawn plays refused such).
+   */
+  bool is_suspected = false;
   /** Targets that were given the request. */
   std::set<target_id> tried;
   /** Targets on which it may have run. */
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -26,7 +26,9 @@
 
 TEST(quarantine, refuses_what_was_there_at_two_ends) {
   quarantine q;
+  EXPECT_FALSE(q.is_blamed(kRequest));
   EXPECT_TRUE(q.note_end(kStart, kRequest, 1));
+  EXPECT_TRUE(q.is_blamed(kRequest));
   EXPECT_FALSE(q.refused_for(kStart, kRequest));
   EXPECT_TRUE(q.note_end(kStart + 2s, kRequest, 2));
   EXPECT_EQ(q.refused_for(kStart + 2s, kRequest), duration(10min));
