--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -330,7 +330,7 @@
 
 gateway_call& gateway_world::call_engine_with(member_address entry,
                                               const std::string& adapter,
-                                              caller_content content,
+                                              const caller_content& content,
                                               bool repeatable) {
   return submit(entry, repeatable ? "/llm2/x" : "/llm/x",
                 {{"X-Model", fmt::format("{}/{}", kModel, adapter)},
@@ -343,7 +343,7 @@
 }
 
 gateway_call& gateway_world::call_plain_with(member_address entry,
-                                             caller_content content,
+                                             const caller_content& content,
                                              bool repeatable) {
   return submit(entry, repeatable ? "/get/x" : "/set/x", {}, repeatable, "",
                 content);
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -151,11 +151,11 @@
                             bool repeatable = false);
   gateway_call& call_engine_with(gateway::member_address entry,
                                  const std::string& adapter,
-                                 caller_content content,
+                                 const caller_content& content,
                                  bool repeatable = false);
   gateway_call& call_plain(gateway::member_address entry, bool repeatable);
   gateway_call& call_plain_with(gateway::member_address entry,
-                                caller_content content, bool repeatable);
+                                const caller_content& content, bool repeatable);
   /** Calls a plain service; the workspace's limit counts so many tokens. */
   gateway_call& call_with_key(gateway::member_address entry,
                               const std::string& key, std::uint32_t tokens,
