What a target says of itself in an answer is read and told in the log

Cause: no line told whether an answer said that its target leaves or wants rest, so an unread word could not be told from one that was read and lost. Ruled out: changes of logic: nothing is decided by it yet.

--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -40,6 +40,9 @@
   virtual std::string_view request_id_header() const = 0;
   virtual answer_facts read_answer(
       int status, const std::vector<http_header>& headers) const = 0;
+  /** Reads what any answer of a target says of it, also to an order. */
+  virtual target_word read_word(
+      int status, const std::vector<http_header>& headers) const = 0;
   /** Returns the headers that a target gets for a caller's request. */
   virtual std::vector<http_header> call_headers(
       const std::vector<http_header>& from_caller,
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -300,12 +300,23 @@
   std::string last_event;
 };
 
+/** What a target says of itself beside its answer to one request. */
+struct target_word {
+  /** It ends soon, and is to get nothing new. */
+  bool is_leaving = false;
+  /** It wants no request from this instance for so long; zero: not said. */
+  duration rest{};
+
+  friend bool operator==(const target_word&, const target_word&) = default;
+};
+
 /** What the platform's headers say of a target's answer. */
 struct answer_facts {
   std::string request_id;
   bool is_signed = false;
   /** The target says that it did not run the request. */
   bool not_run = false;
+  target_word word;
 };
 
 /** What a target is told beside the caller's own headers. */
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -45,6 +45,13 @@
   x->headers = std::move(e.headers);
   x->answer = platform_.read_answer(x->status, x->headers);
   note_answer(*x);
+  if (x->answer.word == target_word{}) return;
+  log("target_word", {{"request", x->facts.id},
+                      {"target", x->target},
+                      {"status", x->status},
+                      {"leaving", x->answer.word.is_leaving ? 1 : 0},
+                      {"rest_ms", to_ms(x->answer.word.rest)},
+                      {"called_ms", to_ms(now_ - x->called_at)}});
 }
 
 void gateway_core::impl::on(event::answer_data&& e) {
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -147,6 +147,29 @@
   EXPECT_TRUE(d_->read_answer(200, {{"X-Server-Stamp", "s"}}).is_signed);
 }
 
+TEST_F(platform, reads_what_a_target_says_of_itself_in_an_answer) {
+  EXPECT_TRUE(d_->read_word(200, {{"server-leaving", "1"}}).is_leaving);
+  EXPECT_FALSE(d_->read_word(200, {{"Server-Leaving", "0"}}).is_leaving);
+  EXPECT_FALSE(d_->read_word(200, {}).is_leaving);
+  EXPECT_EQ(d_->read_answer(503, {{"Retry-After", "3"}}).word.rest, 3s);
+  EXPECT_EQ(d_->read_word(503, {{"Retry-After", "0.25"}}).rest, 250ms);
+  EXPECT_EQ(d_->read_word(503, {{"Retry-After", "1"}, {"Retry-After", "4"}}),
+            (target_word{false, 4s}));
+  // Another status turns no request away.
+  EXPECT_EQ(d_->read_word(429, {{"Retry-After", "3"}}).rest, 0s);
+  EXPECT_EQ(d_->read_word(200, {{"Retry-After", "3"}}).rest, 0s);
+}
+
+TEST_F(platform, takes_what_is_no_number_of_seconds_for_no_rest) {
+  for (const auto* text : {"0", "-3", "", "3s", "soon", "nan", "inf", "0x10",
+                           "1e", " 3", "Wed, 02 Dec 2026 10:00:00 GMT"}) {
+    EXPECT_EQ(d_->read_word(503, {{"Retry-After", text}}).rest, 0s) << text;
+  }
+  for (const auto* text : {"86400", "99999999999999999999"}) {
+    EXPECT_GE(d_->read_word(503, {{"Retry-After", text}}).rest, 24h) << text;
+  }
+}
+
 TEST_F(platform, reads_the_stores_answers) {
   const auto read = d_->read_store(
       R"({"events":[{"tls_key":"my/leader","value":"bm9kZS0x","rev":412,)"
