Tests that fail: what targets say of themselves in answers goes unheeded

Cause: under test. The fakes' targets say in answers that they leave, turn requests away and ask for rest; each word is judged from the moment that it came to an instance, in one life of it.

--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -113,6 +113,26 @@
   std::size_t late_arrivals = 0;
 };
 
+/** How a target turns requests away and asks for rest. */
+struct fake_rest {
+  /** So long it turns all requests away. */
+  duration lasts = 9s;
+  /** What it says of it; empty: nothing. */
+  std::string text = "3";
+  /** What that means. */
+  duration asked = 3s;
+};
+
+/** What was sent to targets against their own word in answers. */
+struct unheeded_words {
+  /** Requests to one that leaves, later than the bound after its word. */
+  std::size_t late = 0;
+  /** Requests within a rest, half a second after the word and later. */
+  std::size_t in_rest = 0;
+  /** Requests that targets turned away. */
+  std::size_t turned_away = 0;
+};
+
 /** What instances sent each other of one kind of message. */
 struct peer_traffic {
   std::size_t datagrams = 0;
@@ -236,6 +256,11 @@
   /** Returns the most requests that came to a cold target in one second. */
   std::size_t most_while_cold() const { return most_while_cold_; }
   void drain_target(const std::string& id);
+  /** A target's answers say from now on that it leaves; its entry does not. */
+  void say_leaving(const std::string& id, bool leaving = true);
+  /** A target turns all requests away for a time and asks for rest. */
+  void turn_away(const std::string& id, const fake_rest& rest = {});
+  const unheeded_words& unheeded() const { return unheeded_; }
   /** Its entry goes, though it lives; or is back. */
   void lapse_target(const std::string& id);
   void relist_target(const std::string& id);
@@ -349,6 +374,12 @@
   void judge_crash(const instance& from, target& at, const std::string& body);
   void end_target(const std::string& id, const std::string& body);
   void break_calls(target& at);
+  /** Judges a request by what its target has told the instance in answers. */
+  void judge_words(const instance& from, target& at, const gateway_call& call);
+  void note_told(target& at, gateway::member_address who,
+                 const std::vector<http_header>& headers);
+  /** Returns the headers in which a target turns a request away, if it does. */
+  std::optional<std::vector<http_header>> turned_away(const target& at) const;
   void serve_probe(instance& from, const gateway::action::probe_target& probe);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
@@ -424,6 +455,7 @@
   /** Bodies that end targets, and for how long these are down. */
   std::map<std::string, duration> ending_bodies_;
   std::map<std::string, crash_count> crashes_;
+  unheeded_words unheeded_;
   std::size_t most_while_cold_ = 0;
   std::size_t store_calls_ = 0;
   std::map<gateway::proximity, fake_traffic> traffic_;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -71,6 +71,21 @@
     std::string content;
   };
   std::vector<open_call> open_calls;
+  /** Its answers say that it leaves, whatever its entry says. */
+  bool says_leaving = false;
+  /** Until then it turns all requests away, in these words. */
+  time_point turns_away_until;
+  fake_rest rest;
+  /** What an instance was told by an answer, in one life. */
+  struct heard_word {
+    std::uint64_t life = 0;
+    time_point leaving_since = time_point::max();
+    /** It is to get nothing from `rest_from` to `rest_until`. */
+    time_point rest_from = time_point::max();
+    time_point rest_until;
+    std::size_t in_rest = 0;
+  };
+  std::map<member_address, heard_word> told;
   duration slower{};
   double cut_streams = 0;
   bool has_model = true;
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -71,6 +71,14 @@
   if (at.leaves_after != time_point{} && now_ > at.leaves_after) {
     violation(at.id + " got a request after it had left");
   }
+  judge_words(from, at, *calls_by_id_.at(call.request_id));
+  if (auto headers = turned_away(at)) {
+    ++unheeded_.turned_away;
+    headers->push_back({"X-Request-Id", call.request_id});
+    answer(at, from.address, from.life, call.call, 503, std::move(*headers), "",
+           kLinkDelay);
+    return;
+  }
   const auto name = header_of(call.headers, "X-Model");
   std::string adapter;
   if (at.engine) {
@@ -211,6 +219,7 @@
                            call_id call, int status,
                            std::vector<http_header> headers, std::string body,
                            duration after) {
+  if (at.says_leaving) headers.push_back({"Server-Leaving", "1"});
   later(after, [this, t = &at, blackouts = at.blackouts, to, life, call, status,
                 headers = std::move(headers),
                 body = std::move(body)]() mutable {
@@ -220,6 +229,7 @@
     });
     auto& i = *instances_.at(to);
     if (i.life != life || i.cancelled.contains(call)) return;
+    note_told(*t, to, headers);
     post(i, event::answer_head{call, status, "", std::move(headers)});
     if (!body.empty()) {
       post(i, event::answer_data{
