What targets say of themselves in answers binds who hears it, and others are told

Cause: an answer was the request's alone. Who may get requests was known from the store, and a request that was turned away changed nothing but its own course; an engine that turns all away runs nothing, looked idle and drew more. Ruled out: read and overridden by the store's entry (nothing read it); only what was placed before (fresh requests went there 6 s later); the load alone without the word (an engine that leaves is busy as before). Change: target_availability keeps a target's own word by the life that it was said in: leaving until a later start, a rest to its end and a trial after it. gateway_words.cc hears it from answers, orders and reports and tells others (leaving: all; rest: the own failure domain). Where all that may serve a request rest, it is refused at once with the time that is left, the urgent ones first.

--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -254,9 +254,10 @@
     }
     const bool is_dark = t != nullptr && t->dark;
     const auto wait = is_dark ? kCallPatience : kLinkDelay;
-    later(wait, [this, who, life, call = order.call, status] {
+    const target_word word{t != nullptr && t->says_leaving};
+    later(wait, [this, who, life, call = order.call, status, word] {
       auto& to = *instances_.at(who);
-      if (to.life == life) post(to, event::order_answer{call, status});
+      if (to.life == life) post(to, event::order_answer{call, status, word});
     });
   });
 }
@@ -368,6 +369,7 @@
         if (when + kReportLag <= now_) old = report;
       }
       answer.report = old;
+      answer.word.is_leaving = t->says_leaving;
     }
     const auto wait = is_dark ? kCallPatience : kLinkDelay;
     later(wait, [this, who, life, answer] {
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -50,11 +50,15 @@
 struct order_answer {
   engine_call_id call = 0;
   engine_order_status status = engine_order_status::unanswered;
+  /** What the answer says of the target beside. */
+  target_word word = {};
 };
 struct report_answer {
   engine_call_id call = 0;
   /** None: no answer, or no report. */
   std::optional<engine_report> report;
+  /** What the answer says of the target beside. */
+  target_word word = {};
 };
 /** How a connection to a target fared that was tried to see if it ended. */
 struct target_probed {
@@ -280,6 +284,16 @@
   /** Requests that are refused now, and all that were there at an end. */
   std::size_t quarantined = 0;
   std::size_t blamed = 0;
+  /** Answers by which a target was found to leave, and that asked for rest. */
+  std::uint64_t leaving_words = 0;
+  std::uint64_t rest_words = 0;
+  /** Times that a target was left alone since it turned all away. */
+  std::uint64_t assumed_rests = 0;
+  /** Requests refused since all targets that may serve them wanted rest. */
+  std::uint64_t all_at_rest = 0;
+  /** Listed targets that say they leave, or have asked this one for rest. */
+  std::size_t said_leaving = 0;
+  std::size_t at_rest = 0;
   /** Calls given up and made elsewhere since their domain was suspect. */
   std::uint64_t left_calls = 0;
   /** Words of holders that built on others which were not heard here. */
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -404,11 +404,31 @@
   friend bool operator==(const blame_message&, const blame_message&) = default;
 };
 
-using peer_message = std::variant<
-    heartbeat, interest_message, residency_message, news_message, loads_message,
-    probe_request, probe_answer, confirmation_request, confirmation_answer,
-    quota_request, quota_answer, admission_request, admission_answer,
-    admission_end, domain_alarm, cold_request, cold_answer, blame_message>;
+/** What a target has said of itself, to one that has not asked it. */
+struct word_row {
+  target_hash target = 0;
+  /** When the target had started that said so, in Unix ms; 0: not known. */
+  std::uint64_t life = 0;
+  bool is_leaving = false;
+  /** How long it wants no requests; zero: its rest is over, if it had any. */
+  duration rest{};
+
+  friend bool operator==(const word_row&, const word_row&) = default;
+};
+
+struct word_message {
+  std::vector<word_row> rows;
+
+  friend bool operator==(const word_message&, const word_message&) = default;
+};
+
+using peer_message =
+    std::variant<heartbeat, interest_message, residency_message, news_message,
+                 loads_message, probe_request, probe_answer,
+                 confirmation_request, confirmation_answer, quota_request,
+                 quota_answer, admission_request, admission_answer,
+                 admission_end, domain_alarm, cold_request, cold_answer,
+                 blame_message, word_message>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/src/connection/gateway_wire_decode.cc
+++ b/src/connection/gateway_wire_decode.cc
@@ -74,6 +74,15 @@
   return blame_message{read_rows(from.rows())};
 }
 
+peer_message read(const frames::TargetWords& from) {
+  word_message out;
+  each(from.rows(), [&](const frames::TargetWord& row) {
+    out.rows.push_back({row.target(), row.life(), row.is_leaving(),
+                        std::chrono::milliseconds(row.rest_ms())});
+  });
+  return out;
+}
+
 peer_message read(const frames::Heartbeat& from) {
   heartbeat out;
   each(from.rows(),
@@ -277,6 +286,7 @@
   if (const auto* ask = frame->body_as_ColdRequest()) return read(*ask);
   if (const auto* word = frame->body_as_ColdAnswer()) return read(*word);
   if (const auto* blames = frame->body_as_Blames()) return read(*blames);
+  if (const auto* words = frame->body_as_TargetWords()) return read(*words);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -85,6 +85,16 @@
   return frames::CreateBlamesDirect(b, &rows);
 }
 
+fb::Offset<frames::TargetWords> write(fb::FlatBufferBuilder& b,
+                                      const word_message& from) {
+  std::vector<frames::TargetWord> rows;
+  for (const auto& row : from.rows) {
+    rows.emplace_back(row.target, row.life, write_age(row.rest),
+                      row.is_leaving);
+  }
+  return frames::CreateTargetWordsDirect(b, &rows);
+}
+
 fb::Offset<frames::Heartbeat> write(fb::FlatBufferBuilder& b,
                                     const heartbeat& from) {
   const auto rows = write(from.rows);
@@ -311,6 +321,7 @@
 frames::Body kind_of(const cold_request&) { return frames::Body::ColdRequest; }
 frames::Body kind_of(const cold_answer&) { return frames::Body::ColdAnswer; }
 frames::Body kind_of(const blame_message&) { return frames::Body::Blames; }
+frames::Body kind_of(const word_message&) { return frames::Body::TargetWords; }
 
 }  // namespace
 
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -87,6 +87,7 @@
   if (config_ && has_unrouted_ && !awaits_keys()) route_unrouted();
   if (waiting_dirty_) place_waiting();
   tell_blame();
+  tell_words();
   send_loads();
   send_interests();
   tick_keepers();
@@ -187,6 +188,11 @@
   out.evacuated_domains = domains_.evacuated();
   out.quarantined = quarantine_.refused(now);
   out.blamed = quarantine_.size();
+  for (const auto* target : targets_.listed()) {
+    const auto life = target->entry.started_ms;
+    out.said_leaving += target->own_word.is_leaving(life) ? 1 : 0;
+    out.at_rest += target->own_word.is_at_rest(now, life) ? 1 : 0;
+  }
   for (const auto& [id, keeper] : keepers_) {
     out.loads += keeper->loads();
     out.unloads += keeper->unloads();
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -228,7 +228,7 @@
   const bool is_awaited = x != exchanges_.end() && target != nullptr &&
                           x->second.admission.answer_until &&
                           x->second.admission.request == message.request &&
-                          may_run_at(x->second, *target);
+                          may_be_sent_to(x->second, *target);
   if (is_awaited) {
     take_admission(x->second, *target, message);
   } else if (message.is_granted) {
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -26,6 +26,7 @@
   end_admission(x, success);
   auto* target = target_of(x);
   if (target == nullptr) return;
+  if (std::exchange(x.is_after_rest, false)) target->own_word.end_trial();
   work_ended(x, *target);
   waiting_dirty_ = true;
   if (success) return;
@@ -45,13 +46,7 @@
   x->headers = std::move(e.headers);
   x->answer = platform_.read_answer(x->status, x->headers);
   note_answer(*x);
-  if (x->answer.word == target_word{}) return;
-  log("target_word", {{"request", x->facts.id},
-                      {"target", x->target},
-                      {"status", x->status},
-                      {"leaving", x->answer.word.is_leaving ? 1 : 0},
-                      {"rest_ms", to_ms(x->answer.word.rest)},
-                      {"called_ms", to_ms(now_ - x->called_at)}});
+  hear_answer(*x);
 }
 
 void gateway_core::impl::on(event::answer_data&& e) {
--- a/src/process/gateway_cold.cc
+++ b/src/process/gateway_cold.cc
@@ -214,7 +214,7 @@
                           now_ < *x->cold.answer_until;
   waiting_dirty_ = true;
   if (!is_awaited) return;
-  if (may_run_at(*x, *target)) return take_grant(*x, *target, message);
+  if (may_be_sent_to(*x, *target)) return take_grant(*x, *target, message);
   x->cold.answer_until.reset();
   release_place(*x);
   place(*x);
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -52,6 +52,8 @@
   x.now = exchange::phase::calling;
   x.call = next_call_++;
   x.target = target.entry.id;
+  x.target_life = target.entry.started_ms;
+  x.is_after_rest = target.own_word.begin_trial(now_, x.target_life);
   x.called_at = now_;
   x.first_event.reset();
   x.tried.insert(x.target);
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -88,8 +88,11 @@
 bool gateway_core::impl::is_at_rest(target_keeper& keeper) {
   const auto& id = keeper.id();
   const auto* target = targets_.find(id);
-  if (target != nullptr &&
-      domains_.is_evacuated(target->entry.failure_domain)) {
+  const bool gets_nothing =
+      target != nullptr &&
+      (domains_.is_evacuated(target->entry.failure_domain) ||
+       target->own_word.is_at_rest(now_, target->entry.started_ms));
+  if (gets_nothing) {
     resting_.insert(id);
     return true;
   }
@@ -122,10 +125,11 @@
   // be passed over because of others that may not.
   auto out = targets_.usable(
       now_, x.service->name,
-      [&](const target_state& target) { return may_run_at(x, target); });
+      [&](const target_state& target) { return may_be_sent_to(x, target); });
   // Where nothing else is left, a belief is no reason to refuse.
   const auto first_suspect = std::stable_partition(
       out.begin(), out.end(), [&](const target_state* target) {
+        if (availability_of(*target) == availability::doubtful) return false;
         return !is_suspect(*target) || is_trial(x, *target);
       });
   if (first_suspect != out.begin()) out.erase(first_suspect, out.end());
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -362,6 +362,34 @@
   /** Returns whether loads can be wished of a target's holder now. */
   bool has_reachable_holder(target_hash target) const;
 
+  // gateway_words.cc
+  /** Takes in what the answer under way says of its target. */
+  void hear_answer(exchange& x);
+  /** An engine turned a request away and said no more. */
+  void note_turned_away(const exchange& x, target_state& target);
+  /** `life`: of the target when it was asked. */
+  void hear_word(target_state& target, target_life life,
+                 const target_word& word, std::string_view source);
+  /** What a target last said is to be told to others. */
+  void to_tell(const target_state& target, target_life life);
+  word_row word_of(const target_state& target, target_life life) const;
+  void tell_words();
+  /** Sends a message to the members of the own failure domain. */
+  void send_to_near(const peer_message& message);
+  void take(member_address from, const word_message& message);
+  void take_word(target_state& target, const word_row& row);
+  void log_word(const target_state& target, const target_word& word,
+                std::string_view source);
+  /** Returns how long after a rest others are to try a target first. */
+  duration trial_turn(const target_state& target) const;
+  availability availability_of(const target_state& target) const;
+  /** Returns whether a target may get the request now, if only as the last. */
+  bool may_be_sent_to(const exchange& x, const target_state& target) const;
+  /**
+   * Lets a request wait, or refuses it, if all targets that may serve it rest.
+   */
+  bool wait_for_rest(exchange& x);
+
   // gateway_quarantine.cc
   /** Returns whether a call that just broke may be why its target ended. */
   bool may_have_ended_target(const exchange& x);
@@ -570,6 +598,9 @@
   std::map<domain_key, unsigned> alarms_;
   time_point next_alarm_{};
 
+  // What targets say of themselves.
+  std::map<target_id, untold_word> untold_words_;
+
   // Requests that end targets.
   end_watch ends_;
   quarantine quarantine_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -109,6 +109,16 @@
   counter("seamglade_quarantine_refusals_total",
           "Refused since the request ends its targets",
           status.quarantine_refusals);
+  counter("seamglade_leaving_words_total",
+          "Targets found to leave by their own answers", status.leaving_words);
+  counter("seamglade_rest_words_total", "Answers that asked for rest",
+          status.rest_words);
+  counter("seamglade_assumed_rests_total",
+          "Times that a target was left alone since it turned all away",
+          status.assumed_rests);
+  counter("seamglade_all_at_rest_total",
+          "Refused since all targets of the service wanted rest",
+          status.all_at_rest);
   counter("seamglade_cold_granted_total", "Grants given for cold targets",
           status.cold_granted);
   counter("seamglade_cold_refused_total", "Grants refused for cold targets",
@@ -141,6 +151,11 @@
         static_cast<double>(status.quarantined));
   gauge("seamglade_blamed", "Requests that ran where a target ended lately",
         static_cast<double>(status.blamed));
+  gauge("seamglade_targets_said_leaving",
+        "Listed targets that say in answers that they leave",
+        static_cast<double>(status.said_leaving));
+  gauge("seamglade_targets_at_rest", "Targets that asked this one for rest",
+        static_cast<double>(status.at_rest));
   gauge("seamglade_suspect_domains", "Failure domains that are suspect",
         static_cast<double>(status.suspect_domains));
   gauge("seamglade_members_alive", "Living instances, this one included",
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -243,7 +243,8 @@
   const auto* target = targets_.find(keeper.id());
   if (target == nullptr) return;
   const auto call = next_engine_call_++;
-  engine_calls_[call] = {keeper.id(), keeper.fence(), now_};
+  engine_calls_[call] = {keeper.id(), keeper.fence(), now_,
+                         target->entry.started_ms};
   if (step.what == keeper_step::kind::report) {
     do_act(action::read_report{call, target->entry.address});
     return;
@@ -273,6 +274,9 @@
   const auto call = found->second;
   engine_calls_.erase(found);
   if (e.status != engine_order_status::unanswered) note_life_of(call.target);
+  if (auto* target = targets_.find(call.target)) {
+    hear_word(*target, call.life, e.word, "order");
+  }
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
   if (e.status != engine_order_status::started &&
@@ -314,6 +318,9 @@
   const auto call = found->second;
   engine_calls_.erase(found);
   if (e.report) note_life_of(call.target);
+  if (auto* target = targets_.find(call.target)) {
+    hear_word(*target, call.life, e.word, "report");
+  }
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
   keeper->second->report_read(now_, call.asked, e.report);
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -64,7 +64,7 @@
   if (awaits_grant(x)) return;
   const auto targets = targets_for(x);
   if (targets.empty()) {
-    if (refuse_unservable(x)) return;
+    if (refuse_unservable(x) || wait_for_rest(x)) return;
     wait_for(x, nullptr, "no_target");
     return;
   }
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -8,6 +8,9 @@
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
@@ -23,6 +26,14 @@
 /** A connection to a target is given up that has not come up by then. */
 inline constexpr duration kTargetConnect = 450ms;
 
+/** An answer that was read to its end. */
+struct collected_answer {
+  /** None: there was none, or not whole. */
+  std::optional<int> status;
+  std::vector<http_header> headers;
+  std::string body;
+};
+
 /** One instance of the direct path, on one loop. */
 class gateway_shell {
  public:
@@ -64,7 +75,7 @@
 
   /** Makes a call whose answer is wanted whole. */
   void ask(outgoing_call call, duration timeout,
-           std::function<void(std::optional<int>, std::string)> done);
+           std::function<void(collected_answer)> done);
   void read_store(gateway::store_scope scope, std::string path,
                   duration timeout);
   void answer_ready(caller_id caller);
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -32,34 +32,30 @@
   call_client* client = nullptr;
   call_client::token token = 0;
   event_handle timer;
-  int status = 0;
-  std::string body;
-  std::function<void(std::optional<int>, std::string)> done;
+  collected_answer answer;
+  std::function<void(collected_answer)> done;
 };
 
 }  // namespace
 
-void gateway_shell::ask(
-    outgoing_call call, duration timeout,
-    std::function<void(std::optional<int>, std::string)> done) {
+void gateway_shell::ask(outgoing_call call, duration timeout,
+                        std::function<void(collected_answer)> done) {
   auto pending = std::make_shared<pending_answer>();
   pending->client = &calls_;
   pending->done = std::move(done);
   call_client::handlers on;
   on.head = [pending](const answer_head& head) {
-    pending->status = head.status;
+    pending->answer.status = head.status;
+    pending->answer.headers = head.headers;
   };
   on.data = [pending](const std::shared_ptr<const std::string>& data) {
-    pending->body += *data;
+    pending->answer.body += *data;
   };
   on.end = [pending](call_end end) {
     pending->timer.reset();
     const auto finished = std::exchange(pending->done, {});
-    if (end == call_end::complete) {
-      finished(pending->status, std::move(pending->body));
-    } else {
-      finished(std::nullopt, {});
-    }
+    const bool is_whole = end == call_end::complete;
+    finished(is_whole ? std::move(pending->answer) : collected_answer());
   };
   const auto late = [](evutil_socket_t, short, void* arg) {
     auto* self = static_cast<pending_answer*>(arg);
@@ -67,7 +63,7 @@
     auto* client = self->client;
     const auto token = self->token;
     client->cancel(token);  // frees self
-    finished(std::nullopt, {});
+    finished({});
   };
   pending->timer.reset(event_new(base_.get(), -1, 0, late, pending.get()));
   const auto wait = to_timeval(timeout);
@@ -85,10 +81,13 @@
       std::make_shared<const std::string>(platform_->order_body(a.order));
   call.connect_timeout = kTargetConnect;
   ask(std::move(call), kOrderTimeout,
-      [this, id = a.call](std::optional<int> status, const std::string&) {
-        const auto told = status ? platform_->order_status(*status)
-                                 : engine_order_status::unanswered;
-        post(event::order_answer{id, told});
+      [this, id = a.call](const collected_answer& got) {
+        event::order_answer answer{id};
+        if (got.status) {
+          answer.status = platform_->order_status(*got.status);
+          answer.word = platform_->read_word(*got.status, got.headers);
+        }
+        post(answer);
       });
 }
 
@@ -99,10 +98,13 @@
   call.target = platform_->report_path();
   call.connect_timeout = kTargetConnect;
   ask(std::move(call), kReportTimeout,
-      [this, id = a.call](std::optional<int> status, const std::string& body) {
+      [this, id = a.call](const collected_answer& got) {
         event::report_answer answer{id, std::nullopt};
-        if (status == kOk) {
-          if (auto report = platform_->read_report(body)) {
+        if (got.status) {
+          answer.word = platform_->read_word(*got.status, got.headers);
+        }
+        if (got.status == kOk) {
+          if (auto report = platform_->read_report(got.body)) {
             answer.report = std::move(report.value());
           }
         }
@@ -126,21 +128,20 @@
   call.address = config_.store_address;
   call.method = "GET";
   call.target = std::move(path);
-  ask(std::move(call), timeout,
-      [this, scope](std::optional<int> status, const std::string& body) {
-        using outcome = event::store_read::outcome;
-        event::store_read read;
-        read.scope = scope;
-        read.status = status.value_or(0);
-        if (status == kGone) read.how = outcome::history_gone;
-        if (status == kOk) {
-          if (auto answer = platform_->read_store(body)) {
-            read.how = outcome::answered;
-            read.answer = std::move(answer.value());
-          }
-        }
-        post(std::move(read));
-      });
+  ask(std::move(call), timeout, [this, scope](const collected_answer& got) {
+    using outcome = event::store_read::outcome;
+    event::store_read read;
+    read.scope = scope;
+    read.status = got.status.value_or(0);
+    if (got.status == kGone) read.how = outcome::history_gone;
+    if (got.status == kOk) {
+      if (auto answer = platform_->read_store(got.body)) {
+        read.how = outcome::answered;
+        read.answer = std::move(answer.value());
+      }
+    }
+    post(std::move(read));
+  });
 }
 
 void gateway_shell::carry_out(action::watch_store&& a) {
@@ -159,11 +160,10 @@
   call.method = "GET";
   call.target = changes_path(a.known);
   ask(std::move(call), kPeerTimeout,
-      [this, from = a.from](std::optional<int> status,
-                            const std::string& body) {
+      [this, from = a.from](const collected_answer& got) {
         event::peer_changes answer{from, std::nullopt};
-        if (status == kOk) {
-          if (auto changes = gateway::decode_store_changes(body)) {
+        if (got.status == kOk) {
+          if (auto changes = gateway::decode_store_changes(got.body)) {
             answer.changes = std::move(changes.value());
           }
         }
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -56,6 +56,13 @@
   member_address to = 0;
 };
 
+/** What a target said of itself, which others are still to be told. */
+struct untold_word {
+  std::uint64_t life = 0;
+  time_point due;
+  unsigned times = 0;
+};
+
 /** What an instance was told of a target, and what it knows of it. */
 struct told_word {
   time_point at;
@@ -76,6 +83,8 @@
   target_id target;
   std::uint64_t fence = 0;
   time_point asked;
+  /** When the target had started that was asked. */
+  std::uint64_t life = 0;
 };
 
 }  // namespace seamglade::gateway
--- /dev/null
+++ b/src/process/gateway_words.cc
@@ -0,0 +1,244 @@
+// seamglade - the direct path: what targets say of themselves in answers
+//
+// Any answer may say that its target leaves, and a refusal that it wants no
+// requests for a while. The instance that hears it is bound at once, whatever
+// the platform's store says; the others are told, since a target says so only
+// to those that ask it.
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "process/gateway_impl.h"
+#include "process/member_order.h"
+#include "process/status_codes.h"
+
+namespace seamglade::gateway {
+namespace {
+
+/** Word is told so often, a datagram may be lost, with this pause. */
+constexpr unsigned kTold = 2;
+constexpr duration kToldPause = 200ms;
+/**
+ * Word waits up to this long, and is dropped if another tells it meanwhile:
+ * those that have requests at one target hear it within milliseconds of each
+ * other, and each would tell all.
+ */
+constexpr std::int64_t kToldWithinMs = 50;
+/** Rows in one message: 1.2 KB. */
+constexpr std::size_t kMostRows = 48;
+/** After a rest so many instances of a failure domain try at once ... */
+constexpr std::int64_t kTrialsAtOnce = 2;
+/** ... the next ones when these may have an answer, and all in the end. */
+constexpr duration kTrialTurn = 50ms;
+constexpr duration kLongestTurn = 1s;
+/** Callers are asked back over this time, the more urgent ones first. */
+constexpr std::int64_t kComeBackSpreadMs = 600;
+constexpr std::uint32_t kMostRank = 3;
+constexpr std::string_view kAtRest = "targets_at_rest";
+
+}  // namespace
+
+void gateway_core::impl::hear_answer(exchange& x) {
+  auto* target = target_of(x);
+  if (target == nullptr) return;
+  const auto& word = x.answer.word;
+  hear_word(*target, x.target_life, word, "answer");
+  if (x.answer.not_run || x.status == kUnavailable) {
+    if (x.status == kUnavailable && word.rest == duration{}) {
+      note_turned_away(x, *target);
+    }
+    return;
+  }
+  if (!target->own_word.answered(now_, x.called_at)) return;
+  log("target_rested", {{"target", x.target}, {"request", x.facts.id}});
+  to_tell(*target, target->entry.started_ms);
+}
+
+void gateway_core::impl::note_turned_away(const exchange& x,
+                                          target_state& target) {
+  // Plain targets have admitters for this, and a full engine says no more than
+  // that it is full.
+  if (!x.service->engine || !x.answer.not_run) return;
+  if (target.work(now_).running >= x.service->engine->slots) return;
+  auto& word = target.own_word;
+  if (!word.turned_away(now_, x.target_life, x.called_at)) return;
+  ++counts_.assumed_rests;
+  log("target_doubted",
+      {{"target", x.target},
+       {"request", x.facts.id},
+       {"load", target.work(now_).running},
+       {"for_ms", to_ms(word.rest_left(now_, x.target_life))}},
+      true);
+  to_tell(target, x.target_life);
+}
+
+void gateway_core::impl::hear_word(target_state& target, target_life life,
+                                   const target_word& word,
+                                   std::string_view source) {
+  if (word == target_word{}) return;
+  bool is_news = false;
+  if (word.is_leaving && target.own_word.leaves(life)) {
+    ++counts_.leaving_words;
+    is_news = true;
+  }
+  if (word.rest > duration{}) {
+    ++counts_.rest_words;
+    is_news |= target.own_word.asks_for_rest(now_, life, word.rest);
+  }
+  // What waits for it is placed anew, what runs there goes on.
+  waiting_dirty_ = true;
+  if (!is_news) return;
+  log_word(target, word, source);
+  to_tell(target, life);
+}
+
+void gateway_core::impl::log_word(const target_state& target,
+                                  const target_word& word,
+                                  std::string_view source) {
+  log("target_word",
+      {{"target", target.entry.id},
+       {"source", std::string(source)},
+       {"leaving", word.is_leaving ? 1 : 0},
+       {"rest_ms", to_ms(word.rest)},
+       {"draining", target.entry.draining ? 1 : 0},
+       {"entry_age_ms", to_ms(now_ - target.entry_heard)}},
+      true);
+}
+
+void gateway_core::impl::to_tell(const target_state& target, target_life life) {
+  const auto wait = static_cast<std::int64_t>(random_() % kToldWithinMs) * 1ms;
+  untold_words_[target.entry.id] = {life, now_ + wait, kTold};
+}
+
+word_row gateway_core::impl::word_of(const target_state& target,
+                                     target_life life) const {
+  word_row row;
+  row.target = target.hash;
+  row.life = life;
+  row.is_leaving = target.own_word.is_leaving(life);
+  row.rest = target.own_word.rest_left(now_, life);
+  return row;
+}
+
+void gateway_core::impl::tell_words() {
+  word_message to_all;
+  word_message to_near;
+  for (auto at = untold_words_.begin(); at != untold_words_.end();) {
+    auto& [id, untold] = *at;
+    const auto* target = targets_.find(id);
+    const bool is_due = now_ >= untold.due &&
+                        to_all.rows.size() + to_near.rows.size() < kMostRows;
+    if (target != nullptr && !is_due) {
+      ++at;
+      continue;
+    }
+    if (target != nullptr) {
+      const auto row = word_of(*target, untold.life);
+      // A target may turn away some failure domains only. Its holder's rest
+      // concerns all: no load is ordered there meanwhile.
+      const bool concerns_all = row.is_leaving || keepers_.contains(id);
+      (concerns_all ? to_all : to_near).rows.push_back(row);
+      untold.due = now_ + kToldPause;
+      --untold.times;
+    }
+    const bool is_done = target == nullptr || untold.times == 0;
+    at = is_done ? untold_words_.erase(at) : std::next(at);
+  }
+  if (!to_all.rows.empty()) send_to_all(to_all);
+  if (!to_near.rows.empty()) send_to_near(to_near);
+}
+
+void gateway_core::impl::send_to_near(const peer_message& message) {
+  const auto own = domain_hash(options_.failure_domain);
+  for (const auto to : roster_.alive(now_)) {
+    if (to == options_.self || roster_.domain_of(to) != own) continue;
+    do_act(action::send_datagram{to, message});
+  }
+}
+
+void gateway_core::impl::take(member_address, const word_message& message) {
+  for (const auto& row : message.rows) {
+    auto* target = targets_.find(row.target);
+    if (target != nullptr) take_word(*target, row);
+  }
+  waiting_dirty_ = true;
+}
+
+void gateway_core::impl::take_word(target_state& target, const word_row& row) {
+  auto& known = target.own_word;
+  bool is_news = false;
+  if (row.is_leaving) is_news = known.leaves(row.life);
+  if (row.rest > duration{}) {
+    is_news |= known.asks_another_for_rest(now_, row.life, row.rest);
+  } else if (!row.is_leaving) {
+    known.answered_another(now_, row.life);
+  }
+  // Somebody else has told all that is to be told, but a holder's rest, which
+  // concerns more.
+  const auto untold = untold_words_.find(target.entry.id);
+  const bool is_told =
+      untold != untold_words_.end() && untold->second.life == row.life &&
+      (row.is_leaving || !keepers_.contains(target.entry.id)) &&
+      word_of(target, row.life).is_leaving == row.is_leaving;
+  if (is_told) untold_words_.erase(untold);
+  if (!is_news) return;
+  log_word(target, {row.is_leaving, row.rest}, "told");
+}
+
+duration gateway_core::impl::trial_turn(const target_state& target) const {
+  const auto own = domain_hash(options_.failure_domain);
+  const auto before =
+      std::count_if(staying_.begin(), staying_.end(), [&](auto member) {
+        return roster_.domain_of(member) == own &&
+               precedes_me(member, target.hash);
+      });
+  return std::min<duration>(kLongestTurn, before / kTrialsAtOnce * kTrialTurn);
+}
+
+availability gateway_core::impl::availability_of(
+    const target_state& target) const {
+  const auto& word = target.own_word;
+  const auto life = target.entry.started_ms;
+  const auto turn = word.needs_trial(life) ? trial_turn(target) : duration{};
+  return word.state(now_, life, turn);
+}
+
+bool gateway_core::impl::may_be_sent_to(const exchange& x,
+                                        const target_state& target) const {
+  return may_run_at(x, target) &&
+         availability_of(target) != availability::resting;
+}
+
+bool gateway_core::impl::wait_for_rest(exchange& x) {
+  target_state* first = nullptr;
+  for (auto* target : targets_.staying(now_)) {
+    const bool is_meant = target->entry.service == x.service->name;
+    if (!is_meant || !may_run_at(x, *target)) continue;
+    if (availability_of(*target) != availability::resting) return false;
+    if (first == nullptr ||
+        target->own_word.rests_until() < first->own_word.rests_until()) {
+      first = target;
+    }
+  }
+  if (first == nullptr) return false;
+  const auto left = first->own_word.rests_until() - now_;
+  if (x.head_sent || now_ + left < x.refuse_at) {
+    wait_for(x, x.head_sent ? first : nullptr, kAtRest);
+    return true;
+  }
+  ++counts_.all_at_rest;
+  if (x.runs > 0) {
+    // It may have run where it was first sent: nothing is promised.
+    refuse(x, kBadGateway, {}, kAtRest);
+    return true;
+  }
+  const auto rank = std::min(x.rank(), kMostRank);
+  const auto spread = static_cast<std::int64_t>(rank * kComeBackSpreadMs +
+                                                random_() % kComeBackSpreadMs);
+  refuse(x, kUnavailable, left + spread * 1ms, kAtRest);
+  return true;
+}
+
+}  // namespace seamglade::gateway
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -161,6 +161,14 @@
   return good;
 }
 
+std::vector<const target_state*> target_table::listed() const {
+  std::vector<const target_state*> out;
+  for (const auto& [id, state] : targets_) {
+    if (!state.gone) out.push_back(&state);
+  }
+  return out;
+}
+
 std::vector<target_state*> target_table::staying(time_point now) {
   std::vector<target_state*> out;
   for (auto& [id, state] : targets_) {
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "process/read_pace.h"
+#include "process/target_availability.h"
 #include "seamglade/gateway_peers.h"
 
 namespace seamglade::gateway {
@@ -61,6 +62,9 @@
   /** Before then, nothing is left of what it may get while it is cold. */
   time_point cold_refused_until;
 
+  /** What it has said of itself in answers. */
+  target_availability own_word;
+
   std::uint32_t failures_in_a_row = 0;
   time_point ejected_until;
   duration ejection{};
@@ -87,7 +91,8 @@
   bool is_cold(time_point now) const { return now < cold_until; }
   /** Returns whether the target gets no new work any more. */
   bool has_left(time_point now) const {
-    return entry.draining || (gone && now >= lapsed_until);
+    return entry.draining || own_word.is_leaving(entry.started_ms) ||
+           (gone && now >= lapsed_until);
   }
 };
 
@@ -109,6 +114,8 @@
    */
   std::vector<target_state*> usable(time_point now, std::string_view service,
                                     const target_check& passes = {});
+  /** Returns all that the store lists. */
+  std::vector<const target_state*> listed() const;
   /** Returns all that have not left. */
   std::vector<target_state*> staying(time_point now);
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -86,6 +86,10 @@
 
   call_id call = 0;
   target_id target;
+  /** When the target had started that it was sent to, in Unix ms; 0: untold. */
+  std::uint64_t target_life = 0;
+  /** The first to be sent there after a rest. */
+  bool is_after_rest = false;
   time_point called_at;
   /** When this call passed its first event on. */
   std::optional<time_point> first_event;
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -317,6 +317,9 @@
         peer_message(admission_answer{4, 6, true, 70ms, 0ms}),
         peer_message(admission_end{4, 6, admission_outcome::rejected, 3ms}),
         peer_message(domain_alarm{77}),
+        peer_message(word_message{{{5, 1785740686026, true, 0ms},
+                                   {6, 0, false, 2999ms},
+                                   {7, 9, false, 0ms}}}),
         peer_message(
             blame_message{{{{5, 6}, {{7, 20ms}, {8, 1s}}, std::nullopt},
                            {{1, 2}, {}, 3s}}})}) {
--- a/test/target_word-test.cc
+++ b/test/target_word-test.cc
@@ -18,6 +18,8 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
+
 #include "gateway_checks.h"
 
 namespace seamglade {
@@ -99,5 +101,146 @@
   expect_rules_kept(w);
 }
 
+TEST(target_word, engines_that_turn_all_away_unasked_are_left_alone) {
+  gateway_world w(checkout());
+  warm_up(w);
+  const auto engines = w.engines();
+  const auto from = w.now();
+  for (std::size_t i = 0; i < 4; ++i) w.turn_away(engines[i], {9s, "", 0s});
+  send_load(w, 12s, 10ms, 20);
+  w.run_for(14s);
+  // 552 were turned away and 402 callers refused where it changed nothing.
+  EXPECT_LT(w.unheeded().turned_away, 150U);
+  EXPECT_LT(refused_since(w, from), 10U);
+  expect_rules_kept(w);
+}
+
+TEST(target_word, one_that_hears_of_leaving_tells_all) {
+  gateway_world w(checkout());
+  warm_up(w);
+  w.run_for(2s);
+  w.silence_store(true);
+  std::map<std::string, std::size_t> runs;
+  for (const auto& id : w.holders_of("a7")) {
+    w.say_leaving(id);
+    runs[id] = w.runs_at(id);
+  }
+  const auto entries = w.instances();
+  // An answer takes 0.4 s, and what it says is told within 50 ms.
+  w.call_engine(entries[0], "a7");
+  w.run_for(500ms);
+  const auto leaving = std::find_if(
+      runs.begin(), runs.end(),
+      [&](const auto& known) { return w.runs_at(known.first) > known.second; });
+  ASSERT_NE(leaving, runs.end());
+  const auto heard = w.runs_at(leaving->first);
+  for (const auto entry : entries) {
+    EXPECT_EQ(w.status(entry).said_leaving, 1U);
+    for (int i = 0; i < 5; ++i) w.call_engine(entry, "a7");
+  }
+  w.run_for(3s);
+  EXPECT_EQ(w.runs_at(leaving->first), heard);
+  EXPECT_EQ(count(w).refused, 0U);
+  expect_rules_kept(w);
+}
+
+TEST(target_word, what_one_answer_says_another_does_not_take_back) {
+  gateway_world w(checkout());
+  warm_up(w);
+  const auto leaving = w.holders_of("a7").front();
+  w.say_leaving(leaving);
+  w.call_engine(w.instances()[0], "a7");
+  w.run_for(300ms);
+  w.say_leaving(leaving, false);
+  w.relist_target(leaving);
+  const auto runs = w.runs_at(leaving);
+  send_load(w, 5s, 10ms, 20);
+  w.run_for(7s);
+  EXPECT_EQ(w.runs_at(leaving), runs);
+  // It starts again, and its word of before counts for nothing.
+  const auto again = w.restart_engine(leaving);
+  send_load(w, 8s, 10ms, 60);
+  w.run_for(9s);
+  EXPECT_GT(w.runs_at(again), runs);
+  expect_rules_kept(w);
+}
+
+TEST(target_word, where_all_rest_callers_are_told_at_once_when_to_come_back) {
+  gateway_world w(checkout());
+  warm_up(w);
+  for (const auto& id : w.engines()) w.turn_away(id, {10s, "20", 20s});
+  // Time for each instance to be told by each engine itself.
+  send_load(w, 8s, 10ms, 20);
+  w.run_for(9s);
+  const auto arrived = w.unheeded().turned_away;
+  const auto from = w.now();
+  for (const auto entry : w.instances()) {
+    for (int i = 0; i < 5; ++i) w.call_engine(entry, "a7");
+  }
+  w.run_for(1ms);
+  for (const auto& call : w.calls()) {
+    if (call->sent < from) continue;
+    EXPECT_EQ(call->status, kUnavailable);
+    EXPECT_EQ(call->ended, call->sent);
+    EXPECT_GE(call->retry_after, 10s);
+    EXPECT_LE(call->retry_after, 20s);
+  }
+  w.run_for(500ms);
+  EXPECT_EQ(w.unheeded().turned_away, arrived);
+  // They come back when they were told to, and are served.
+  w.run_for(21s);
+  const auto back = w.now();
+  send_load(w, 3s, 20ms, 20);
+  w.run_for(5s);
+  EXPECT_EQ(refused_since(w, back), 0U);
+  EXPECT_EQ(w.unheeded().in_rest, 0U);
+  expect_rules_kept(w);
+}
+
+TEST(target_word, words_that_are_no_time_bind_nobody) {
+  for (const auto* text : {"0", "-3", "soon", "nan"}) {
+    gateway_world w(checkout());
+    warm_up(w);
+    const auto engine = w.engines().front();
+    w.turn_away(engine, {500ms, text, 0s});
+    send_load(w, 6s, 10ms, 20);
+    w.run_for(3s);
+    const auto runs = w.runs_at(engine);
+    w.run_for(4s);
+    EXPECT_GT(w.runs_at(engine), runs) << text;
+    expect_rules_kept(w);
+  }
+}
+
+TEST(target_word, a_rest_of_a_day_takes_out_one_target_alone) {
+  gateway_world w(checkout());
+  warm_up(w);
+  const auto from = w.now();
+  w.turn_away(w.engines().front(), {60s, "86400", 24h});
+  send_load(w, 20s, 10ms, 20);
+  w.run_for(22s);
+  EXPECT_EQ(w.unheeded().in_rest, 0U);
+  EXPECT_LE(w.unheeded().turned_away, 2U * w.instances().size());
+  EXPECT_EQ(refused_since(w, from), 0U);
+  expect_rules_kept(w);
+}
+
+TEST(target_word, each_side_of_a_cut_heeds_what_it_hears) {
+  gateway_world w(checkout());
+  warm_up(w);
+  const auto entries = w.instances();
+  w.silence_store(true);
+  w.split({entries[0], entries[1]});
+  const auto leaving = w.holders_of("a7").front();
+  w.say_leaving(leaving);
+  w.turn_away(w.holders_of("a2").front());
+  send_load(w, 8s, 10ms, 20);
+  w.run_for(5s);
+  w.split({});
+  w.run_for(5s);
+  EXPECT_EQ(w.unheeded().late, 0U);
+  EXPECT_EQ(w.unheeded().in_rest, 0U);
+}
+
 }  // namespace
 }  // namespace seamglade
