--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -52,6 +52,9 @@
   virtual std::string watch_path(store_scope scope, std::uint64_t after,
                                  duration wait) const = 0;
   virtual std::string range_path(std::string_view after_key) const = 0;
+  /** Returns the epoch that an answer of the store names; 0: none. */
+  virtual store_epoch read_store_epoch(
+      const std::vector<http_header>& headers) const = 0;
   /** Reads an answer of the store; fails with bad_value. */
   virtual result<store_answer> read_store(std::string_view body) const = 0;
   /** Returns what an item means; fails with bad_value. */
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -73,6 +73,8 @@
   outcome how = outcome::failed;
   /** HTTP status; 0: no answer. */
   int status = 0;
+  /** The history that the answer belongs to; 0: not told. */
+  store_epoch epoch = 0;
   store_answer answer;
 };
 /** What a peer sent that was asked for its changes; none: it failed. */
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -248,6 +248,13 @@
 
 std::string_view to_string(engine_order_status status);
 
+/**
+ * Names a history of the platform's store. It rises each time that the store is
+ * restored from a copy: revisions after that one were lost, and are given out
+ * again for other changes. 0: not told.
+ */
+using store_epoch = std::uint64_t;
+
 /** One item of the platform's store; no value: it was deleted. */
 struct store_item {
   std::string key;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -63,7 +63,7 @@
 
   // gateway_store.cc
   void on(event::store_read&& e);
-  void take_range(store_answer&& answer);
+  void take_range(store_answer&& answer, store_epoch epoch);
   void on(event::peer_changes&& e);
   void apply(const store_changes& changes, std::string_view source);
   /** Returns whether the item is not to wait for the next copy. */
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -133,6 +133,7 @@
     event::store_read read;
     read.scope = scope;
     read.status = got.status.value_or(0);
+    read.epoch = platform_->read_store_epoch(got.headers);
     if (got.status == kGone) read.how = outcome::history_gone;
     if (got.status == kOk) {
       if (auto answer = platform_->read_store(got.body)) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -165,7 +165,7 @@
   ever_answered_ = true;
   last_answer_ = now_;
   if (was == reading::range) {
-    take_range(std::move(e.answer));
+    take_range(std::move(e.answer), e.epoch);
     return;
   }
   const bool changed = !e.answer.items.empty();
@@ -180,7 +180,8 @@
   if (changed) next_beat_ = now_;
 }
 
-void gateway_core::impl::take_range(store_answer&& answer) {
+void gateway_core::impl::take_range(store_answer&& answer,
+                                    store_epoch epoch) {
   if (range_.revision == 0) range_.revision = answer.revision;
   for (auto& item : answer.items) range_.items.push_back(std::move(item));
   if (answer.more && !range_.items.empty()) {
@@ -191,6 +192,14 @@
   }
   range_.whole = true;
   needs_range_ = false;
+  if (range_.revision < mirror_.revision()) {
+    log("store_behind",
+        {{"epoch", static_cast<std::int64_t>(epoch)},
+         {"at", static_cast<std::int64_t>(range_.revision)},
+         {"revision", static_cast<std::int64_t>(mirror_.revision())},
+         {"outdated", static_cast<std::int64_t>(mirror_.outdated(range_))}},
+        true);
+  }
   apply(std::exchange(range_, {}), kFromStore);
   confirm_copy(now_);
   confirm_keys(read_sent_);
--- a/src/version/store_mirror.cc
+++ b/src/version/store_mirror.cc
@@ -55,6 +55,14 @@
   return news;
 }
 
+std::size_t store_mirror::outdated(const store_changes& changes) const {
+  return static_cast<std::size_t>(std::count_if(
+      changes.items.begin(), changes.items.end(), [&](const auto& item) {
+        const auto found = items_.find(item.key);
+        return found != items_.end() && item.revision < found->second.revision;
+      }));
+}
+
 void store_mirror::keep_quiet(std::string_view key) {
   const auto found = items_.find(key);
   if (found != items_.end()) found->second.told = found->second.told_before;
--- a/src/version/store_mirror.h
+++ b/src/version/store_mirror.h
@@ -39,6 +39,8 @@
   store_changes changes_after(std::uint64_t revision,
                               const known_item& is_known = {}) const;
 
+  /** Returns how many of the items are older here than what is known. */
+  std::size_t outdated(const store_changes& changes) const;
   /** Everything up to this revision is known. */
   std::uint64_t revision() const { return revision_; }
   std::size_t size() const { return items_.size(); }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -40,6 +40,18 @@
   EXPECT_EQ(facts.value().deadline, 15s);
 }
 
+TEST_F(platform, an_epoch_of_the_store_that_is_no_whole_number_is_none) {
+  const auto epoch = [](const char* text) {
+    return make_platform_dialect()->read_store_epoch({{"store-era", text}});
+  };
+  EXPECT_EQ(epoch("7"), 7U);
+  EXPECT_EQ(epoch("18446744073709551615"), 18446744073709551615U);
+  for (const auto* text : {"", "x", "-1", "1.5", "99999999999999999999"}) {
+    EXPECT_EQ(epoch(text), 0U) << text;
+  }
+  EXPECT_EQ(make_platform_dialect()->read_store_epoch({}), 0U);
+}
+
 TEST_F(platform, refuses_headers_that_contradict_themselves) {
   EXPECT_FALSE(d_->read_request({{"X-Deadline-Ms", "15"}}));
   EXPECT_FALSE(
