Tests that fail: a store that comes back from an older copy is not read

Change: the fakes' store keeps a copy, comes back from it under a new epoch and has what was lost written again; entries of targets tell start and heartbeats, as the platform's do.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -21,6 +21,7 @@
     made->domain =
         options_.target_domains[index % options_.target_domains.size()];
     made->engine = engine;
+    made->born_ms = kFirstStartMs;
     auto& ref = *made;
     targets_[made->id] = std::move(made);
     publish_target(ref);
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -165,6 +165,13 @@
   void publish_version(const std::string& adapter, std::uint32_t version);
   /** Lets the store forget its history: the next watch is told so. */
   void forget_history();
+  /** Keeps a copy of the store as it is now, for restore_store. */
+  void copy_store();
+  /**
+   * The store is as its copy says, under a new epoch; its revisions go on from
+   * the copy's. What was lost is written again after a time; zero: never.
+   */
+  void restore_store(duration rewritten_after = 500ms);
   /** Returns how many requests began at a target. */
   std::size_t runs_at(const std::string& id) const;
   /** Returns how many orders and questions reached a target. */
@@ -274,6 +281,8 @@
   /** Remembers what the target is like now: its reports lag. */
   void note_state(target& at);
   void wake_watchers();
+  /** Writes an item that the store has lost, unless there is a later one. */
+  void write_again(const gateway::store_item& lost);
   target* by_address(const std::string& address);
   std::string entry_text(const target& which) const;
   void violation(std::string what);
@@ -293,6 +302,10 @@
   std::map<std::string, std::unique_ptr<target>> targets_;
   std::map<std::string, gateway::store_item> store_;
   std::uint64_t revision_ = 10;
+  gateway::store_epoch epoch_ = 1;
+  /** The copy that the store is restored from, and its revision. */
+  std::map<std::string, gateway::store_item> copied_store_;
+  std::uint64_t copied_revision_ = 0;
   std::uint64_t history_from_ = 0;
   struct watcher {
     gateway::member_address who;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -28,6 +28,8 @@
 /** Bytes of the IP and UDP heads. */
 inline constexpr std::size_t kDatagramHead = 28;
 inline constexpr std::string_view kModel = "m0";
+/** Unix time at which a world begins. */
+inline constexpr std::uint64_t kFirstStartMs = 1'790'000'000'000;
 
 struct gateway_world::instance {
   member_address address = 0;
@@ -55,6 +57,9 @@
   std::string address;
   std::string domain;
   bool engine = false;
+  /** Its start in Unix ms, and how often it has written its entry since. */
+  std::uint64_t born_ms = 0;
+  std::uint64_t beats = 0;
   bool listed = true;
   bool draining = false;
   time_point leaves_after;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -64,6 +64,7 @@
   ++store_calls_;
   event::store_read read;
   read.how = event::store_read::outcome::answered;
+  read.epoch = epoch_;
   read.answer.revision = revision_;
   for (const auto& [key, item] : store_) {
     if (item.value) read.answer.items.push_back(item);
@@ -78,8 +79,10 @@
   event::store_read read;
   read.scope = scope;
   read.how = outcome::answered;
+  read.epoch = epoch_;
   read.answer.revision = revision_;
-  if (after < history_from_) read.how = outcome::history_gone;
+  const bool is_known = after >= history_from_ && after <= revision_;
+  if (!is_known) read.how = outcome::history_gone;
   for (const auto& [key, item] : store_) {
     const bool in_scope =
         scope == store_scope::everything || key.starts_with("op/");
@@ -104,6 +107,7 @@
     event::store_read quiet;
     quiet.scope = ticket.scope;
     quiet.how = i.store_denied ? outcome::failed : outcome::answered;
+    quiet.epoch = epoch_;
     quiet.answer.revision = revision_;
     answer_store(i, std::move(quiet));
   });
@@ -129,13 +133,15 @@
                         : std::string();
   return fmt::format(
       R"({{"svc":"{}","addr":"{}","zone":"{}","slots":{},"state":"{}",)"
-      R"("models":{}{}}})",
+      R"("born":{},"seq":{},"models":{}{}}})",
       which.service, which.address, which.domain, slots,
-      which.draining ? "draining" : "ready", models, cold);
+      which.draining ? "draining" : "ready", which.born_ms, which.beats, models,
+      cold);
 }
 
 void gateway_world::publish_target(target& which) {
   note_state(which);
+  ++which.beats;
   if (which.listed) put("servers/" + which.id, entry_text(which));
 }
 
@@ -247,6 +253,40 @@
   put("op/evacuate/" + domain, std::nullopt);
 }
 
+void gateway_world::copy_store() {
+  copied_store_ = store_;
+  copied_revision_ = revision_;
+}
+
+void gateway_world::restore_store(duration rewritten_after) {
+  const auto lost = std::exchange(store_, copied_store_);
+  revision_ = copied_revision_;
+  history_from_ = 0;
+  ++epoch_;
+  if (rewritten_after <= duration{}) return;
+  later(rewritten_after, [this, lost] {
+    for (const auto& [key, item] : lost) write_again(item);
+  });
+}
+
+void gateway_world::write_again(const store_item& lost) {
+  const auto known = store_.find(lost.key);
+  const bool is_there = known != store_.end();
+  if (is_there && known->second == lost) return;
+  const bool is_newer = is_there && known->second.revision > copied_revision_;
+  if (is_newer || (!is_there && !lost.value)) return;
+  if (const auto id = platform_->target_of_key(lost.key)) {
+    const auto found = targets_.find(*id);
+    const bool is_listed = found != targets_.end() && found->second->listed;
+    // One that has ended writes nothing: its entry lapses.
+    if (is_listed) {
+      publish_target(*found->second);
+      return;
+    }
+  }
+  put(lost.key, lost.value);
+}
+
 void gateway_world::forget_history() {
   history_from_ = ++revision_;
   wake_watchers();
