--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -36,6 +36,8 @@
 constexpr std::string_view kDeadly = "deadly";
 constexpr duration kEndsAfter = 30ms;
 constexpr duration kDownFor = 1s;
+/** Targets write again so long after the store is restored. */
+constexpr duration kRewritten = 500ms;
 
 std::string encode_base64(const std::string& text) {
   using namespace boost::archive::iterators;
@@ -111,6 +113,10 @@
     return server_.listen(where).value();
   }
 
+  /** The operator publishes a version: PUT /version/NUMBER. */
+  std::function<void(std::uint64_t)> on_version;
+  /** Called when the store is back from a copy: what was lost is written. */
+  std::function<void()> on_restored;
   /** The tests tell a target what to say of itself: PUT /word/NUMBER. */
   std::function<void(std::size_t, const json&)> on_word;
 
@@ -144,6 +150,23 @@
         reply(server_, caller, 200, "");
         return;
       }
+      constexpr std::string_view kVersion = "/version/";
+      if (m.target.starts_with(kVersion)) {
+        on_version(std::stoull(m.target.substr(kVersion.size())));
+        reply(server_, caller, 200, "");
+        return;
+      }
+      if (m.target == "/copy") {
+        copy_ = items_;
+        copied_revision_ = revision_;
+        reply(server_, caller, 200, "");
+        return;
+      }
+      if (m.target == "/restore") {
+        restore();
+        reply(server_, caller, 200, "");
+        return;
+      }
       // The operator of the tests: PUT /put/KEY writes a body.
       put(m.target.substr(std::string("/put/").size()),
           json::parse(*m.body, nullptr, false));
@@ -156,10 +179,14 @@
         if (!i.contains("gone")) items.push_back(i);
       }
       json out{{"items", items}, {"more", false}, {"at", revision_}};
-      reply(server_, caller, 200, out.dump());
+      answer(caller, 200, out.dump());
       return;
     }
     const auto after = query_number(m.target, "after");
+    if (after > revision_) {
+      answer(caller, 410, "");
+      return;
+    }
     if (after < revision_) {
       answer_watch(caller, after);
       return;
@@ -176,6 +203,22 @@
     });
   }
 
+  /** All is as in the last copy; revisions go on from there. */
+  void restore() {
+    items_ = copy_;
+    revision_ = copied_revision_;
+    ++epoch_;
+    for (const auto& [caller, after] : std::exchange(watches_, {})) {
+      answer(caller, 503, "");
+    }
+    world_.after(kRewritten, [this] { on_restored(); });
+  }
+
+  void answer(caller_id caller, int status, const std::string& body) {
+    reply(server_, caller, status, body,
+          {{"Store-Era", std::to_string(epoch_)}});
+  }
+
   json list(std::uint64_t after) const {
     json out = json::array();
     for (const auto& [key, i] : items_) {
@@ -194,8 +237,8 @@
   }
 
   void answer_watch(caller_id caller, std::uint64_t after) {
-    reply(server_, caller, 200,
-          json{{"events", list(after)}, {"at", revision_}}.dump());
+    answer(caller, 200,
+           json{{"events", list(after)}, {"at", revision_}}.dump());
   }
 
   world& world_;
@@ -203,6 +246,9 @@
   std::map<std::string, item> items_;
   std::map<caller_id, std::uint64_t> watches_;
   std::uint64_t revision_ = 1;
+  std::uint64_t epoch_ = 1;
+  std::map<std::string, item> copy_;
+  std::uint64_t copied_revision_ = 0;
 };
 
 /** A target; an engine if it has adapters to load. */
@@ -224,6 +270,16 @@
     limit_ = word.value("limit", 0.0);
   }
 
+  void publish() {
+    store_.put("servers/" + id_, {{"svc", engine_ ? "llm" : "desk"},
+                                  {"addr", address_},
+                                  {"zone", "z1"},
+                                  {"slots", 8},
+                                  {"state", "ready"},
+                                  {"seq", ++beats_},
+                                  {"models", models()}});
+  }
+
  private:
   std::vector<http_header> own_headers() const {
     std::vector<http_header> headers;
@@ -273,15 +329,6 @@
     });
   }
 
-  void publish() {
-    store_.put("servers/" + id_, {{"svc", engine_ ? "llm" : "desk"},
-                                  {"addr", address_},
-                                  {"zone", "z1"},
-                                  {"slots", 8},
-                                  {"state", "ready"},
-                                  {"models", models()}});
-  }
-
   void serve(caller_id caller, const caller_message& m) {
     if (m.target == "/report") {
       json pending = json::array();
@@ -386,6 +433,7 @@
   std::set<std::string> adapters_;
   std::set<std::string> pending_;
   std::uint64_t sequence_ = 0;
+  std::uint64_t beats_ = 0;
   std::uint64_t fence_ = 0;
   bool says_leaving_ = false;
   int rest_s_ = 0;
@@ -398,7 +446,7 @@
           {"svc", service},         {"attempts", 2}};
 }
 
-json configuration() {
+json configuration(std::uint64_t version) {
   const json engine{{"slots", 8},
                     {"weights_mb", 1000},
                     {"lora_slots", kAdapterSlots},
@@ -407,7 +455,7 @@
                                              {"weights_mb", 500},
                                              {"lora_mb", 1},
                                              {"load_s", 0.5}}})}};
-  return {{"cfg_ver", 1},
+  return {{"cfg_ver", version},
           {"routes", json::array({route("/draft/", "stream", "llm"),
                                   route("/get/", "idempotent", "desk"),
                                   route("/set/", "mutating", "desk")})},
@@ -426,14 +474,20 @@
   world w;
   store s(w);
   const auto where = s.listen({"127.0.0.1", 0});
-  s.put("op/config", configuration());
+  s.put("op/config", configuration(1));
   target one(w, s, "engine-1", true);
   target two(w, s, "engine-2", true);
   target three(w, s, "desk-1", false);
-  s.on_word = [all = std::array{&one, &two, &three}](std::size_t number,
-                                                     const json& word) {
+  const std::array all{&one, &two, &three};
+  s.on_word = [all](std::size_t number, const json& word) {
     all.at(number)->take_word(word);
   };
+  s.on_version = [&s](std::uint64_t version) {
+    s.put("op/config", configuration(version));
+  };
+  s.on_restored = [all] {
+    for (auto* each : all) each->publish();
+  };
   std::cout << "listening " << where.str() << std::endl;
   event_base_dispatch(w.base());
   return 0;
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -164,6 +164,37 @@
 done
 all_log_limit 0 || fail 'not all have heard that the limit ended'
 
+# The store is restored from an older copy: a version that is written at a
+# revision given out again is in force, and none goes back.
+store_does() { curl -sf -o /dev/null -X PUT "http://$store/$1"; }
+in_force() {
+  local n
+  for n in 1 2 3; do
+    wait_for "$work/g$n.log" \
+      "\"event\":\"configuration_accepted\",\"version\":$1," >/dev/null ||
+      fail "g$n has not taken version $1"
+  done
+}
+store_does version/2
+in_force 2
+store_does copy
+for version in 3 4 5; do
+  store_does "version/$version"
+  in_force "$version"
+done
+store_does restore
+for n in 1 2 3; do
+  wait_for "$work/g$n.log" '"event":"store_restored"' >/dev/null ||
+    fail "g$n has not seen that the store is restored"
+done
+store_does version/6
+in_force 6
+expect "$(draft 1 e1 a1)" ' 200'
+for n in 1 2 3; do
+  expect "$(curl -s "http://127.0.1.$n:$((port + 3))/metrics")" \
+    'seamglade_store_epoch 2'
+done
+
 # A killed instance: the others serve, also what it held.
 kill -KILL "${pid_of[g3]}"
 for i in $(seq 1 12); do
