What was lost twice is still told to those that start anew

Callers saw: nothing yet; an instance that starts anew serves by an older configuration than the others where the store was restored twice. Cause: what a second return lost took the place of what the first had lost, though it was older than what is in force. Change: only the version in force is kept for others. A copy with kept items is asked of peers of one's own epoch alone: one of another has its copy dropped. Log lines for evacuations that the store contradicts and entries that are no later word.

--- a/src/process/gateway_epochs.cc
+++ b/src/process/gateway_epochs.cc
@@ -74,14 +74,18 @@
   keys_doubted_until_ = now_ + kWrittenAgain;
   next_beat_ = now_;
   for (auto& item : lost) {
-    if (is_versioned(item)) kept_[item.key] = std::move(item);
+    if (is_version_in_force(item)) kept_[item.key] = std::move(item);
   }
 }
 
-bool gateway_core::impl::is_versioned(const store_item& item) const {
+bool gateway_core::impl::is_version_in_force(const store_item& item) const {
   const auto read = platform_.read_item(item);
-  return read && (std::holds_alternative<configuration>(read.value()) ||
-                  std::holds_alternative<adapter_version>(read.value()));
+  if (!read) return false;
+  if (const auto* config = std::get_if<configuration>(&read.value())) {
+    return config->version == configuration_in_force();
+  }
+  const auto* named = std::get_if<adapter_version>(&read.value());
+  return named != nullptr && named->version == version_of(named->name);
 }
 
 std::uint64_t gateway_core::impl::configuration_in_force() const {
@@ -139,7 +143,7 @@
                          item.revision <= known->second &&
                          !domains_.is_evacuated(domain);
   if (is_former) {
-    contradicted_[item.key] = now_ + kContradictionKept;
+    note_contradiction(domain, item.key);
     return false;
   }
   contradicted_.erase(item.key);
@@ -151,13 +155,23 @@
                                             const store_item& item,
                                             bool is_restored) {
   if (is_restored && domains_.is_evacuated(domain)) {
-    contradicted_[item.key] = now_ + kContradictionKept;
+    note_contradiction(domain, item.key);
     return false;
   }
   contradicted_.erase(item.key);
   return take_back(domain, item.revision);
 }
 
+void gateway_core::impl::note_contradiction(std::string_view domain,
+                                            const std::string& key) {
+  contradicted_[key] = now_ + kContradictionKept;
+  log("evacuation_contradicted",
+      {{"domain", std::string(domain)},
+       {"evacuated", static_cast<std::int64_t>(domains_.is_evacuated(domain))},
+       {"kept_ms", to_ms(kContradictionKept)}},
+      true);
+}
+
 void gateway_core::impl::settle_contradictions() {
   for (auto at = contradicted_.begin(); at != contradicted_.end();) {
     if (now_ < at->second) {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -108,8 +108,8 @@
   /** The copy is of a later epoch than the one before. */
   void begin_epoch(store_position before, std::string_view source,
                    std::vector<store_item> lost);
-  /** Returns whether an item has a version that orders it in all epochs. */
-  bool is_versioned(const store_item& item) const;
+  /** Returns whether an item is the configuration or version in force. */
+  bool is_version_in_force(const store_item& item) const;
   /** Returns the version of the configuration in force; 0: none. */
   std::uint64_t configuration_in_force() const;
   /** Takes what peers know to be in force of a former epoch. */
@@ -125,6 +125,7 @@
                        bool is_restored);
   bool hear_no_evacuation(std::string_view domain, const store_item& item,
                           bool is_restored);
+  void note_contradiction(std::string_view domain, const std::string& key);
   /** Follows the store where nobody has written again what it contradicts. */
   void settle_contradictions();
 
--- a/src/process/gateway_members.cc
+++ b/src/process/gateway_members.cc
@@ -83,7 +83,8 @@
   const bool is_same_epoch = message.epoch == mirror_.epoch();
   if (peer.position <= mirror_.position()) {
     // Word of a former history says nothing of this one's age.
-    if (is_same_epoch) confirm_copy(now_ - message.copy_age);
+    if (!is_same_epoch) return;
+    confirm_copy(now_ - message.copy_age);
     const bool has_newer = message.configuration > configuration_in_force();
     if (has_newer && now_ >= next_fetch_) fetch_kept_from(from);
     return;
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -384,6 +384,10 @@
   const bool is_older = origin.is_restored && known != nullptr &&
                         !is_later_word(entry, known->entry);
   if (is_older) {
+    log("entry_outdated",
+        {{"target", entry.id},
+         {"draining", static_cast<std::int64_t>(known->entry.draining)},
+         {"gone", static_cast<std::int64_t>(known->gone)}});
     targets_.list_again(now_, entry.id);
     return false;
   }
--- a/test/store_restore-test.cc
+++ b/test/store_restore-test.cc
@@ -188,6 +188,24 @@
   }
 }
 
+TEST_P(restored_store, what_was_lost_twice_is_still_told_to_a_newcomer) {
+  world_.copy_store();
+  world_.publish_configuration(10, "/other/");
+  world_.run_for(1s);
+  restore(0ms);
+  world_.run_for(1s);
+  // Less than was lost is written again, and lost as well.
+  world_.publish_configuration(9, "/llm/");
+  world_.run_for(1s);
+  restore(0ms);
+  world_.run_for(1s);
+  const auto who = world_.instances().back();
+  world_.kill(who);
+  world_.start(who);
+  world_.run_for(kInForce);
+  expect_configuration(10);
+}
+
 TEST_P(restored_store, peers_tell_those_whom_the_store_turns_away) {
   const auto all = world_.instances();
   for (std::size_t i = 0; i < all.size(); i += 2) {
