Who was out of touch counts others' silence from when it is back

Callers saw: nothing known; two holders gave a target orders in turns, 604 ms apart (lease 3 s), after a cut between instances had healed. Cause: in a large fleet who was cut off believes those of the other side gone, and is brought back to them one a beat; it is in touch again after the first few, and claimed targets whose holders it had not heard for 5.3 s, its own time out of touch. Change: an instance that was out of touch for over 0.7 s claims nothing before the whole wait has passed since it is back; a newcomer is not concerned. Ruled out: a longer wait for all (a killed holder would be followed later).

--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -166,6 +166,11 @@
   time_point next_expiry_{};
   time_point orders_suspended_until_{};
   bool was_isolated_ = true;
+  /** Since when it is out of touch, or was last; none: never after its start.
+   */
+  std::optional<time_point> isolated_since_;
+  /** It was last back in touch then, after more than a moment. */
+  time_point back_since_{};
 
   // Where requests may go.
   failure_domains domains_;
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -101,6 +101,9 @@
     since = std::max(since, roster_.first_met().value_or(since));
     since += kSettle - takeover_wait();
   }
+  // Of those that were out of reach with it, a large fleet brings back one at a
+  // time: their silence until then is this instance's own.
+  if (roster_.is_large()) since = std::max(since, back_since_);
   if (const auto found = claims_.find(target); found != claims_.end()) {
     since = std::max(since, found->second.heard);
     const auto silent = roster_.silent_since(now_, found->second.holder);
@@ -141,7 +144,14 @@
     // order only when it heard of this instance's claim.
     const auto pause =
         options_.fenced ? duration(kHearFirst) : options_.lease + kLeaseMargin;
-    if (!isolated) orders_suspended_until_ = now_ + pause;
+    if (isolated) {
+      isolated_since_ = now_;
+    } else {
+      orders_suspended_until_ = now_ + pause;
+      const bool was_cut_off =
+          isolated_since_ && now_ - *isolated_since_ > kHearFirst;
+      if (was_cut_off) back_since_ = now_;
+    }
   }
   was_isolated_ = isolated;
 }
