--- a/fakes/gateway_world_faults.cc
+++ b/fakes/gateway_world_faults.cc
@@ -19,8 +19,8 @@
   old.busy = false;
   old.sequence = 0;
   old.beats = 0;
-  old.born_ms = kFirstStartMs +
-                static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
+  old.born_ms =
+      kFirstStartMs + static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
   old.highest_fence = 0;
   old.last_holder.clear();
   old.fence_holders.clear();
