--- a/test/store_restore-test.cc
+++ b/test/store_restore-test.cc
@@ -50,12 +50,12 @@
     world_.silence_store(false);
   }
 
-  /** The same, with some changes lost and written again. */
-  void restore_once() {
+  /** The same, after all entries were written so long before. */
+  void lose_entries(duration before, duration rewritten_after) {
     world_.copy_store();
     write_all_entries();
-    world_.run_for(1s);
-    restore();
+    world_.run_for(before);
+    restore(rewritten_after);
   }
 
   void expect_configuration(std::uint64_t version) {
@@ -83,10 +83,7 @@
 };
 
 TEST_P(restored_store, leaving_that_is_told_after_the_return_is_heeded) {
-  world_.copy_store();
-  write_all_entries();
-  world_.run_for(2s);
-  restore(0ms);
+  lose_entries(2s, 0ms);
   world_.run_for(500ms);
   world_.drain_target("plain-1");
   world_.drain_target("llm-2");
@@ -150,10 +147,7 @@
 }
 
 TEST_P(restored_store, two_restores_in_a_row_are_followed) {
-  world_.copy_store();
-  write_all_entries();
-  world_.run_for(2s);
-  restore(0ms);
+  lose_entries(2s, 0ms);
   world_.run_for(100ms);
   world_.publish_configuration(10, "/llm/");
   write_all_entries();
@@ -180,7 +174,7 @@
   std::uint64_t version = 10;
   for (const auto name :
        {store_epoch{1}, store_epoch{0}, store_epoch{1} << 60}) {
-    restore_once();
+    lose_entries(1s, 500ms);
     world_.misname_epochs({name});
     world_.publish_configuration(version, "/other/");
     world_.run_for(kInForce);
@@ -212,7 +206,7 @@
     world_.deny_store(all[i], true);
   }
   world_.run_for(2s);
-  restore_once();
+  lose_entries(1s, 500ms);
   world_.run_for(500ms);
   world_.publish_configuration(10, "/other/");
   world_.drain_target("plain-1");
@@ -259,6 +253,9 @@
     EXPECT_EQ(world_.status(who).targets, 16U);
   }
   EXPECT_GT(world_.runs_at("plain-0"), 0U);
+  const auto runs = world_.runs_at("plain-0");
+  call_for(2s);
+  EXPECT_GT(world_.runs_at("plain-0"), runs);
   expect_rules_kept(world_);
 }
 
