Look-ups, rows and questions have headers of their own; long functions are split

Ruled out: any change of a decision; members moved as they stood. Change: gateway_view holds the look-ups that change nothing, between what is known and what decides; peer_rows.h and peer_questions.h stand apart from the messages; a watch's answer, a failure and what is told at once have functions of their own.

--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -13,111 +13,11 @@
 #include <vector>
 
 #include "seamglade/gateway_types.h"
+#include "seamglade/peer_questions.h"
+#include "seamglade/peer_rows.h"
 
 namespace seamglade::gateway {
 
-/** An instance's IPv4 number in host order; names it in the fleet. */
-using member_address = std::uint32_t;
-/** Hash of a target's id. */
-using target_hash = std::uint64_t;
-
-/** What is believed of a member; of equal beats the greater standing counts. */
-enum class member_standing : std::uint8_t {
-  alive,
-  /** It answered neither a probe nor those that others sent it. */
-  suspect,
-  /** It has not denied the suspicion in time. */
-  gone
-};
-
-/** What one instance tells of another. */
-struct member_row {
-  member_address address = 0;
-  /** Hash of the failure domain. */
-  std::uint32_t domain = 0;
-  /** Rises with every start of the instance. */
-  std::uint64_t incarnation = 0;
-  /**
-   * Rises with every heartbeat of the instance where all tell all; in a larger
-   * fleet only to outdo what is believed of it.
-   */
-  std::uint64_t beat = 0;
-  bool leaving = false;
-  member_standing standing = member_standing::alive;
-
-  friend bool operator==(const member_row&, const member_row&) = default;
-};
-
-/** Who gives the orders to a target; of two claims the higher fence counts. */
-struct target_claim {
-  target_hash target = 0;
-  std::uint64_t fence = 0;
-  /** None (0): the holder of this fence has given the target up. */
-  member_address holder = 0;
-
-  friend bool operator==(const target_claim&, const target_claim&) = default;
-};
-
-/** Requests at a target, and what it has still to read for them. */
-struct target_work {
-  std::uint32_t running = 0;
-  /** Prompt tokens of requests without a first event. */
-  std::uint32_t reading = 0;
-  /** ... and of these, those of the most urgent rank. */
-  std::uint32_t reading_urgent = 0;
-
-  target_work& operator+=(const target_work& more) {
-    running += more.running;
-    reading += more.reading;
-    reading_urgent += more.reading_urgent;
-    return *this;
-  }
-  friend bool operator==(const target_work&, const target_work&) = default;
-};
-
-/** The sender's work at a target. */
-struct target_load {
-  target_hash target = 0;
-  target_work work;
-
-  friend bool operator==(const target_load&, const target_load&) = default;
-};
-
-/** A target ended; of what ran there, a blame_row tells. */
-struct target_end {
-  target_hash target = 0;
-  /** How long ago, when it was told. */
-  duration age{};
-
-  friend bool operator==(const target_end&, const target_end&) = default;
-};
-
-/** The ends of targets at which one request was running. */
-struct blame_row {
-  request_fingerprint request;
-  std::vector<target_end> ends;
-  /** Since it was last run and answered whole; ends before do not count. */
-  std::optional<duration> answered_age;
-
-  friend bool operator==(const blame_row&, const blame_row&) = default;
-};
-
-/** How many requests a second a target takes of all instances together. */
-struct limit_row {
-  target_hash target = 0;
-  /** When the target had started that said so, in Unix ms; 0: not known. */
-  std::uint64_t life = 0;
-  /** Requests a second; 0: it names no limit any more. */
-  double rate = 0;
-  /**
-   * Since an answer named it; of a limit that was lifted, since the request was
-   * sent whose answer said so.
-   */
-  duration age{};
-
-  friend bool operator==(const limit_row&, const limit_row&) = default;
-};
-
 struct heartbeat {
   /** The sender's own row first. */
   std::vector<member_row> rows;
@@ -298,105 +198,6 @@
   friend bool operator==(const probe_answer&, const probe_answer&) = default;
 };
 
-/** Asks how old the receiver's word of the operators' configuration is. */
-struct confirmation_request {
-  /** When it was sent, by the sender's own clock. */
-  duration asked{};
-
-  friend bool operator==(const confirmation_request&,
-                         const confirmation_request&) = default;
-};
-
-/**
- * The answer: at most `age` before it was sent, the store's configuration was
- * the one named. The way that it took only makes it older: the receiver counts
- * from when it asked.
- */
-struct confirmation_answer {
-  duration asked{};
-  duration age{};
-  std::uint64_t configuration = 0;
-
-  friend bool operator==(const confirmation_answer&,
-                         const confirmation_answer&) = default;
-};
-
-/** Asks an accountant of a workspace for a part of its quota. */
-struct quota_request {
-  /** Names the request at the sender. */
-  std::uint64_t request = 0;
-  std::uint64_t workspace = 0;
-  /** In the quota's units. */
-  double amount = 0;
-
-  friend bool operator==(const quota_request&, const quota_request&) = default;
-};
-
-enum class quota_verdict : std::uint8_t {
-  granted,
-  /** There is less than was asked for. */
-  empty,
-  /** The receiver keeps no account of the workspace. */
-  not_mine
-};
-
-struct quota_answer {
-  std::uint64_t request = 0;
-  std::uint64_t workspace = 0;
-  quota_verdict verdict = quota_verdict::not_mine;
-  /** Where there is too little: when there would be enough. */
-  duration empty_for{};
-
-  friend bool operator==(const quota_answer&, const quota_answer&) = default;
-};
-
-/** Asks the admitter of a plain target for a place there. */
-struct admission_request {
-  /** Names the request at the sender. */
-  std::uint64_t request = 0;
-  target_hash target = 0;
-  /** What is left of the request's objective. */
-  duration slack{};
-  std::uint32_t rank = 0;
-  /** The place is free again after this, also without a word. */
-  duration held_for{};
-
-  friend bool operator==(const admission_request&,
-                         const admission_request&) = default;
-};
-
-struct admission_answer {
-  std::uint64_t request = 0;
-  target_hash target = 0;
-  bool is_granted = false;
-  /** How long one more request would take there. */
-  duration expected{};
-  /** Where it is refused: when there may be room. */
-  duration full_for{};
-
-  friend bool operator==(const admission_answer&,
-                         const admission_answer&) = default;
-};
-
-enum class admission_outcome : std::uint8_t {
-  served,
-  /** The target had no room: it is fuller than its admitter believes. */
-  rejected,
-  /** Nothing is learned from it. */
-  other
-};
-
-/** A request has left its place at a plain target. */
-struct admission_end {
-  std::uint64_t request = 0;
-  target_hash target = 0;
-  admission_outcome outcome = admission_outcome::other;
-  /** How long the target took. */
-  duration took{};
-
-  friend bool operator==(const admission_end&, const admission_end&) = default;
-};
-
 /**
  * The sender's calls to a failure domain hang and nothing there answers it. The
  * receiver looks for itself; one that is there answers, which denies it.
@@ -408,30 +209,6 @@
   friend bool operator==(const domain_alarm&, const domain_alarm&) = default;
 };
 
-/** Asks a target's grantor whether one request may go there. */
-struct grant_request {
-  /** Names the question at the sender. */
-  std::uint64_t request = 0;
-  target_hash target = 0;
-  /** It is cold, as far as the sender knows. */
-  bool is_cold = true;
-  /** The limit that the sender knows of, which the receiver may not. */
-  limit_row limit = {};
-
-  friend bool operator==(const grant_request&, const grant_request&) = default;
-};
-
-/** A grant is for one request, to be sent at once. */
-struct grant_answer {
-  std::uint64_t request = 0;
-  target_hash target = 0;
-  bool is_granted = false;
-  /** Where it is refused: the sender is not to ask for the target sooner. */
-  duration spent_for{};
-
-  friend bool operator==(const grant_answer&, const grant_answer&) = default;
-};
-
 /** Who ran where a target has just ended, or has been answered since. */
 struct blame_message {
   std::vector<blame_row> rows;
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 gateway_core::impl::impl(gateway_options options, const dialect& platform)
-    : gateway_memory(std::move(options), platform) {}
+    : gateway_view(std::move(options), platform) {}
 
 std::vector<any_action> gateway_core::impl::handle(time_point now,
                                                    any_event event) {
@@ -150,7 +150,7 @@
   do_act(action::log_line{event, std::move(fields), important});
 }
 
-bool gateway_core::impl::is_ready() const {
+bool gateway_view::is_ready() const {
   return !draining_ && config_ != nullptr && targets_.size() > 0;
 }
 
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -74,17 +74,16 @@
   wait_for(x, nullptr, "all_tried");
 }
 
-bool gateway_core::impl::is_word_fresh(const target_state& target) const {
+bool gateway_view::is_word_fresh(const target_state& target) const {
   return now_ - target.admission_heard < kFreshWord;
 }
 
-bool gateway_core::impl::may_be_asked(const exchange& x,
-                                      const target_state& target) {
+bool gateway_view::may_be_asked(const exchange& x, const target_state& target) {
   return !x.tried.contains(target.entry.id) &&
          !x.admission.full.contains(target.hash);
 }
 
-duration gateway_core::impl::least_expected(
+duration gateway_view::least_expected(
     const exchange& x, const std::vector<target_state*>& targets) const {
   std::optional<duration> least;
   for (const auto* target : targets) {
@@ -95,7 +94,7 @@
   return least.value_or(duration{});
 }
 
-target_state* gateway_core::impl::next_to_ask(
+target_state* gateway_view::next_to_ask(
     const exchange& x, const std::vector<target_state*>& targets) const {
   const auto usual = least_expected(x, targets);
   target_state* best = nullptr;
@@ -143,7 +142,7 @@
   do_act(action::send_datagram{admitter, request});
 }
 
-std::vector<member_address> gateway_core::impl::members_near(
+std::vector<member_address> gateway_view::members_near(
     const target_state& target) const {
   if (!roster_.has_several_regions()) return staying_;
   const auto region =
@@ -155,8 +154,7 @@
   return near.empty() ? staying_ : near;
 }
 
-member_address gateway_core::impl::admitter_of(
-    const target_state& target) const {
+member_address gateway_view::admitter_of(const target_state& target) const {
   // Requests run near as a rule. With an admitter anywhere, two questions of
   // three went to another region and back: 16 of the 25 ms that it has.
   const auto near = members_near(target);
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -77,7 +77,7 @@
   }
 }
 
-duration gateway_core::impl::longest_cold_time() const {
+duration gateway_view::longest_cold_time() const {
   duration longest{};
   if (!config_) return longest;
   for (const auto& [name, service] : config_->services) {
@@ -107,15 +107,15 @@
   return false;
 }
 
-bool gateway_core::impl::is_in_allowed_region(
-    const exchange& x, const target_state& target) const {
+bool gateway_view::is_in_allowed_region(const exchange& x,
+                                        const target_state& target) const {
   const auto& domain = target.entry.failure_domain;
   if (!regions_.is_allowed(domain, x.way->regions)) return false;
   return x.owner == nullptr || regions_.is_allowed(domain, x.owner->regions);
 }
 
-bool gateway_core::impl::may_run_at(const exchange& x,
-                                    const target_state& target) const {
+bool gateway_view::may_run_at(const exchange& x,
+                              const target_state& target) const {
   if (target.has_left(now_)) return false;
   if (domains_.is_evacuated(target.entry.failure_domain)) return false;
   return is_in_allowed_region(x, target);
@@ -164,7 +164,7 @@
   return true;
 }
 
-proximity gateway_core::impl::distance_to(const target_state& target) const {
+proximity gateway_view::distance_to(const target_state& target) const {
   return regions_.between(options_.failure_domain, target.entry.failure_domain);
 }
 
--- a/src/process/gateway_epochs.cc
+++ b/src/process/gateway_epochs.cc
@@ -45,8 +45,8 @@
   return false;
 }
 
-bool gateway_core::impl::may_replace_copy(store_epoch epoch,
-                                          store_epoch named_before) const {
+bool gateway_view::may_replace_copy(store_epoch epoch,
+                                    store_epoch named_before) const {
   if (epoch < mirror_.epoch()) return false;
   // A single answer may be broken: another is to name the same.
   return epoch == named_before ||
@@ -78,7 +78,7 @@
   }
 }
 
-bool gateway_core::impl::is_version_in_force(const store_item& item) const {
+bool gateway_view::is_version_in_force(const store_item& item) const {
   const auto read = platform_.read_item(item);
   if (!read) return false;
   if (const auto* config = std::get_if<configuration>(&read.value())) {
@@ -88,7 +88,7 @@
   return named != nullptr && named->version == version_of(named->name);
 }
 
-std::uint64_t gateway_core::impl::configuration_in_force() const {
+std::uint64_t gateway_view::configuration_in_force() const {
   return config_ ? config_->version : 0;
 }
 
--- a/src/process/gateway_grants.cc
+++ b/src/process/gateway_grants.cc
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-bool gateway_core::impl::is_cold(const target_state& target) const {
+bool gateway_view::is_cold(const target_state& target) const {
   const auto& domain = target.entry.failure_domain;
   if (!target.is_cold(now_) && !domains_.is_returning(now_, domain)) {
     return false;
@@ -51,11 +51,11 @@
   return service != nullptr && service->cold_rate > 0;
 }
 
-bool gateway_core::impl::needs_grant(const target_state& target) const {
+bool gateway_view::needs_grant(const target_state& target) const {
   return is_cold(target) || limit_of(target).has_value();
 }
 
-bool gateway_core::impl::is_spent(const target_state& target) const {
+bool gateway_view::is_spent(const target_state& target) const {
   if (!needs_grant(target)) return false;
   if (now_ < target.grants_refused_until) return true;
   // One question at a time: where little is left, each refused one is told
@@ -66,7 +66,7 @@
       });
 }
 
-std::vector<target_state*> gateway_core::impl::without_spent(
+std::vector<target_state*> gateway_view::without_spent(
     const std::vector<target_state*>& targets) const {
   auto out = targets;
   std::erase_if(
@@ -74,12 +74,12 @@
   return out.empty() ? targets : out;
 }
 
-duration gateway_core::impl::grant_wait(const target_state& target) const {
+duration gateway_view::grant_wait(const target_state& target) const {
   if (!needs_grant(target)) return {};
   return std::max(duration{}, target.grants_refused_until - now_);
 }
 
-duration gateway_core::impl::grant_gap(const target_state& target) const {
+duration gateway_view::grant_gap(const target_state& target) const {
   const auto limit = limit_of(target);
   return limit ? grant_gap_of(*limit) : duration{};
 }
@@ -178,8 +178,7 @@
   return true;
 }
 
-duration gateway_core::impl::come_back(const exchange& x,
-                                       duration usual) const {
+duration gateway_view::come_back(const exchange& x, duration usual) const {
   return std::max(usual, x.grant.again_at - now_);
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -13,7 +13,7 @@
 #include <set>
 #include <vector>
 
-#include "process/gateway_memory.h"
+#include "process/gateway_view.h"
 #include "seamglade/gateway.h"
 
 namespace seamglade::gateway {
@@ -51,7 +51,7 @@
 };
 
 /** Members are grouped by the file that works on them. */
-class gateway_core::impl : private gateway_memory {
+class gateway_core::impl : private gateway_view {
  public:
   impl(gateway_options options, const dialect& platform);
 
@@ -59,9 +59,7 @@
   time_point next_wakeup() const;
   gateway_status status(time_point now) const;
   store_changes changes_after(copy_extent known) const;
-  proximity distance_to(member_address member) const {
-    return roster_.distance_to(member);
-  }
+  using gateway_view::distance_to;
 
  private:
   // gateway.cc
@@ -70,48 +68,36 @@
   void do_act(any_action action) { actions_.push_back(std::move(action)); }
   void log(std::string_view event, std::vector<log_field> fields,
            bool important = false);
-  bool is_ready() const;
 
   // gateway_store.cc
   void on(event::store_read&& e);
+  void note_store_failure(int status);
+  void note_store_answer();
+  void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
   void on(event::peer_changes&& e);
   void apply(const store_changes& changes, std::string_view source);
+  /** Tells others of items that are not to wait for the next copy. */
+  void tell_urgent(std::vector<store_item> news, std::string_view source);
   /** Returns whether the item is not to wait for the next copy. */
   bool take_item(const store_item& item, const change_origin& origin);
   bool take_deletion(const store_item& item, const change_origin& origin);
-  /** Returns whether entries that went may have lapsed with the store. */
-  bool lapsed_with_store(const std::vector<store_item>& news) const;
   bool take_entry(target_entry&& entry, const change_origin& origin);
   void accept_configuration(configuration&& news);
   void read_store();
   void tick_store();
   /** Ends the pauses of this instance once the store answers anybody again. */
   void note_store_back();
-  /** Returns the pause after one more failure of the store. */
-  duration next_pause(duration last) const;
   /** Returns a pause between half and one and a half of one. */
   duration spread(duration pause);
   void confirm_copy(time_point at);
-  /** Returns the latest time at which the store surely was as an answer says.
-   */
-  time_point known_at(time_point sent, duration wait, bool changed) const;
-  duration store_age() const;
-  duration copy_age() const;
-  bool was_store_away() const;
 
   // gateway_epochs.cc
   /** Returns whether an answer of the store is of the copy's history. */
   bool is_of_epoch(const event::store_read& e);
-  /** Returns whether a whole read of an epoch may replace the copy. */
-  bool may_replace_copy(store_epoch epoch, store_epoch named_before) const;
   /** The copy is of a later epoch than the one before. */
   void begin_epoch(store_position before, std::string_view source,
                    std::vector<store_item> lost);
-  /** Returns whether an item is the configuration or version in force. */
-  bool is_version_in_force(const store_item& item) const;
-  /** Returns the version of the configuration in force; 0: none. */
-  std::uint64_t configuration_in_force() const;
   /** Takes what peers know to be in force of a former epoch. */
   void take_kept(const std::vector<store_item>& kept);
   void give_up_store_calls();
@@ -130,8 +116,6 @@
   void settle_contradictions();
 
   // gateway_operators.cc
-  /** Returns the revision up to which all that operators wrote is known. */
-  std::uint64_t operators_known() const;
   bool should_watch_operators();
   void watch_operators();
   void take_operator_watch(event::store_read&& e);
@@ -144,7 +128,6 @@
 
   // gateway_watchers.cc
   bool should_watch();
-  bool is_watcher_of_mesh() const;
   bool is_watcher_of_large_fleet();
   const std::vector<member_address>& watch_order();
   /** Puts the first of each region before all others. */
@@ -157,26 +140,19 @@
   void take(member_address from, const target_claim& claimed);
   void take(member_address from, const probe_request& message);
   void take(member_address from, const probe_answer& message);
-  /** Returns how old the own copy must be to ask another domain for one. */
-  duration far_copy_age(member_address from) const;
   void merge_rows(member_address from, const std::vector<member_row>& rows,
                   std::size_t known_there);
   void check_probes();
   /** Looks up anew who lives and stays, once a while. */
   void refresh_staying();
-  bool is_staying(member_address who) const;
   void note_silent_members();
   /** `known_there`: how many members the newcomer knows. */
   void greet(member_address newcomer, bool first_hand, std::size_t known_there);
-  heartbeat own_heartbeat() const;
   void announce(target_hash target);
   void announce_claims();
   void send_heartbeats();
   void add_heard_claims(std::vector<target_claim>& claims, std::size_t most);
   void answer_heartbeat(member_address from, const heartbeat& message);
-  /** Returns a number that two share who know the same claims. */
-  std::uint64_t claims_digest() const;
-  void add_own_claims(heartbeat& message) const;
   target_id target_id_of(target_hash target);
 
   // gateway_peers.cc
@@ -201,7 +177,6 @@
   static interest_message interest_of(const target_state& target,
                                       std::vector<adapter_interest> rows,
                                       bool asks);
-  std::vector<adapter_interest> interest_in(const target_state& target) const;
 
   // gateway_orders.cc
   void on(event::order_answer&& e);
@@ -210,20 +185,12 @@
   void tick_claims();
   void tick_keepers();
   void run_keeper(target_keeper& keeper, bool may_order);
-  bool may_give_orders() const;
-  duration takeover_wait() const;
-  /** Returns whether a member comes before this one in a target's order. */
-  bool precedes_me(member_address member, target_hash target) const;
-  bool is_handed_over(target_hash target) const;
-  bool is_my_turn(const target_state& target) const;
   /** Claims targets that have no living holder, where it is this one's turn. */
   void claim_unheld();
-  std::optional<time_point> quiet_since(target_hash target) const;
   void claim(const target_state& target);
   /** After an unanswered order: makes sure that it can't be taken later. */
   void renew_fence(target_keeper& keeper);
   void release(const target_id& target, std::string_view reason);
-  bool has_live_holder(target_hash target) const;
   std::uint64_t next_fence(target_hash target);
 
   // gateway_requests.cc
@@ -237,11 +204,6 @@
   void on(event::answer_data&& e);
   void on(event::answer_end&& e);
   // gateway_workspaces.cc
-  /** Returns whether the first word of keys may come in a moment. */
-  bool awaits_keys() const;
-  /** Returns how old the word is that the keys in force are still so. */
-  duration key_age() const;
-  bool are_keys_confirmed() const;
   /** Returns whether this instance is to ask the store itself about keys. */
   bool is_key_word_old();
   /** Takes in that the store held what is in force here, then or later. */
@@ -252,19 +214,15 @@
   bool admit_key(exchange& x);
   /** Places a request once its workspace's quota allows it. */
   void meter(exchange& x);
-  /** Returns whom a request asks for a grant, in this order. */
-  std::vector<member_address> accountants_to_ask(const exchange& x) const;
   void ask_accountant(exchange& x);
   /** Nobody is left to be asked for a grant. */
   void end_metering(exchange& x);
   void take_verdict(exchange& x, member_address from,
                     const quota_answer& answer);
-  double quota_amount(const exchange& x) const;
   void tick_workspaces();
   /** Until others were heard: what this instance knows of them is old. */
   void close_accounts();
   void open_accounts();
-  fleet_view view_of_fleet() const;
   void ask_confirmations();
   void take(member_address from, const confirmation_request& message);
   void take(member_address from, const confirmation_answer& message);
@@ -273,18 +231,7 @@
 
   // gateway_admission.cc
   void place_on_plain(exchange& x, const std::vector<target_state*>& targets);
-  /** Returns the target whose admitter is to be asked; null: none is left. */
-  target_state* next_to_ask(const exchange& x,
-                            const std::vector<target_state*>& targets) const;
-  bool is_word_fresh(const target_state& target) const;
-  static bool may_be_asked(const exchange& x, const target_state& target);
-  /** Returns the least time that a target of fresh word would take. */
-  duration least_expected(const exchange& x,
-                          const std::vector<target_state*>& targets) const;
   void ask_admitter(exchange& x, target_state& target);
-  /** Returns the staying members of the target's region; none there: all. */
-  std::vector<member_address> members_near(const target_state& target) const;
-  member_address admitter_of(const target_state& target) const;
   void take_admission(exchange& x, target_state& target,
                       const admission_answer& answer);
   /** A call to a plain target ended: its place is free. */
@@ -297,18 +244,6 @@
   void take(member_address from, const admission_end& message);
 
   // gateway_grants.cc
-  bool is_cold(const target_state& target) const;
-  /** Returns whether each request there needs a grant. */
-  bool needs_grant(const target_state& target) const;
-  /** Returns whether a target's grantor is not to be asked just now. */
-  bool is_spent(const target_state& target) const;
-  /** Returns those that are not spent; all, where all are. */
-  std::vector<target_state*> without_spent(
-      const std::vector<target_state*>& targets) const;
-  /** Returns how long a target's grantor has nothing left. */
-  duration grant_wait(const target_state& target) const;
-  /** Returns the time between two grants of a limit; zero: it names none. */
-  duration grant_gap(const target_state& target) const;
   /** Returns whether a request still waits for a grantor's answer. */
   bool awaits_grant(exchange& x);
   void ask_grantor(exchange& x, target_state& target);
@@ -320,8 +255,6 @@
   static bool use_grant(exchange& x, const target_state& target);
   /** Lets a request wait, or refuses it, if no grantor has anything left. */
   bool wait_for_grant(exchange& x, const std::vector<target_state*>& targets);
-  /** Returns when a request that was not run is worth another try. */
-  duration come_back(const exchange& x, duration usual) const;
   grant_answer answer_grant(const grant_request& request);
   /** Until others were heard, as with accounts. */
   void close_grants();
@@ -335,8 +268,6 @@
   /** Its first event came: its prompt is read. */
   void reading_ended(exchange& x);
   void work_ended(exchange& x, target_state& target);
-  /** Returns how long loads take, as own targets and their holders tell. */
-  duration load_time() const;
   void learn_load_time(duration told);
 
   // gateway_domains.cc
@@ -345,8 +276,6 @@
   bool take_back(std::string_view domain, std::uint64_t revision);
   /** Tells the next few members; each that hears news of it does the same. */
   void pass_on_evacuations(const std::vector<store_item>& news);
-  /** Returns the longest time for which a service's targets are cold. */
-  duration longest_cold_time() const;
   /** Returns whether a target is to get neither orders nor reports now. */
   bool is_at_rest(target_keeper& keeper);
   /** Refuses a request that nothing there is may serve; false: something may.
@@ -354,13 +283,8 @@
   bool refuse_unservable(exchange& x);
   /** Returns why none of the targets there are may serve it; none: one may. */
   std::optional<std::string_view> why_unservable(const exchange& x);
-  /** Returns whether its route and its workspace may be served there. */
-  bool is_in_allowed_region(const exchange& x,
-                            const target_state& target) const;
-  bool may_run_at(const exchange& x, const target_state& target) const;
   /** Returns the targets that may get a request now. */
   std::vector<target_state*> targets_for(const exchange& x);
-  proximity distance_to(const target_state& target) const;
 
   // gateway_loss.cc
   void watch_call(const exchange& x, const target_state& target);
@@ -387,13 +311,6 @@
   /** Tries elsewhere what hangs in a suspect domain and may be repeated. */
   void leave_hung_calls();
   void leave_hung_call(exchange& x);
-  bool is_suspect(const target_state& target) const;
-  /** Returns whether a request is to find out if a suspect target is back. */
-  bool is_trial(const exchange& x, const target_state& target) const;
-  /** Returns whether a member is to be asked last, and not relied on. */
-  bool is_passed_over(member_address who) const;
-  /** Returns whether loads can be wished of a target's holder now. */
-  bool has_reachable_holder(target_hash target) const;
 
   // gateway_words.cc
   /** Takes in what the answer under way says of its target. */
@@ -404,7 +321,6 @@
   /** What a target last said is to be told to others. */
   void to_tell(const target_state& target, target_life life,
                bool is_over = false);
-  word_row word_of(const target_state& target, target_life life) const;
   void tell_words();
   /** Adds what is due: of targets that leave, or of all others. */
   void add_due_words(word_message& message, bool of_leaving);
@@ -417,23 +333,15 @@
                  const word_row& row);
   void log_word(const target_state& target, const target_word& word,
                 std::string_view source);
-  /** Returns how long after a rest others are to try a target first. */
-  duration trial_turn(const target_state& target) const;
-  availability availability_of(const target_state& target) const;
-  /** Returns whether a target may get the request now, if only as the last. */
-  bool may_be_sent_to(const exchange& x, const target_state& target) const;
   /**
    * Lets a request wait, or refuses it, if all targets that may serve it rest.
    */
   bool wait_for_rest(exchange& x);
 
   // gateway_limits.cc
-  /** Returns the requests a second that a target takes; none: no limit. */
-  std::optional<double> limit_of(const target_state& target) const;
   void hear_limit(target_state& target, const heard_answer& heard);
   /** A limit changed; `is_first`: others are to be told of it. */
   void note_limit(target_state& target, std::string_view source, bool is_first);
-  limit_row limit_row_of(const target_state& target) const;
   /** Returns the changes that are due to be told. */
   std::vector<limit_row> due_limits();
   /** Returns some of the limits in force, others each time. */
@@ -532,7 +440,6 @@
   void send_stream_data(exchange& x, bool flush);
   void finish(caller_id caller);
   void expire_exchanges();
-  std::uint32_t version_of(const adapter_name& name) const;
   exchange* by_call(call_id call);
   target_state* target_of(const exchange& x);
 };
--- a/src/process/gateway_limits.cc
+++ b/src/process/gateway_limits.cc
@@ -25,8 +25,7 @@
 
 }  // namespace
 
-std::optional<double> gateway_core::impl::limit_of(
-    const target_state& target) const {
+std::optional<double> gateway_view::limit_of(const target_state& target) const {
   return target.limit.rate(target.entry.started_ms);
 }
 
@@ -58,7 +57,7 @@
   if (is_first) untold_limits_[target.entry.id] = {now_, kTimesTold};
 }
 
-limit_row gateway_core::impl::limit_row_of(const target_state& target) const {
+limit_row gateway_view::limit_row_of(const target_state& target) const {
   const auto word = target.limit.to_tell();
   if (!word) return {target.hash};
   return {target.hash, word->life, word->rate, now_ - word->at};
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -231,20 +231,20 @@
   retry(x, x.head_sent ? "resume" : "domain_suspected");
 }
 
-bool gateway_core::impl::is_suspect(const target_state& target) const {
+bool gateway_view::is_suspect(const target_state& target) const {
   if (watch_.suspects() == 0) return false;
   const auto& domain = target.entry.failure_domain;
   return domains_.state(now_, domain) == domain_state::suspect;
 }
 
-bool gateway_core::impl::is_trial(const exchange& x,
-                                  const target_state& target) const {
+bool gateway_view::is_trial(const exchange& x,
+                            const target_state& target) const {
   const bool may_fail = x.way->repeatable && x.way->attempts > 1 && x.runs == 0;
   return may_fail &&
          watch_.is_trial_due(now_, domain_hash(target.entry.failure_domain));
 }
 
-bool gateway_core::impl::is_passed_over(member_address who) const {
+bool gateway_view::is_passed_over(member_address who) const {
   if (who == options_.self) return false;
   if (doubts_.is_doubtful(now_, who)) return true;
   if (watch_.suspects() == 0) return false;
@@ -252,7 +252,7 @@
   return domain && watch_.is_suspect(*domain);
 }
 
-bool gateway_core::impl::has_reachable_holder(target_hash target) const {
+bool gateway_view::has_reachable_holder(target_hash target) const {
   if (!has_live_holder(target)) return false;
   return !is_passed_over(claims_.at(target).holder);
 }
--- a/src/process/gateway_members.cc
+++ b/src/process/gateway_members.cc
@@ -48,7 +48,7 @@
   staying_ = roster_.staying(now_);
 }
 
-bool gateway_core::impl::is_staying(member_address who) const {
+bool gateway_view::is_staying(member_address who) const {
   return std::binary_search(staying_.begin(), staying_.end(), who);
 }
 
@@ -97,7 +97,7 @@
   }
 }
 
-duration gateway_core::impl::far_copy_age(member_address from) const {
+duration gateway_view::far_copy_age(member_address from) const {
   const bool is_in_region = roster_.has_several_regions() &&
                             roster_.distance_to(from) == proximity::same_region;
   return is_in_region ? kRegionCopyAge : kFarCopyAge;
@@ -188,7 +188,7 @@
   do_act(action::send_datagram{newcomer, std::move(message)});
 }
 
-heartbeat gateway_core::impl::own_heartbeat() const {
+heartbeat gateway_view::own_heartbeat() const {
   heartbeat message;
   message.rows.push_back(roster_.own_row());
   message.members = static_cast<std::uint32_t>(roster_.present());
@@ -249,7 +249,7 @@
   return found == nullptr ? target_id() : found->entry.id;
 }
 
-void gateway_core::impl::add_own_claims(heartbeat& message) const {
+void gateway_view::add_own_claims(heartbeat& message) const {
   for (const auto& [id, keeper] : keepers_) {
     if (message.claims.size() >= kMaxClaims) break;
     message.claims.push_back({hash_of(id), keeper->fence(), options_.self});
@@ -267,7 +267,7 @@
   do_act(action::send_datagram{from, std::move(answer)});
 }
 
-std::uint64_t gateway_core::impl::claims_digest() const {
+std::uint64_t gateway_view::claims_digest() const {
   std::uint64_t sum = 0;
   for (const auto& [target, known] : claims_) {
     if (known.fence == 0) continue;
--- a/src/process/gateway_operators.cc
+++ b/src/process/gateway_operators.cc
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-std::uint64_t gateway_core::impl::operators_known() const {
+std::uint64_t gateway_view::operators_known() const {
   return std::max(operator_watch_.after, mirror_.revision());
 }
 
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -45,29 +45,29 @@
 
 }  // namespace
 
-bool gateway_core::impl::may_give_orders() const {
+bool gateway_view::may_give_orders() const {
   return !draining_ && now_ >= orders_suspended_until_ && !was_isolated_;
 }
 
-bool gateway_core::impl::has_live_holder(target_hash target) const {
+bool gateway_view::has_live_holder(target_hash target) const {
   const auto found = claims_.find(target);
   if (found == claims_.end() || found->second.holder == 0) return false;
   const auto holder = found->second.holder;
   return holder == options_.self || is_staying(holder);
 }
 
-bool gateway_core::impl::precedes_me(member_address member,
-                                     target_hash target) const {
+bool gateway_view::precedes_me(member_address member,
+                               target_hash target) const {
   return member_weight(target, member) > member_weight(target, options_.self);
 }
 
-bool gateway_core::impl::is_my_turn(const target_state& target) const {
+bool gateway_view::is_my_turn(const target_state& target) const {
   return std::none_of(
       staying_.begin(), staying_.end(),
       [&](member_address member) { return precedes_me(member, target.hash); });
 }
 
-bool gateway_core::impl::is_handed_over(target_hash target) const {
+bool gateway_view::is_handed_over(target_hash target) const {
   if (!options_.fenced || stepped_back_.contains(target)) return false;
   const auto found = claims_.find(target);
   if (found == claims_.end()) return false;
@@ -76,7 +76,7 @@
          now_ - known.heard > kHandoverWait;
 }
 
-duration gateway_core::impl::takeover_wait() const {
+duration gateway_view::takeover_wait() const {
   // The first order of the new holder comes some time after its claim.
   const auto wait = options_.lease + kLeaseMargin - kClaimHeard;
   // A holder that is cut off notices within its patience and then stops. In a
@@ -86,8 +86,7 @@
   return counted_late ? wait : wait + roster_.patience();
 }
 
-std::optional<time_point> gateway_core::impl::quiet_since(
-    target_hash target) const {
+std::optional<time_point> gateway_view::quiet_since(target_hash target) const {
   // Where targets check fences, a new process need not wait for a lease that
   // nobody alive claims: whoever held it before can no longer be obeyed.
   auto since = started_;
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -71,7 +71,7 @@
   return targets_.find(x.target);
 }
 
-std::uint32_t gateway_core::impl::version_of(const adapter_name& name) const {
+std::uint32_t gateway_view::version_of(const adapter_name& name) const {
   const auto found = versions_.find(name);
   return found == versions_.end() ? 0 : found->second;
 }
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -67,7 +67,7 @@
 
 }  // namespace
 
-duration gateway_core::impl::next_pause(duration last) const {
+duration gateway_view::next_pause(duration last) const {
   if (last == duration{}) return kAfterFailure;
   const auto members = static_cast<std::int64_t>(roster_.present());
   const auto longest =
@@ -99,20 +99,20 @@
                                             (0.5 + part)));
 }
 
-time_point gateway_core::impl::known_at(time_point sent, duration wait,
-                                        bool changed) const {
+time_point gateway_view::known_at(time_point sent, duration wait,
+                                  bool changed) const {
   // One that the store held to its end without a change tells of that end; any
   // other may have been made at once and been long under way.
   const bool was_held = !changed && now_ - sent >= wait;
   return was_held ? sent + wait : sent;
 }
 
-duration gateway_core::impl::store_age() const {
+duration gateway_view::store_age() const {
   if (!ever_answered_) return now_ - started_ + 1h;
   return now_ - last_answer_;
 }
 
-duration gateway_core::impl::copy_age() const {
+duration gateway_view::copy_age() const {
   return copy_confirmed_ ? now_ - *copy_confirmed_ : now_ - started_ + 1h;
 }
 
@@ -120,9 +120,7 @@
   copy_confirmed_ = copy_confirmed_ ? std::max(*copy_confirmed_, at) : at;
 }
 
-bool gateway_core::impl::was_store_away() const {
-  return copy_age() > kStoreAway;
-}
+bool gateway_view::was_store_away() const { return copy_age() > kStoreAway; }
 
 void gateway_core::impl::tick_store() {
   if (roster_.is_large()) note_store_back();
@@ -169,30 +167,42 @@
     return;
   }
   if (e.how == outcome::failed) {
-    if (!store_failing_) log("store_lost", {{"status", e.status}}, true);
-    store_failing_ = true;
-    after_failure_ =
-        roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
-    next_read_ = now_ + spread(after_failure_);
+    note_store_failure(e.status);
+    return;
+  }
+  note_store_answer();
+  if (was == reading::watch) {
+    take_watch(std::move(e.answer));
     return;
   }
+  const auto epoch = e.epoch == 0 ? mirror_.epoch() : e.epoch;
+  if (is_of_copy || may_replace_copy(epoch, named_before)) {
+    take_range(std::move(e.answer), epoch);
+  }
+}
+
+void gateway_core::impl::note_store_failure(int status) {
+  if (!store_failing_) log("store_lost", {{"status", status}}, true);
+  store_failing_ = true;
+  after_failure_ =
+      roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
+  next_read_ = now_ + spread(after_failure_);
+}
+
+void gateway_core::impl::note_store_answer() {
   if (store_failing_) log("store_regained", {}, true);
   store_failing_ = false;
   after_failure_ = {};
   ever_answered_ = true;
   last_answer_ = now_;
-  if (was == reading::range) {
-    const auto epoch = e.epoch == 0 ? mirror_.epoch() : e.epoch;
-    if (is_of_copy || may_replace_copy(epoch, named_before)) {
-      take_range(std::move(e.answer), epoch);
-    }
-    return;
-  }
-  const bool changed = !e.answer.items.empty();
+}
+
+void gateway_core::impl::take_watch(store_answer&& answer) {
+  const bool changed = !answer.items.empty();
   store_changes changes;
   changes.epoch = mirror_.epoch();
-  changes.revision = e.answer.revision;
-  changes.items = std::move(e.answer.items);
+  changes.revision = answer.revision;
+  changes.items = std::move(answer.items);
   apply(changes, kFromStore);
   confirm_copy(now_);
   confirm_keys_by_store(known_at(read_sent_, read_wait_, changed));
@@ -291,19 +301,8 @@
   for (const auto& item : news) {
     if (take_item(item, origin)) urgent.push_back(item);
   }
-  // What operators write reaches most at the same moment: of these the few
-  // tell all that watch the whole store.
-  const bool first_hand = source == kFromStore && store_age() < kTellerContact;
   const bool is_first_copy = changes.whole && !had_copy;
-  if (!first_hand && !is_first_copy) pass_on_evacuations(urgent);
-  if (first_hand && !is_first_copy && !urgent.empty()) {
-    // A message holds few items: what concerns a whole domain goes first.
-    std::stable_partition(urgent.begin(), urgent.end(),
-                          [this](const auto& item) {
-                            return !platform_.target_of_key(item.key);
-                          });
-    spread_news(urgent);
-  }
+  if (!is_first_copy) tell_urgent(std::move(urgent), source);
   log("store_changes",
       {{"source", std::string(source)},
        {"items", static_cast<std::int64_t>(news.size())},
@@ -311,7 +310,24 @@
   waiting_dirty_ = true;
 }
 
-bool gateway_core::impl::lapsed_with_store(
+void gateway_core::impl::tell_urgent(std::vector<store_item> news,
+                                     std::string_view source) {
+  // What operators write reaches most at the same moment: of these the few
+  // tell all that watch the whole store.
+  const bool first_hand = source == kFromStore && store_age() < kTellerContact;
+  if (!first_hand) {
+    pass_on_evacuations(news);
+    return;
+  }
+  if (news.empty()) return;
+  // A message holds few items: what concerns a whole domain goes first.
+  std::stable_partition(news.begin(), news.end(), [this](const auto& item) {
+    return !platform_.target_of_key(item.key);
+  });
+  spread_news(news);
+}
+
+bool gateway_view::lapsed_with_store(
     const std::vector<store_item>& news) const {
   if (!was_store_away()) return false;
   // In a large fleet a copy may also be old since word came late: what lapses
--- /dev/null
+++ b/src/process/gateway_view.h
@@ -0,0 +1,162 @@
+// seamglade - the direct path: what follows from what an instance knows
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_SRC_PROCESS_GATEWAY_VIEW_H_
+#define SEAMGLADE_SRC_PROCESS_GATEWAY_VIEW_H_
+
+#include <optional>
+#include <vector>
+
+#include "process/gateway_memory.h"
+
+namespace seamglade::gateway {
+
+/**
+ * Look-ups on what an instance knows; none changes anything. Members are
+ * grouped by the file that defines them, beside the decisions that go by them.
+ */
+class gateway_view : protected gateway_memory {
+ protected:
+  using gateway_memory::gateway_memory;
+  ~gateway_view() = default;
+
+  proximity distance_to(member_address member) const {
+    return roster_.distance_to(member);
+  }
+
+  // gateway.cc
+  bool is_ready() const;
+
+  // gateway_store.cc
+  /** Returns whether entries that went may have lapsed with the store. */
+  bool lapsed_with_store(const std::vector<store_item>& news) const;
+  /** Returns the pause after one more failure of the store. */
+  duration next_pause(duration last) const;
+  /** Returns the latest time at which the store surely was as an answer says.
+   */
+  time_point known_at(time_point sent, duration wait, bool changed) const;
+  duration store_age() const;
+  duration copy_age() const;
+  bool was_store_away() const;
+
+  // gateway_epochs.cc
+  /** Returns whether a whole read of an epoch may replace the copy. */
+  bool may_replace_copy(store_epoch epoch, store_epoch named_before) const;
+  /** Returns whether an item is the configuration or version in force. */
+  bool is_version_in_force(const store_item& item) const;
+  /** Returns the version of the configuration in force; 0: none. */
+  std::uint64_t configuration_in_force() const;
+
+  // gateway_operators.cc
+  /** Returns the revision up to which all that operators wrote is known. */
+  std::uint64_t operators_known() const;
+
+  // gateway_watchers.cc
+  bool is_watcher_of_mesh() const;
+
+  // gateway_members.cc
+  /** Returns how old the own copy must be to ask another domain for one. */
+  duration far_copy_age(member_address from) const;
+  bool is_staying(member_address who) const;
+  heartbeat own_heartbeat() const;
+  /** Returns a number that two share who know the same claims. */
+  std::uint64_t claims_digest() const;
+  void add_own_claims(heartbeat& message) const;
+
+  // gateway_peers.cc
+  std::vector<adapter_interest> interest_in(const target_state& target) const;
+
+  // gateway_orders.cc
+  bool may_give_orders() const;
+  duration takeover_wait() const;
+  /** Returns whether a member comes before this one in a target's order. */
+  bool precedes_me(member_address member, target_hash target) const;
+  bool is_handed_over(target_hash target) const;
+  bool is_my_turn(const target_state& target) const;
+  std::optional<time_point> quiet_since(target_hash target) const;
+  bool has_live_holder(target_hash target) const;
+
+  // gateway_workspaces.cc
+  /** Returns whether the first word of keys may come in a moment. */
+  bool awaits_keys() const;
+  /** Returns how old the word is that the keys in force are still so. */
+  duration key_age() const;
+  bool are_keys_confirmed() const;
+  /** Returns whom a request asks for a grant, in this order. */
+  std::vector<member_address> accountants_to_ask(const exchange& x) const;
+  double quota_amount(const exchange& x) const;
+  fleet_view view_of_fleet() const;
+
+  // gateway_admission.cc
+  bool is_word_fresh(const target_state& target) const;
+  static bool may_be_asked(const exchange& x, const target_state& target);
+  /** Returns the target whose admitter is to be asked; null: none is left. */
+  target_state* next_to_ask(const exchange& x,
+                            const std::vector<target_state*>& targets) const;
+  /** Returns the least time that a target of fresh word would take. */
+  duration least_expected(const exchange& x,
+                          const std::vector<target_state*>& targets) const;
+  /** Returns the staying members of the target's region; none there: all. */
+  std::vector<member_address> members_near(const target_state& target) const;
+  member_address admitter_of(const target_state& target) const;
+
+  // gateway_grants.cc
+  bool is_cold(const target_state& target) const;
+  /** Returns whether each request there needs a grant. */
+  bool needs_grant(const target_state& target) const;
+  /** Returns whether a target's grantor is not to be asked just now. */
+  bool is_spent(const target_state& target) const;
+  /** Returns those that are not spent; all, where all are. */
+  std::vector<target_state*> without_spent(
+      const std::vector<target_state*>& targets) const;
+  /** Returns how long a target's grantor has nothing left. */
+  duration grant_wait(const target_state& target) const;
+  /** Returns the time between two grants of a limit; zero: it names none. */
+  duration grant_gap(const target_state& target) const;
+  /** Returns when a request that was not run is worth another try. */
+  duration come_back(const exchange& x, duration usual) const;
+
+  // gateway_work.cc
+  /** Returns how long loads take, as own targets and their holders tell. */
+  duration load_time() const;
+
+  // gateway_domains.cc
+  /** Returns the longest time for which a service's targets are cold. */
+  duration longest_cold_time() const;
+  /** Returns whether its route and its workspace may be served there. */
+  bool is_in_allowed_region(const exchange& x,
+                            const target_state& target) const;
+  bool may_run_at(const exchange& x, const target_state& target) const;
+  proximity distance_to(const target_state& target) const;
+
+  // gateway_loss.cc
+  bool is_suspect(const target_state& target) const;
+  /** Returns whether a request is to find out if a suspect target is back. */
+  bool is_trial(const exchange& x, const target_state& target) const;
+  /** Returns whether a member is to be asked last, and not relied on. */
+  bool is_passed_over(member_address who) const;
+  /** Returns whether loads can be wished of a target's holder now. */
+  bool has_reachable_holder(target_hash target) const;
+
+  // gateway_words.cc
+  word_row word_of(const target_state& target, target_life life) const;
+  /** Returns how long after a rest others are to try a target first. */
+  duration trial_turn(const target_state& target) const;
+  availability availability_of(const target_state& target) const;
+  /** Returns whether a target may get the request now, if only as the last. */
+  bool may_be_sent_to(const exchange& x, const target_state& target) const;
+
+  // gateway_limits.cc
+  /** Returns the requests a second that a target takes; none: no limit. */
+  std::optional<double> limit_of(const target_state& target) const;
+  limit_row limit_row_of(const target_state& target) const;
+
+  // gateway_placement.cc
+  std::uint32_t version_of(const adapter_name& name) const;
+};
+
+}  // namespace seamglade::gateway
+
+#endif  // SEAMGLADE_SRC_PROCESS_GATEWAY_VIEW_H_
--- a/src/process/gateway_watchers.cc
+++ b/src/process/gateway_watchers.cc
@@ -78,7 +78,7 @@
   return static_cast<std::size_t>(mine - order.begin());
 }
 
-bool gateway_core::impl::is_watcher_of_mesh() const {
+bool gateway_view::is_watcher_of_mesh() const {
   struct candidate {
     std::uint64_t weight;
     member_address who;
--- a/src/process/gateway_words.cc
+++ b/src/process/gateway_words.cc
@@ -118,8 +118,8 @@
                                     leaves ? kLeavingTold : kRestTold, is_over};
 }
 
-word_row gateway_core::impl::word_of(const target_state& target,
-                                     target_life life) const {
+word_row gateway_view::word_of(const target_state& target,
+                               target_life life) const {
   word_row row;
   row.target = target.hash;
   row.life = life;
@@ -214,7 +214,7 @@
   log_word(target, {row.is_leaving, row.rest}, "told");
 }
 
-duration gateway_core::impl::trial_turn(const target_state& target) const {
+duration gateway_view::trial_turn(const target_state& target) const {
   const auto own = domain_hash(options_.failure_domain);
   const auto before =
       std::count_if(staying_.begin(), staying_.end(), [&](auto member) {
@@ -224,8 +224,7 @@
   return std::min<duration>(kLongestTurn, before / kTrialsAtOnce * kTrialTurn);
 }
 
-availability gateway_core::impl::availability_of(
-    const target_state& target) const {
+availability gateway_view::availability_of(const target_state& target) const {
   const auto& word = target.own_word;
   const auto life = target.entry.started_ms;
   const auto now = word.state(now_, life, {});
@@ -233,8 +232,8 @@
   return is_trial_due ? word.state(now_, life, trial_turn(target)) : now;
 }
 
-bool gateway_core::impl::may_be_sent_to(const exchange& x,
-                                        const target_state& target) const {
+bool gateway_view::may_be_sent_to(const exchange& x,
+                                  const target_state& target) const {
   return may_run_at(x, target) &&
          availability_of(target) != availability::resting;
 }
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -65,18 +65,18 @@
 
 }  // namespace
 
-duration gateway_core::impl::key_age() const {
+duration gateway_view::key_age() const {
   if (!keys_confirmed_) return now_ - started_ + 1h;
   return now_ - *keys_confirmed_;
 }
 
-bool gateway_core::impl::are_keys_confirmed() const {
+bool gateway_view::are_keys_confirmed() const {
   const auto bound = options_.key_bound;
   if (bound <= duration{}) return true;
   return key_age() < bound - bound / kKeyMarginPart;
 }
 
-bool gateway_core::impl::awaits_keys() const {
+bool gateway_view::awaits_keys() const {
   return config_->is_keyed() && !are_keys_confirmed() &&
          now_ - started_ < kAwaitKeys;
 }
@@ -120,7 +120,7 @@
   return false;
 }
 
-double gateway_core::impl::quota_amount(const exchange& x) const {
+double gateway_view::quota_amount(const exchange& x) const {
   const auto& quota = x.owner->quota;
   if (quota.unit == quota_unit::requests) return 1;
   if (!x.facts.tells_tokens) return quota.tokens_if_untold;
@@ -140,7 +140,7 @@
   ask_accountant(x);
 }
 
-std::vector<member_address> gateway_core::impl::accountants_to_ask(
+std::vector<member_address> gateway_view::accountants_to_ask(
     const exchange& x) const {
   auto order = first_members(x.owner->hash, staying_,
                              kAccountants + kFurtherAccountants);
@@ -259,7 +259,7 @@
   accounts_.update(now_, *config_, view_of_fleet());
 }
 
-fleet_view gateway_core::impl::view_of_fleet() const {
+fleet_view gateway_view::view_of_fleet() const {
   fleet_view view;
   view.staying = staying_;
   for (const auto& member : roster_.silent(now_)) {
