--- a/review/standin.cc
+++ b/review/standin.cc
@@ -371,7 +371,7 @@
 constexpr milliseconds kLapse = 3600ms;
 
 /** Replicas of the plain service that are killed one by one, at most. */
-constexpr int kMostKills = 26;
+constexpr int kMostKills = 34;
 /** Part of the answers that come a second time. */
 constexpr double kRepeatedPart = 0.06;
 
@@ -833,7 +833,7 @@
     auto* each = all[static_cast<std::size_t>(kill) % all.size()];
     if (trouble == trouble_kind::all) each->repeated_part = kRepeatedPart;
     if (trouble != trouble_kind::none) each->crash(500ms);
-    std::this_thread::sleep_for(4s);
+    std::this_thread::sleep_for(3s);
   }
   stop = true;
   for (auto& caller : callers) caller.join();
