Review: a cut stream ends as a whole one (case 3)

A stream without a length whose replica is killed within an event is passed on with half an event and in order to its end.

--- a/review/standin.cc
+++ b/review/standin.cc
@@ -5,11 +5,12 @@
 //
 //   standin CASE TROUBLE STORE_FILE FRONT READY [FRONT READY]...
 //
-// CASE is `doubled` or `overfull`. With TROUBLE 0 nothing goes wrong, with
-// `single` all but the second answers, else all. The address of the store is
-// written to STORE_FILE; FRONT and READY are the addresses of each instance.
-// What was sent, answered and run goes to standard output. Ends with 1 if the
-// rule was broken, 0 if it held, 2 if the case could not be played.
+// CASE is `doubled`, `overfull` or `cut`. With TROUBLE 0 nothing goes wrong,
+// with `single` replicas are killed and callers leave, but all answers are
+// sound. The address of the store is written to STORE_FILE; FRONT and READY are
+// the addresses of each instance. What was sent, answered and run goes to
+// standard output. Ends with 1 if the rule was broken, 0 if it held, 2 if the
+// case could not be played.
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -375,6 +376,10 @@
 /** Part of the answers that come a second time. */
 constexpr double kRepeatedPart = 0.06;
 
+/** Kills of engines at most, and the part of streams without a length. */
+constexpr int kRoundsOfStreams = 14;
+constexpr double kUnframedPart = 0.1;
+
 /** How often each request has run, and where. */
 std::map<std::string, std::vector<std::string>> runs;
 /** Where an order went beyond a replica's places. */
@@ -393,6 +398,8 @@
 
   /** So many of its answers are followed, late, by the same once more. */
   std::atomic<double> repeated_part = 0;
+  /** So many of its streams have no length: they end with the connection. */
+  std::atomic<double> unframed_part = 0;
   /** An order to unload finds a late second answer to the last request. */
   std::atomic<bool> repeats_answers = false;
 
@@ -505,10 +512,14 @@
     return sent;
   }
 
+  bool draw(double part) {
+    const std::scoped_lock lock(world);
+    return std::uniform_real_distribution<double>(0, 1)(random_) < part;
+  }
+
   /** Some answers come once more, where the next one is due. */
   bool send_answer(link& c, const std::string& text) {
-    std::uniform_real_distribution<double> draw(0, 1);
-    if (draw(random_) < repeated_part) c.owed = text;
+    if (draw(repeated_part)) c.owed = text;
     return c.send(text);
   }
 
@@ -527,19 +538,34 @@
    */
   bool stream(link& c, const message& m, const std::string& stamp) {
     const int events = std::max(3, std::atoi(m.body.c_str()));
+    const bool is_framed = !draw(unframed_part);
     std::string body;
-    bool open = c.send("HTTP/1.1 200 OK\r\n" + stamp +
-                       "Content-Type: text/event-stream\r\n"
-                       "Transfer-Encoding: chunked\r\n\r\n");
-    for (int i = 1; i <= events; ++i) {
-      std::this_thread::sleep_for(20ms);
+    std::string head = "HTTP/1.1 200 OK\r\n" + stamp;
+    head += "Content-Type: text/event-stream\r\n";
+    head += is_framed ? "Transfer-Encoding: chunked\r\n\r\n"
+                      : "Connection: close\r\n\r\n";
+    bool open = c.send(head);
+    if (!is_framed) {
+      record("stream of " + m.header("x-request-id") + " has no length");
+    }
+    for (int i = 1; i <= events && (open || is_framed); ++i) {
       const auto event =
           "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+      std::this_thread::sleep_for(8ms);
+      if (!is_framed) {
+        // An event leaves the replica in two pieces.
+        open = open && c.send(event.substr(0, event.size() / 2));
+        std::this_thread::sleep_for(12ms);
+        open = open && c.send(event.substr(event.size() / 2));
+        continue;
+      }
+      std::this_thread::sleep_for(12ms);
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
       open = open && c.send(size + event + "\r\n");
       body += event;
     }
+    if (!is_framed) return false;
     open = open && c.send("0\r\n\r\n");
     if (open && repeats_answers) c.owed = answer_text(200, body, stamp);
     return open;
@@ -719,16 +745,21 @@
          r.body;
 }
 
-/** Sends a request; returns the status of its whole answer; 0: none. */
-int call(const std::string& front, const caller_request& r) {
+/** Sends a request; returns its whole answer; none: it came to no end. */
+std::optional<message> ask(const std::string& front, const caller_request& r) {
   record("send " + r.id + " to " + front + " " + r.path + " " + r.model);
   const auto c = connect_to(front, milliseconds(r.deadline_ms + 500));
-  int status = 0;
-  if (c && c->send(request_text(r))) {
-    if (const auto answer = c->read()) status = answer->status();
-  }
-  record("answer " + r.id + " " + std::to_string(status));
-  return status;
+  std::optional<message> answer;
+  if (c && c->send(request_text(r))) answer = c->read();
+  record("answer " + r.id + " " +
+         std::to_string(answer ? answer->status() : 0));
+  return answer;
+}
+
+/** Sends a request; returns the status of its whole answer; 0: none. */
+int call(const std::string& front, const caller_request& r) {
+  const auto answer = ask(front, r);
+  return answer ? answer->status() : 0;
 }
 
 /** Sends a request and leaves after a time. */
@@ -916,6 +947,67 @@
   return overfull.empty() ? 0 : 1;
 }
 
+/** Engines are killed in the middle of streams, some of them without length. */
+int play_cut(store& s, const std::vector<instance>& fleet,
+             trouble_kind trouble) {
+  replica one(s, "i-llm1", "z1", true);
+  replica two(s, "i-llm2", "z2", true);
+  replica desk(s, "i-desk1", "z1", false);
+  s.put("op/config", configuration());
+  if (!await_ready(fleet)) return 2;
+  constexpr int kStreams = 16;
+  constexpr int kEvents = 60;
+  std::atomic<int> whole = 0;
+  std::atomic<int> broken = 0;
+  const auto one_stream = [&](int round, int n) {
+    caller_request r;
+    r.path = "/draft/x";
+    r.model = std::string(kModel) + "/a" + std::to_string(n % 8);
+    r.body = std::to_string(kEvents);
+    r.deadline_ms = 15000;
+    const auto name = "s" + std::to_string(round) + "-" + std::to_string(n);
+    for (int attempt = 1; attempt <= 4; ++attempt) {
+      r.id = name + "-" + std::to_string(attempt);
+      const auto& front = fleet[static_cast<std::size_t>(n) % fleet.size()];
+      const auto answer = ask(front.front, r);
+      if (answer && answer->status() == 503) {
+        std::this_thread::sleep_for(300ms);
+        continue;
+      }
+      if (!answer || answer->status() != 200) return;
+      const auto last = "id: " + std::to_string(kEvents) + "\n";
+      if (answer->body.find(last) != std::string::npos) {
+        ++whole;
+      } else if (!answer->body.ends_with("\n\n")) {
+        ++broken;
+        record("BROKEN ORDER: " + r.id +
+               " ends as complete within an event, after " +
+               answer->body.substr(answer->body.rfind("id: ")));
+      } else {
+        record("not counted: " + r.id + " ends as complete between events");
+      }
+      return;
+    }
+  };
+  for (int round = 0; round < kRoundsOfStreams && broken == 0; ++round) {
+    if (trouble == trouble_kind::all) {
+      one.unframed_part = kUnframedPart;
+      two.unframed_part = kUnframedPart;
+    }
+    std::vector<std::thread> callers;
+    for (int n = 0; n < kStreams; ++n) {
+      callers.emplace_back([&, round, n] { one_stream(round, n); });
+    }
+    std::this_thread::sleep_for(1s + milliseconds(round * 7 % 20));
+    if (trouble != trouble_kind::none) (round % 2 == 0 ? one : two).crash(2s);
+    for (auto& caller : callers) caller.join();
+    std::this_thread::sleep_for(2s);
+  }
+  record(std::to_string(whole) + " streams came whole");
+  if (whole < kStreams) return 2;
+  return broken > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -940,6 +1032,7 @@
   int result = 2;
   if (name == "doubled") result = play_doubled(*s, fleet, trouble);
   if (name == "overfull") result = play_overfull(*s, fleet, trouble);
+  if (name == "cut") result = play_cut(*s, fleet, trouble);
   record("result " + std::to_string(result));
   std::fflush(stdout);
   std::_Exit(result);
