Answers tell their framing and how they ended, in the log and metrics

The logs of the incident couldn't tell whether a short answer that passed as whole had a length, chunks or neither, nor whether its last event was complete. answered and call_broken name it; seamglade_target_answers_total counts it. The end of a call is one type for connections and decisions.

The framing is read from the head: it was told only where bytes of the body came with the head, so that the check for a skipped answer without a length missed one whose head came alone.

No decision changes.

--- a/fakes/gateway_world_crashes.cc
+++ b/fakes/gateway_world_crashes.cc
@@ -104,7 +104,7 @@
     auto& i = *instances_.at(open.who);
     if (i.life != open.life || i.cancelled.contains(open.call)) continue;
     i.cancelled.insert(open.call);
-    post(i, event::answer_end{open.call, event::answer_end::how::broken});
+    post(i, event::answer_end{open.call, call_end::closed});
   }
 }
 
--- a/fakes/gateway_world_regions.cc
+++ b/fakes/gateway_world_regions.cc
@@ -99,7 +99,7 @@
             id, 200, "", {{"X-Request-Id", request}, {"X-Server-Stamp", "s"}}});
     post(i, event::answer_data{id, std::make_shared<const std::string>(
                                        "id: 1\ndata: " + request + "\n\n")});
-    post(i, event::answer_end{id, event::answer_end::how::broken});
+    post(i, event::answer_end{id, call_end::closed});
   });
   return true;
 }
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -49,7 +49,7 @@
     if (i.life != life || i.cancelled.contains(call.call)) return;
     auto* t = by_address(call.address);
     if (t == nullptr || t->down) {
-      post(i, event::answer_end{call.call, event::answer_end::how::not_sent});
+      post(i, event::answer_end{call.call, call_end::not_sent});
       return;
     }
     if (t->dark) return;
@@ -127,7 +127,7 @@
     later(*work, [this, who, life, id = call.call] {
       auto& i = *instances_.at(who);
       if (i.life != life || i.cancelled.contains(id)) return;
-      post(i, event::answer_end{id, event::answer_end::how::broken});
+      post(i, event::answer_end{id, call_end::closed});
     });
     return;
   }
@@ -237,7 +237,7 @@
       post(i, event::answer_data{
                   call, std::make_shared<const std::string>(std::move(body))});
     }
-    post(i, event::answer_end{call, event::answer_end::how::complete});
+    post(i, event::answer_end{call, call_end::complete});
   });
 }
 
--- /dev/null
+++ b/include/seamglade/answer_end.h
@@ -0,0 +1,42 @@
+// seamglade - how the end of an answer is marked, and how it came
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_ANSWER_END_H_
+#define SEAMGLADE_ANSWER_END_H_
+
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace seamglade::gateway {
+
+/** What marks the end of an answer's body (RFC 9112, section 6.3). */
+enum class body_framing : std::uint8_t {
+  length,     // a length, or a status that has no body
+  chunked,    // a last chunk
+  connection  // nothing but the end of the connection
+};
+
+std::string_view to_string(body_framing framing);
+
+/** How a call ended. */
+enum class call_end : std::uint8_t {
+  complete,  // the answer was read up to its end
+  not_sent,  // no connection came up: nothing reached the other side
+  closed,    // the connection was closed before the answer's end
+  reset,     // the connection failed before the answer's end
+  malformed  // what came is no answer, or belongs to no call
+};
+
+std::string_view to_string(call_end end);
+
+/** Counts the calls that got a head, by framing and end. */
+using answer_end_counts =
+    std::map<std::pair<body_framing, call_end>, std::uint64_t>;
+
+}  // namespace seamglade::gateway
+
+#endif  // SEAMGLADE_ANSWER_END_H_
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "seamglade/answer_end.h"
 #include "seamglade/controller.h"
 #include "seamglade/dialect.h"
 #include "seamglade/gateway_peers.h"
@@ -40,15 +41,15 @@
   int status = 0;
   std::string reason;
   std::vector<http_header> headers;
+  body_framing framing = body_framing::length;
 };
 struct answer_data {
   call_id call = 0;
   std::shared_ptr<const std::string> data;
 };
-/** How a call to a target ended. */
 struct answer_end {
   call_id call = 0;
-  enum class how : std::uint8_t { complete, not_sent, broken } end;
+  call_end end = call_end::complete;
 };
 struct order_answer {
   engine_call_id call = 0;
@@ -265,6 +266,8 @@
   std::size_t calling = 0;
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
+  /** Calls of requests to targets. */
+  answer_end_counts answer_ends;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
   std::uint64_t cut = 0;
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -48,18 +48,6 @@
 
 }  // namespace
 
-std::string_view to_string(call_end end) {
-  switch (end) {
-    case call_end::complete:
-      return "complete";
-    case call_end::not_sent:
-      return "not_sent";
-    case call_end::broken:
-      return "broken";
-  }
-  return "";
-}
-
 call_client::call_client(event_base* base) : base_(base) {}
 call_client::~call_client() = default;
 
@@ -175,9 +163,12 @@
     case phase::calling:
       break;
   }
-  const bool in_order = (what & BEV_EVENT_EOF) != 0;
-  const bool whole = in_order && c.head_given && c.reader->end_of_stream();
-  end_call(c, whole ? call_end::complete : call_end::broken);
+  if ((what & BEV_EVENT_EOF) == 0) {
+    end_call(c, call_end::reset);
+    return;
+  }
+  const bool whole = c.head_given && c.reader->end_of_stream();
+  end_call(c, whole ? call_end::complete : call_end::closed);
 }
 
 void call_client::on_readable(connection& c) {
@@ -194,7 +185,7 @@
   while (evbuffer_get_length(in) > 0) {
     const auto progress = c.reader->read(in);
     if (progress == parse_progress::failed) {
-      end_call(c, call_end::broken);
+      end_call(c, call_end::malformed);
       return;
     }
     if (c.reader->head_complete() && !c.head_given && !c.skipping) {
@@ -225,7 +216,7 @@
 
 bool call_client::give_head(connection& c) {
   if (c.reader->head().status == kSwitching) {
-    end_call(c, call_end::broken);
+    end_call(c, call_end::malformed);
     return false;
   }
   if (!belongs_to_call(c)) {
@@ -234,8 +225,8 @@
     if (c.reader->head().status >= kFirstFinalStatus) {
       ++counts_.skipped_answers;
     }
-    if (c.reader->head().until_close) {
-      end_call(c, call_end::broken);
+    if (c.reader->head().framing == body_framing::connection) {
+      end_call(c, call_end::malformed);
       return false;
     }
     return true;
@@ -252,7 +243,7 @@
   if (bytes.empty()) return true;
   if (c.skipping || !c.head_given) {
     if (bytes.size() <= kMaxSkipped) return true;
-    end_call(c, call_end::broken);
+    end_call(c, call_end::malformed);
     return false;
   }
   const auto call = c.call;
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -34,14 +34,8 @@
   std::string answer_value;
 };
 
-/** How a call ended. */
-enum class call_end : std::uint8_t {
-  complete,  // the whole answer was handed out
-  not_sent,  // no connection came up: nothing reached the other side
-  broken     // the connection ended or carried something else
-};
-
-std::string_view to_string(call_end end);
+using gateway::body_framing;
+using gateway::call_end;
 
 /**
  * Makes calls and keeps connections for the next ones.
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -216,12 +216,15 @@
 
 void answer_reader::on_header_impl(error_code&) {
   drop_named(head_.headers, connection_names_);
+  if (chunked()) {
+    head_.framing = gateway::body_framing::chunked;
+  } else if (need_eof()) {
+    head_.framing = gateway::body_framing::connection;
+  }
 }
 
-void answer_reader::on_body_init_impl(
-    const boost::optional<std::uint64_t>& length, error_code&) {
-  head_.until_close = !length && !chunked();
-}
+void answer_reader::on_body_init_impl(const boost::optional<std::uint64_t>&,
+                                      error_code&) {}
 
 std::size_t answer_reader::on_body_impl(string_view body, error_code&) {
   body_.append(body.data(), body.size());
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "seamglade/answer_end.h"
 #include "seamglade/gateway_types.h"
 
 namespace seamglade::detail {
@@ -84,8 +85,7 @@
   std::vector<http_header> headers;
   /** Seconds that the target keeps an idle connection; 0: not said. */
   std::uint32_t keep_alive_seconds = 0;
-  /** The body ends with the connection. */
-  bool until_close = false;
+  gateway::body_framing framing = gateway::body_framing::length;
 };
 
 /** Reads one answer; its body is handed out as it comes. */
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -44,6 +44,7 @@
   x->status = e.status;
   x->reason = std::move(e.reason);
   x->headers = std::move(e.headers);
+  x->framing = e.framing;
   x->answer = platform_.read_answer(x->status, x->headers);
   note_answer(*x);
   hear_answer(*x);
@@ -85,9 +86,9 @@
 void gateway_core::impl::on(event::answer_end&& e) {
   auto* x = by_call(e.call);
   if (x == nullptr) return;
-  using how = event::answer_end::how;
-  note_end(*x, e.end == how::complete);
-  if (e.end == how::not_sent) {
+  note_end(*x, e.end == call_end::complete);
+  if (x->status != 0) ++counts_.answer_ends[{x->framing, e.end}];
+  if (e.end == call_end::not_sent) {
     end_call(*x, false, true);
     --x->runs;
     ++x->unsent_tries;
@@ -98,10 +99,10 @@
     }
     return;
   }
-  const bool whole = e.end == how::complete;
+  const bool whole = e.end == call_end::complete;
   const bool good = x->status >= kOk && x->status < kMultipleChoices;
   if (!whole || (good && !x->answer.is_signed) || x->status < kOk) {
-    broken_call(*x);
+    broken_call(*x, e.end);
     return;
   }
   if (good) {
@@ -116,10 +117,13 @@
   if (auto* target = target_of(x)) targets_.succeeded(*target);
   end_call(x, true, false);
   ++counts_.answered;
-  log("answered", {{"request", x.facts.id},
-                   {"target", x.target},
-                   {"status", x.status},
-                   {"after_ms", to_ms(now_ - x.started)}});
+  log("answered",
+      {{"request", x.facts.id},
+       {"target", x.target},
+       {"status", x.status},
+       {"framing", std::string(to_string(x.framing))},
+       {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
+       {"after_ms", to_ms(now_ - x.started)}});
   if (x.way->stream) {
     send_stream_data(x, true);
     do_act(action::reply_end{x.caller});
@@ -186,7 +190,7 @@
   pass_on(x);
 }
 
-void gateway_core::impl::broken_call(exchange& x) {
+void gateway_core::impl::broken_call(exchange& x, call_end end) {
   end_call(x, false, false);
   // No longer among the runs that a quarantine stops.
   x.now = exchange::phase::waiting;
@@ -197,6 +201,9 @@
       {{"request", x.facts.id},
        {"target", x.target},
        {"status", x.status},
+       {"framing", std::string(to_string(x.framing))},
+       {"end", std::string(to_string(end))},
+       {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
        {"from", static_cast<std::int64_t>(x.message.caller_address)},
        {"content", to_hex(x.fingerprint.content)},
        {"after_ms", to_ms(now_ - x.called_at)}},
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -62,6 +62,7 @@
   x.tried.insert(x.target);
   ++x.runs;
   x.status = 0;
+  x.framing = body_framing::length;
   x.headers.clear();
   x.body.clear();
   x.answer = {};
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -425,7 +425,7 @@
   void end_call(exchange& x, bool success, bool severe);
   void whole_answer(exchange& x);
   void failed_answer(exchange& x);
-  void broken_call(exchange& x);
+  void broken_call(exchange& x, call_end end);
   bool may_retry(exchange& x, bool ran);
   void retry(exchange& x, std::string_view reason);
   void give_up(exchange& x);
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -45,6 +45,22 @@
   return out;
 }
 
+prometheus::MetricFamily answer_end_family(
+    const gateway::answer_end_counts& counts) {
+  prometheus::MetricFamily out;
+  out.name = "seamglade_target_answers_total";
+  out.help = "Answers of targets to requests, by framing and end";
+  out.type = prometheus::MetricType::Counter;
+  for (const auto& [key, count] : counts) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"framing", std::string(to_string(key.first))},
+                    {"end", std::string(to_string(key.second))}};
+    metric.counter.value = static_cast<double>(count);
+    out.metric.push_back(std::move(metric));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string metrics_page(const gateway::gateway_status& status,
@@ -141,6 +157,7 @@
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
   out.push_back(datagram_family(datagrams));
+  out.push_back(answer_end_family(status.answer_ends));
   gauge("seamglade_ready", "Whether new connections are taken",
         status.ready ? 1 : 0);
   gauge("seamglade_configuration_version", "Configuration in force",
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -268,18 +268,15 @@
   const auto id = a.call;
   call_client::handlers on;
   on.head = [this, id](const answer_head& head) {
-    post(event::answer_head{id, head.status, head.reason, head.headers});
+    post(event::answer_head{id, head.status, head.reason, head.headers,
+                            head.framing});
   };
   on.data = [this, id](std::shared_ptr<const std::string> data) {
     post(event::answer_data{id, std::move(data)});
   };
   on.end = [this, id](call_end end) {
-    using how = event::answer_end::how;
     target_calls_.erase(id);
-    const auto told = end == call_end::complete   ? how::complete
-                      : end == call_end::not_sent ? how::not_sent
-                                                  : how::broken;
-    post(event::answer_end{id, told});
+    post(event::answer_end{id, end});
   };
   target_calls_[id] = calls_.start(std::move(call), std::move(on));
 }
--- /dev/null
+++ b/src/request/answer_end.cc
@@ -0,0 +1,38 @@
+// seamglade - how the end of an answer is marked, and how it came
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "seamglade/answer_end.h"
+
+namespace seamglade::gateway {
+
+std::string_view to_string(body_framing framing) {
+  switch (framing) {
+    case body_framing::length:
+      return "length";
+    case body_framing::chunked:
+      return "chunked";
+    case body_framing::connection:
+      break;
+  }
+  return "connection";
+}
+
+std::string_view to_string(call_end end) {
+  switch (end) {
+    case call_end::complete:
+      return "complete";
+    case call_end::not_sent:
+      return "not_sent";
+    case call_end::closed:
+      return "closed";
+    case call_end::reset:
+      return "reset";
+    case call_end::malformed:
+      break;
+  }
+  return "malformed";
+}
+
+}  // namespace seamglade::gateway
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -21,6 +21,8 @@
   std::string take_rest();
   /** Drops the beginning of an event that a target broke off. */
   void drop_rest() { pending_.clear(); }
+  /** Returns the bytes that have come of an event that is not whole. */
+  std::size_t unfinished() const { return pending_.size(); }
   /** Returns the id of the last whole event taken; empty: none. */
   const std::string& last_id() const { return last_id_; }
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "request/event_stream.h"
+#include "seamglade/answer_end.h"
 #include "seamglade/controller.h"
 #include "seamglade/gateway_peers.h"
 #include "seamglade/gateway_types.h"
@@ -113,6 +114,7 @@
   std::string reason;
   std::vector<http_header> headers;
   answer_facts answer;
+  body_framing framing = body_framing::length;
   std::string body;
   bool head_sent = false;
   event_stream events;
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -16,6 +16,72 @@
 
 constexpr duration kPatience = 3s;
 
+/** Sends one answer, piece by piece, and ends its connection. */
+class raw_target {
+ public:
+  enum class ending : std::uint8_t { close, reset, none };
+
+  raw_target(event_base* base, std::vector<std::string> pieces, ending how)
+      : pieces_(std::move(pieces)), how_(how) {
+    auto where = to_socket_address({"127.0.0.1", 0});
+    const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
+                             int, void* self) {
+      static_cast<raw_target*>(self)->accept(fd);
+    };
+    listener_.reset(evconnlistener_new_bind(
+        base, accepted, this, LEV_OPT_CLOSE_ON_FREE, 1,
+        reinterpret_cast<sockaddr*>(&where), sizeof(where)));
+    const auto tick = [](evutil_socket_t, short, void* self) {
+      static_cast<raw_target*>(self)->step();
+    };
+    timer_.reset(event_new(base, -1, EV_PERSIST, tick, this));
+  }
+  ~raw_target() {
+    if (fd_ >= 0) close(fd_);
+  }
+  raw_target(const raw_target&) = delete;
+  raw_target& operator=(const raw_target&) = delete;
+
+  std::string address() const {
+    return bound_endpoint(evconnlistener_get_fd(listener_.get())).str();
+  }
+
+ private:
+  void accept(evutil_socket_t fd) {
+    fd_ = fd;
+    evutil_make_socket_nonblocking(fd);
+    const auto wait = to_timeval(20ms);
+    event_add(timer_.get(), &wait);
+  }
+
+  void step() {
+    char request[4096];
+    // Unread bytes would turn the close into a reset.
+    while (recv(fd_, request, sizeof(request), 0) > 0) {
+    }
+    if (next_ < pieces_.size()) {
+      const auto& piece = pieces_[next_++];
+      EXPECT_EQ(send(fd_, piece.data(), piece.size(), 0),
+                static_cast<ssize_t>(piece.size()));
+      return;
+    }
+    event_del(timer_.get());
+    if (how_ == ending::none) return;
+    if (how_ == ending::reset) {
+      const linger reset{1, 0};
+      setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    close(std::exchange(fd_, -1));
+  }
+
+  std::vector<std::string> pieces_;
+  ending how_;
+  std::size_t next_ = 0;
+  evutil_socket_t fd_ = -1;
+  listener_handle listener_;
+  event_handle timer_;
+};
+
 /** A server that answers by a rule, and a client, on one loop. */
 class gateway_http : public testing::Test {
  protected:
@@ -55,22 +121,25 @@
 
   struct outcome_of_call {
     int status = 0;
+    body_framing framing = body_framing::length;
     std::string body;
     std::optional<call_end> end;
   };
 
   std::shared_ptr<outcome_of_call> call(outgoing_call what) {
     auto out = std::make_shared<outcome_of_call>();
-    client_.start(
-        std::move(what),
-        {[out](const answer_head& head) { out->status = head.status; },
-         [out](const std::shared_ptr<const std::string>& data) {
-           out->body += *data;
-         },
-         [this, out](call_end end) {
-           out->end = end;
-           stop();
-         }});
+    client_.start(std::move(what),
+                  {[out](const answer_head& head) {
+                     out->status = head.status;
+                     out->framing = head.framing;
+                   },
+                   [out](const std::shared_ptr<const std::string>& data) {
+                     out->body += *data;
+                   },
+                   [this, out](call_end end) {
+                     out->end = end;
+                     stop();
+                   }});
     return out;
   }
 
@@ -209,10 +278,96 @@
   };
   const auto out = call(get("/x"));
   run();
-  EXPECT_EQ(out->end, call_end::broken);
+  EXPECT_EQ(out->end, call_end::closed);
   EXPECT_EQ(out->body, "half");
 }
 
+struct answer_case {
+  std::string what;
+  std::vector<std::string> pieces;
+  raw_target::ending ending;
+  body_framing framing;
+  call_end end;
+};
+
+TEST_F(gateway_http, tells_how_an_answer_is_framed_and_how_it_ended) {
+  using ending = raw_target::ending;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string length = head + "Content-Length: 4\r\n\r\n";
+  const std::string chunks = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string neither = head + "\r\n";
+  const std::vector<answer_case> cases{{"length, whole",
+                                        {length, "body"},
+                                        ending::none,
+                                        body_framing::length,
+                                        call_end::complete},
+                                       {"length, closed",
+                                        {length, "bo"},
+                                        ending::close,
+                                        body_framing::length,
+                                        call_end::closed},
+                                       {"length, reset",
+                                        {length, "bo"},
+                                        ending::reset,
+                                        body_framing::length,
+                                        call_end::reset},
+                                       {"chunks, whole",
+                                        {chunks, "4\r\nbody\r\n", "0\r\n\r\n"},
+                                        ending::none,
+                                        body_framing::chunked,
+                                        call_end::complete},
+                                       {"chunks, closed behind a chunk",
+                                        {chunks, "4\r\nbody\r\n"},
+                                        ending::close,
+                                        body_framing::chunked,
+                                        call_end::closed},
+                                       {"chunks, closed within the last one",
+                                        {chunks, "4\r\nbody\r\n", "0\r\n"},
+                                        ending::close,
+                                        body_framing::chunked,
+                                        call_end::closed},
+                                       {"chunks, reset",
+                                        {chunks, "4\r\nbody\r\n"},
+                                        ending::reset,
+                                        body_framing::chunked,
+                                        call_end::reset},
+                                       {"neither, closed",
+                                        {neither, "body"},
+                                        ending::close,
+                                        body_framing::connection,
+                                        call_end::complete},
+                                       {"neither, head and body at once",
+                                        {neither + "body"},
+                                        ending::close,
+                                        body_framing::connection,
+                                        call_end::complete},
+                                       {"neither, reset",
+                                        {neither, "bo"},
+                                        ending::reset,
+                                        body_framing::connection,
+                                        call_end::reset},
+                                       {"closed within the head",
+                                        {"HTTP/1.1 200 OK\r\nX-A: 1\r\n"},
+                                        ending::close,
+                                        body_framing::length,
+                                        call_end::closed},
+                                       {"no HTTP",
+                                        {"nonsense\r\n\r\n"},
+                                        ending::close,
+                                        body_framing::length,
+                                        call_end::malformed}};
+  for (const auto& c : cases) {
+    raw_target target(base_.get(), c.pieces, c.ending);
+    auto what = get("/x");
+    what.address = target.address();
+    const auto out = call(what);
+    run();
+    EXPECT_EQ(out->framing, c.framing) << c.what;
+    ASSERT_TRUE(out->end) << c.what;
+    EXPECT_EQ(to_string(*out->end), to_string(c.end)) << c.what;
+  }
+}
+
 TEST_F(gateway_http, a_caller_that_leaves_is_noticed) {
   on_request_ = [](caller_id, const gateway::caller_message&) {};
   auto what = get("/x");
