--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -150,6 +150,19 @@
   void lose_answers(const std::string& id, double share);
   /** The target ends this share of its streams behind the first event. */
   void cut_streams(const std::string& id, double share);
+  /** From now on an engine sends its streams so. */
+  void send_streams(const std::string& id, const fake_stream& how);
+  /** Returns a stream's events behind the first `skipped`, as they are sent. */
+  static std::string stream_text(const std::string& request,
+                                 const fake_stream& how,
+                                 std::size_t skipped = 0);
+  /**
+   * Returns whether an answer to a request had nothing that marks its end, and
+   * was broken off between two events: nothing shows that.
+   */
+  bool was_cut_unseen(const std::string& request) const {
+    return cut_unseen_.contains(request);
+  }
   /** Returns who has a watch of the whole store under way. */
   std::set<gateway::member_address> watchers() const;
   void publish_configuration(std::uint64_t version,
@@ -248,6 +261,12 @@
   /** Returns whether a stream is to end early; then that is on its way. */
   bool cuts_stream(const instance& from, const target& at,
                    const gateway::action::call_target& call);
+  struct stream_run;
+  void begin_stream(const instance& from, target& at,
+                    const gateway::action::call_target& call, duration after);
+  void send_piece(const std::shared_ptr<stream_run>& run);
+  void end_stream(stream_run& run, fake_stream::ending how);
+  void judge_pace(const stream_run& run);
   /** Judges a run by the regions of its service and its workspace. */
   void judge_region(const target& at, const gateway_call& call);
   std::string region_of(const std::string& domain) const;
@@ -355,6 +374,7 @@
   std::map<std::string, gateway_call*> calls_by_id_;
   std::map<std::string, std::size_t> runs_;
   std::map<std::string, std::set<std::string>> run_domains_;
+  std::set<std::string> cut_unseen_;
   /** Since when a failure domain has been evacuated. */
   std::map<std::string, time_point> evacuated_;
   std::map<caller_id, gateway_call*> open_calls_;
--- a/fakes/gateway_world_crashes.cc
+++ b/fakes/gateway_world_crashes.cc
@@ -103,6 +103,10 @@
   for (const auto& open : std::exchange(at.open_calls, {})) {
     auto& i = *instances_.at(open.who);
     if (i.life != open.life || i.cancelled.contains(open.call)) continue;
+    if (open.stream && open.stream->is_begun) {
+      end_stream(*open.stream, fake_stream::ending::close);
+      continue;
+    }
     i.cancelled.insert(open.call);
     post(i, event::answer_end{open.call, call_end::closed});
   }
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -31,6 +31,14 @@
 /** Unix time at which a world begins. */
 inline constexpr std::uint64_t kFirstStartMs = 1'790'000'000'000;
 
+inline std::string header_of(const std::vector<http_header>& headers,
+                             std::string_view name) {
+  for (const auto& header : headers) {
+    if (header.name == name) return header.value;
+  }
+  return {};
+}
+
 struct gateway_world::instance {
   member_address address = 0;
   std::string domain;
@@ -51,6 +59,25 @@
   time_point link_free_at;
 };
 
+/** A stream that an engine sends. */
+struct gateway_world::stream_run {
+  member_address who = 0;
+  std::uint64_t life = 0;
+  call_id call = 0;
+  std::string request;
+  target* at = nullptr;
+  std::size_t blackouts = 0;
+  fake_stream how;
+  std::string text;
+  /** Where its events end. */
+  std::vector<std::size_t> event_ends;
+  std::size_t sent = 0;
+  bool is_begun = false;
+  bool is_over = false;
+  /** Bytes that the caller had before. */
+  std::size_t had = 0;
+};
+
 struct gateway_world::target {
   std::string id;
   std::string service;
@@ -76,6 +103,8 @@
     std::uint64_t life = 0;
     call_id call = 0;
     std::string content;
+    /** Of what is sent piece by piece. */
+    std::shared_ptr<stream_run> stream = {};
   };
   std::vector<open_call> open_calls;
   /** Its answers say that it leaves, whatever its entry says. */
@@ -106,6 +135,7 @@
   std::map<member_address, heard_word> told;
   duration slower{};
   double cut_streams = 0;
+  std::optional<fake_stream> streams;
   bool has_model = true;
   bool busy = false;
   std::map<std::string, std::uint32_t> adapters;
--- /dev/null
+++ b/fakes/gateway_world_streams.cc
@@ -0,0 +1,160 @@
+// seamglade - the direct path's world: streams in any framing, broken off
+// anywhere
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "gateway_world_impl.h"
+
+namespace seamglade::fakes {
+namespace {
+
+using gateway::body_framing;
+using gateway::call_end;
+
+constexpr std::size_t kMostPiece = 24;
+
+/** Returns the lines of an event, the empty one that ends it included. */
+std::vector<std::string> event_lines(const std::string& request,
+                                     std::size_t number) {
+  std::vector<std::string> lines{fmt::format("id: {}", number)};
+  if (number % 3 == 0) lines.emplace_back(": comment");
+  lines.push_back(fmt::format("data: {} {}", request, number));
+  if (number % 2 == 0) lines.emplace_back("data: second line");
+  lines.emplace_back();
+  return lines;
+}
+
+struct stream_body {
+  std::string text;
+  std::vector<std::size_t> event_ends;
+};
+
+stream_body make_body(const std::string& request, const fake_stream& how,
+                      std::size_t skipped) {
+  stream_body out;
+  std::size_t line_number = 0;
+  for (auto number = skipped + 1; number <= how.events; ++number) {
+    for (const auto& line : event_lines(request, number)) {
+      auto end = how.line_ends[line_number % how.line_ends.size()];
+      // Behind a carriage return a line feed would end the same line.
+      if (line.empty() && out.text.ends_with('\r')) end = "\r\n";
+      out.text += line + end;
+      ++line_number;
+    }
+    out.event_ends.push_back(out.text.size());
+  }
+  return out;
+}
+
+call_end end_of_call(body_framing framing, fake_stream::ending how) {
+  if (how == fake_stream::ending::reset) return call_end::reset;
+  const bool is_marked = framing != body_framing::connection;
+  return is_marked ? call_end::closed : call_end::complete;
+}
+
+}  // namespace
+
+void gateway_world::send_streams(const std::string& id,
+                                 const fake_stream& how) {
+  targets_.at(id)->streams = how;
+}
+
+std::string gateway_world::stream_text(const std::string& request,
+                                       const fake_stream& how,
+                                       std::size_t skipped) {
+  return make_body(request, how, skipped).text;
+}
+
+void gateway_world::begin_stream(const instance& from, target& at,
+                                 const action::call_target& call,
+                                 duration after) {
+  auto run = std::make_shared<stream_run>();
+  run->who = from.address;
+  run->life = from.life;
+  run->call = call.call;
+  run->request = call.request_id;
+  run->at = &at;
+  run->blackouts = at.blackouts;
+  run->how = *at.streams;
+  const auto last = header_of(call.headers, "Last-Event-Id");
+  auto body =
+      make_body(run->request, run->how, last.empty() ? 0 : std::stoul(last));
+  run->text = std::move(body.text);
+  run->event_ends = std::move(body.event_ends);
+  const bool is_cut =
+      std::uniform_real_distribution<>(0, 1)(random_) < run->how.cut_share;
+  if (is_cut) run->how.cut_at = random_() % (run->text.size() + 1);
+  if (!at.open_calls.empty()) at.open_calls.back().stream = run;
+  later(after, [this, run] {
+    auto& i = *instances_.at(run->who);
+    const bool is_gone = i.life != run->life || i.cancelled.contains(run->call);
+    if (is_gone || run->at->blackouts != run->blackouts) return;
+    run->is_begun = true;
+    run->had = calls_by_id_.at(run->request)->body.size();
+    std::vector<http_header> headers{{"X-Request-Id", run->request},
+                                     {"X-Server-Stamp", "s"}};
+    add_limit(*run->at, headers);
+    if (run->at->says_leaving) headers.push_back({"Server-Leaving", "1"});
+    note_told(*run->at, run->who, headers);
+    post(i, event::answer_head{run->call, 200, "", std::move(headers),
+                               run->how.framing});
+    send_piece(run);
+  });
+}
+
+void gateway_world::send_piece(const std::shared_ptr<stream_run>& run) {
+  auto& i = *instances_.at(run->who);
+  const bool is_gone = i.life != run->life || i.cancelled.contains(run->call);
+  if (run->is_over || is_gone) return;
+  if (run->at->blackouts != run->blackouts) return;
+  const auto stop =
+      std::min(run->how.cut_at.value_or(run->text.size()), run->text.size());
+  if (run->sent >= stop) {
+    const bool is_whole = !run->how.cut_at;
+    std::erase_if(run->at->open_calls,
+                  [&](const auto& open) { return open.stream == run; });
+    if (is_whole) {
+      run->is_over = true;
+      post(i, event::answer_end{run->call, call_end::complete});
+    } else {
+      end_stream(*run, run->how.ends_by);
+    }
+    return;
+  }
+  const auto size = std::min(1 + random_() % kMostPiece, stop - run->sent);
+  auto piece =
+      std::make_shared<const std::string>(run->text.substr(run->sent, size));
+  run->sent += size;
+  post(i, event::answer_data{run->call, std::move(piece)});
+  judge_pace(*run);
+  later(run->how.gap, [this, run] { send_piece(run); });
+}
+
+void gateway_world::end_stream(stream_run& run, fake_stream::ending how) {
+  run.is_over = true;
+  if (how == fake_stream::ending::silence) return;
+  const auto end = end_of_call(run.how.framing, how);
+  const bool is_between =
+      std::find(run.event_ends.begin(), run.event_ends.end(), run.sent) !=
+      run.event_ends.end();
+  if (end == call_end::complete && is_between) cut_unseen_.insert(run.request);
+  auto& i = *instances_.at(run.who);
+  if (i.life == run.life && !i.cancelled.contains(run.call)) {
+    post(i, event::answer_end{run.call, end});
+  }
+}
+
+void gateway_world::judge_pace(const stream_run& run) {
+  const auto* call = calls_by_id_.at(run.request);
+  if (call->ended != time_point{}) return;
+  std::size_t due = 0;
+  for (const auto end : run.event_ends) {
+    if (end <= run.sent) due = end;
+  }
+  if (call->body.size() < run.had + due) {
+    violation(run.request + ": a whole event was held back");
+  }
+}
+
+}  // namespace seamglade::fakes
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -23,14 +23,6 @@
 constexpr std::size_t kParallelLoads = 4;
 constexpr std::size_t kKeptStates = 64;
 
-std::string header_of(const std::vector<http_header>& headers,
-                      std::string_view name) {
-  for (const auto& header : headers) {
-    if (header.name == name) return header.value;
-  }
-  return {};
-}
-
 }  // namespace
 
 gateway_world::target* gateway_world::by_address(const std::string& address) {
@@ -115,6 +107,10 @@
     if (t->engine && t->running[adapter] > 0) --t->running[adapter];
   });
   if (cuts_stream(from, at, call)) return;
+  if (at.streams) {
+    begin_stream(from, at, call, *work);
+    return;
+  }
   if (at.broken || falls_over) {
     answer(at, who, life, call.call, 500,
            {{"X-Request-Id", call.request_id}, {"X-Server-Stamp", "s"}},
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -7,6 +7,7 @@
 #define SEAMGLADE_FAKES_GATEWAY_WORLD_TYPES_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -129,6 +130,22 @@
   std::size_t every = 1;
 };
 
+/** How an engine sends its streams, and where it breaks them off. */
+struct fake_stream {
+  gateway::body_framing framing = gateway::body_framing::chunked;
+  std::size_t events = 4;
+  /** Taken in turn, line by line. */
+  std::vector<std::string> line_ends = {"\n"};
+  /** Time between two pieces, which end anywhere. */
+  duration gap = 2ms;
+  /** Bytes of the body behind which it breaks off; none: it does not. */
+  std::optional<std::size_t> cut_at = {};
+  /** Share of streams that it breaks off behind drawn bytes. */
+  double cut_share = 0;
+  enum class ending : std::uint8_t { close, reset, silence };
+  ending ends_by = ending::close;
+};
+
 /** What was sent to targets against their own word in answers. */
 struct unheeded_words {
   /** Requests to one that leaves, later than the bound after its word. */
--- /dev/null
+++ b/test/stream_end-test.cc
@@ -0,0 +1,152 @@
+// seamglade - the direct path: where a stream's answer ends, and what of it
+// counts as whole
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "stream_checks.h"
+
+namespace seamglade {
+namespace {
+
+using fakes::fake_stream;
+using gateway::body_framing;
+
+/** A fleet whose engines hold the adapter that streams ask for. */
+class stream_end : public testing::Test {
+ protected:
+  explicit stream_end(std::size_t engines = 1) : world_(options(engines)) {
+    world_.run_for(kSettled);
+    for (const auto who : world_.instances()) world_.call_engine(who, "a1");
+    world_.run_for(2s);
+  }
+
+  /** Has all engines send streams so. */
+  void send_streams(const fake_stream& how) {
+    for (const auto& id : world_.engines()) world_.send_streams(id, how);
+  }
+
+  gateway_call& call(bool resumable = false) {
+    auto& out = world_.call_engine(world_.instances().front(), "a1", resumable);
+    world_.run_for(1s);
+    return out;
+  }
+
+  gateway_world world_;
+
+ private:
+  static gateway_world_options options(std::size_t engines) {
+    gateway_world_options out;
+    out.engines = engines;
+    return out;
+  }
+};
+
+std::string name_of(body_framing framing, fake_stream::ending ending,
+                    std::size_t cut) {
+  return fmt::format("{}, ending {}, cut behind {} bytes", to_string(framing),
+                     static_cast<int>(ending), cut);
+}
+
+TEST_F(stream_end, a_stream_cut_within_an_event_never_ends_as_whole) {
+  fake_stream how;
+  how.events = 3;
+  const auto size = gateway_world::stream_text("r99", how).size();
+  for (const auto framing : {body_framing::length, body_framing::chunked,
+                             body_framing::connection}) {
+    for (const auto ending :
+         {fake_stream::ending::close, fake_stream::ending::reset}) {
+      for (std::size_t cut = 0; cut < size; ++cut) {
+        SCOPED_TRACE(name_of(framing, ending, cut));
+        how.framing = framing;
+        how.ends_by = ending;
+        how.cut_at = cut;
+        send_streams(how);
+        const auto& got = call();
+        EXPECT_TRUE(got.complete || got.aborted);
+        expect_stream_kept(world_, got, how.events);
+      }
+    }
+  }
+  expect_rules_kept(world_);
+}
+
+TEST_F(stream_end, an_unframed_stream_without_any_event_is_not_whole) {
+  fake_stream how;
+  how.framing = body_framing::connection;
+  how.cut_at = 0;
+  send_streams(how);
+  const auto& got = call();
+  EXPECT_TRUE(got.complete);
+  EXPECT_EQ(got.status, 502);
+  EXPECT_EQ(world_.runs_of(got.id), 1U);
+}
+
+TEST_F(stream_end, a_silent_target_ends_no_stream_as_whole) {
+  fake_stream how;
+  how.ends_by = fake_stream::ending::silence;
+  for (const auto framing : {body_framing::length, body_framing::chunked,
+                             body_framing::connection}) {
+    how.framing = framing;
+    how.cut_at = 30;
+    send_streams(how);
+    const auto& got = call();
+    world_.run_for(9s);
+    EXPECT_TRUE(got.aborted) << to_string(framing);
+    expect_stream_kept(world_, got, how.events);
+  }
+}
+
+const std::vector<std::vector<std::string>> kLineEnds{
+    {"\n"},       {"\r\n"},      {"\r"}, {"\n", "\r\n", "\r"},
+    {"\r", "\n"}, {"\r\n", "\n"}};
+
+TEST_F(stream_end, a_whole_stream_is_passed_on_unchanged) {
+  for (const auto framing : {body_framing::length, body_framing::chunked,
+                             body_framing::connection}) {
+    for (const auto& ends : kLineEnds) {
+      fake_stream how;
+      how.framing = framing;
+      how.events = 6;
+      how.line_ends = ends;
+      send_streams(how);
+      const auto& got = call();
+      EXPECT_TRUE(got.complete) << to_string(framing);
+      EXPECT_EQ(got.body, gateway_world::stream_text(got.id, how));
+    }
+  }
+  // Also that no whole event was held back.
+  expect_rules_kept(world_);
+}
+
+class two_engines : public stream_end {
+ protected:
+  two_engines() : stream_end(2) {}
+
+  /** Has one engine break streams off, and the other send them whole. */
+  void break_off_at_first(const fake_stream& how) {
+    auto whole = how;
+    whole.cut_at.reset();
+    world_.send_streams("llm-0", how);
+    world_.send_streams("llm-1", whole);
+  }
+};
+
+TEST_F(two_engines, a_resumable_stream_cut_within_an_event_goes_on_elsewhere) {
+  fake_stream how;
+  how.events = 5;
+  how.framing = body_framing::connection;
+  const auto size = gateway_world::stream_text("r9", how).size();
+  for (std::size_t cut = 1; cut + 1 < size; cut += 7) {
+    how.cut_at = cut;
+    break_off_at_first(how);
+    const auto& got = call(true);
+    EXPECT_TRUE(got.complete) << cut;
+    expect_stream_kept(world_, got, how.events);
+    EXPECT_LE(world_.runs_of(got.id), 2U);
+  }
+  expect_rules_kept(world_);
+}
+
+}  // namespace
+}  // namespace seamglade
