An event is whole with each line end that the format allows

Callers got the events of a stream whose lines end in different ways only when the stream ended: the search for the end of an event knew LF LF, CRLF CRLF and CR CR, and nothing between them, such as LF CRLF. Lines are now followed byte by byte, across pieces, so that an empty line ends an event whatever its and the last line's ends are.

--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -5,7 +5,6 @@
 
 #include "request/event_stream.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace seamglade::gateway {
@@ -13,27 +12,38 @@
 
 constexpr std::string_view kIdField = "id:";
 
-/** Returns the end of the last whole event; 0: there is none. */
-std::size_t end_of_events(std::string_view text) {
-  std::size_t end = 0;
-  for (const std::string_view mark : {"\n\n", "\r\n\r\n", "\r\r"}) {
-    const auto at = text.rfind(mark);
-    if (at != std::string_view::npos) end = std::max(end, at + mark.size());
+}  // namespace
+
+void event_stream::add(std::string_view bytes) {
+  for (const char c : bytes) {
+    const auto at = pending_.size();
+    pending_.push_back(c);
+    const bool ends_same_line = c == '\n' && after_return_;
+    after_return_ = c == '\r';
+    if (ends_same_line) {
+      if (events_end_ == at) events_end_ = at + 1;
+    } else if (c == '\n' || c == '\r') {
+      if (line_is_empty_) events_end_ = at + 1;
+      line_is_empty_ = true;
+    } else {
+      line_is_empty_ = false;
+    }
   }
-  return end;
 }
 
-}  // namespace
-
 std::string event_stream::take_events() {
-  const auto end = end_of_events(pending_);
-  if (end == 0) return {};
-  std::string events = pending_.substr(0, end);
-  pending_.erase(0, end);
+  std::string events = pending_.substr(0, events_end_);
+  pending_.erase(0, std::exchange(events_end_, 0));
   note_ids(events);
   return events;
 }
 
+void event_stream::drop_rest() {
+  pending_.resize(events_end_);
+  line_is_empty_ = true;
+  after_return_ = false;
+}
+
 std::string event_stream::take_rest() { return std::exchange(pending_, {}); }
 
 void event_stream::note_ids(std::string_view events) {
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -11,18 +11,23 @@
 
 namespace seamglade::gateway {
 
-/** Bytes go in as they come; whole events come out, unchanged. */
+/**
+ * Bytes go in as they come; whole events come out, unchanged.
+ *
+ * An empty line ends an event; a line ends with a line feed, a carriage return
+ * or both (HTML standard, section 9.2.5).
+ */
 class event_stream {
  public:
-  void add(std::string_view bytes) { pending_.append(bytes); }
+  void add(std::string_view bytes);
   /** Returns the whole events that have come in, as one text. */
   std::string take_events();
   /** Returns what is left: the beginning of an event. */
   std::string take_rest();
   /** Drops the beginning of an event that a target broke off. */
-  void drop_rest() { pending_.clear(); }
+  void drop_rest();
   /** Returns the bytes that have come of an event that is not whole. */
-  std::size_t unfinished() const { return pending_.size(); }
+  std::size_t unfinished() const { return pending_.size() - events_end_; }
   /** Returns the id of the last whole event taken; empty: none. */
   const std::string& last_id() const { return last_id_; }
 
@@ -30,6 +35,11 @@
   void note_ids(std::string_view events);
 
   std::string pending_;
+  /** Where the last whole event in `pending_` ends; 0: there is none. */
+  std::size_t events_end_ = 0;
+  bool line_is_empty_ = true;
+  /** The last byte was a carriage return: a line feed ends the same line. */
+  bool after_return_ = false;
   std::string last_id_;
 };
 
