A stream that ends within an event is no whole answer

Callers of checkout got streams that their target had broken off as complete ones: 200, all events up to the break, half an event, the last chunk. A stream with neither a length nor chunks ends with its connection, and a connection that is closed in order was all that was asked for. What was left of the last event was passed on with it.

The published format tells where an event ends, so the decisions judge the end of a stream by it, whatever its framing: an answer that was read to its end within an event is broken off like any other, which cuts the caller's answer short, or resumes it where the route allows. So is one that has no event and no framing. Nothing is held back: the beginning of an event never went out before the event was whole. Bodies that name another media type have no events and are passed on as they were.

--- a/fakes/gateway_world_streams.cc
+++ b/fakes/gateway_world_streams.cc
@@ -47,6 +47,20 @@
   return out;
 }
 
+/** Whether so many bytes end behind an event, or within its last line end. */
+bool ends_behind_event(const std::string& text,
+                       const std::vector<std::size_t>& event_ends,
+                       std::size_t bytes) {
+  const auto is_end = [&](std::size_t at) {
+    return std::find(event_ends.begin(), event_ends.end(), at) !=
+           event_ends.end();
+  };
+  const auto rest = std::string_view(text).substr(bytes);
+  const bool in_line_end =
+      text.substr(0, bytes).ends_with('\r') && rest.starts_with('\n');
+  return is_end(bytes) || (in_line_end && is_end(bytes + 1));
+}
+
 call_end end_of_call(body_framing framing, fake_stream::ending how) {
   if (how == fake_stream::ending::reset) return call_end::reset;
   const bool is_marked = framing != body_framing::connection;
@@ -80,7 +94,7 @@
   const auto last = header_of(call.headers, "Last-Event-Id");
   auto body =
       make_body(run->request, run->how, last.empty() ? 0 : std::stoul(last));
-  run->text = std::move(body.text);
+  run->text = run->how.other_body.value_or(std::move(body.text));
   run->event_ends = std::move(body.event_ends);
   const bool is_cut =
       std::uniform_real_distribution<>(0, 1)(random_) < run->how.cut_share;
@@ -93,7 +107,8 @@
     run->is_begun = true;
     run->had = calls_by_id_.at(run->request)->body.size();
     std::vector<http_header> headers{{"X-Request-Id", run->request},
-                                     {"X-Server-Stamp", "s"}};
+                                     {"X-Server-Stamp", "s"},
+                                     {"Content-Type", run->how.media_type}};
     add_limit(*run->at, headers);
     if (run->at->says_leaving) headers.push_back({"Server-Leaving", "1"});
     note_told(*run->at, run->who, headers);
@@ -135,9 +150,7 @@
   run.is_over = true;
   if (how == fake_stream::ending::silence) return;
   const auto end = end_of_call(run.how.framing, how);
-  const bool is_between =
-      std::find(run.event_ends.begin(), run.event_ends.end(), run.sent) !=
-      run.event_ends.end();
+  const bool is_between = ends_behind_event(run.text, run.event_ends, run.sent);
   if (end == call_end::complete && is_between) cut_unseen_.insert(run.request);
   auto& i = *instances_.at(run.who);
   if (i.life == run.life && !i.cancelled.contains(run.call)) {
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -136,6 +136,9 @@
   std::size_t events = 4;
   /** Taken in turn, line by line. */
   std::vector<std::string> line_ends = {"\n"};
+  /** Sent in place of events, with its media type. */
+  std::optional<std::string> other_body = {};
+  std::string media_type = "text/event-stream";
   /** Time between two pieces, which end anywhere. */
   duration gap = 2ms;
   /** Bytes of the body behind which it breaks off; none: it does not. */
--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -24,11 +24,12 @@
 
 /** How a call ended. */
 enum class call_end : std::uint8_t {
-  complete,  // the answer was read up to its end
-  not_sent,  // no connection came up: nothing reached the other side
-  closed,    // the connection was closed before the answer's end
-  reset,     // the connection failed before the answer's end
-  malformed  // what came is no answer, or belongs to no call
+  complete,     // the answer was read up to its end
+  not_sent,     // no connection came up: nothing reached the other side
+  closed,       // the connection was closed before the answer's end
+  reset,        // the connection failed before the answer's end
+  malformed,    // what came is no answer, or belongs to no call
+  within_event  // the answer was read up to its end, and its last event wasn't
 };
 
 std::string_view to_string(call_end end);
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -3,6 +3,8 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "process/gateway_impl.h"
 #include "process/status_codes.h"
 #include "request/request_fingerprint.h"
@@ -18,6 +20,42 @@
          status == kUnavailable;
 }
 
+bool is_success(int status) {
+  return status >= kOk && status < kMultipleChoices;
+}
+
+/** Whether an answer names a media type other than that of event streams. */
+bool names_other_type(const exchange& x) {
+  for (const auto& header : x.headers) {
+    if (!boost::algorithm::iequals(header.name, "Content-Type")) continue;
+    return !boost::algorithm::istarts_with(header.value, "text/event-stream");
+  }
+  return false;
+}
+
+/** Whether an answer's body is passed on event by event. */
+bool is_event_stream(const exchange& x) {
+  return x.way->stream && is_success(x.status) && x.answer.is_signed &&
+         !names_other_type(x);
+}
+
+/**
+ * Returns how an answer ended whose connection or framing says `end`. A stream
+ * that ends within an event was broken off, and so was one that has no event
+ * and nothing else that marks its end.
+ */
+call_end end_of_answer(const exchange& x, call_end end) {
+  if (end != call_end::complete) return end;
+  if (!is_event_stream(x)) {
+    // A resumed stream goes on with events only.
+    const bool is_other_body = x.head_sent && is_success(x.status);
+    return is_other_body ? call_end::malformed : end;
+  }
+  if (x.events.unfinished() > 0) return call_end::within_event;
+  const bool is_marked = x.framing != body_framing::connection;
+  return is_marked || x.first_event ? end : call_end::closed;
+}
+
 }  // namespace
 
 void gateway_core::impl::end_call(exchange& x, bool success, bool severe) {
@@ -54,31 +92,30 @@
   auto* x = by_call(e.call);
   if (x == nullptr) return;
   note_answer(*x);
-  const bool good = x->status >= kOk && x->status < kMultipleChoices;
-  if (x->way->stream && good && x->answer.is_signed) {
+  if (is_event_stream(*x)) {
     x->events.add(*e.data);
-    send_stream_data(*x, false);
+    send_events(*x);
     return;
   }
   x->body += *e.data;
 }
 
-void gateway_core::impl::send_stream_data(exchange& x, bool flush) {
+void gateway_core::impl::send_stream_head(exchange& x) {
+  if (x.head_sent) return;
+  x.head_sent = true;
+  do_act(action::reply_head{x.caller, x.status, x.reason, x.headers,
+                            std::nullopt});
+  log("first_event", {{"request", x.facts.id},
+                      {"target", x.target},
+                      {"after_ms", to_ms(now_ - x.started)}});
+}
+
+void gateway_core::impl::send_events(exchange& x) {
   auto events = x.events.take_events();
-  if (flush) events += x.events.take_rest();
-  if (!events.empty()) {
-    reading_ended(x);
-    if (!x.first_event) x.first_event = now_;
-  }
-  if (!x.head_sent && (!events.empty() || flush)) {
-    x.head_sent = true;
-    do_act(action::reply_head{x.caller, x.status, x.reason, x.headers,
-                              std::nullopt});
-    log("first_event", {{"request", x.facts.id},
-                        {"target", x.target},
-                        {"after_ms", to_ms(now_ - x.started)}});
-  }
   if (events.empty()) return;
+  reading_ended(x);
+  if (!x.first_event) x.first_event = now_;
+  send_stream_head(x);
   do_act(action::reply_data{
       x.caller, std::make_shared<const std::string>(std::move(events))});
 }
@@ -86,9 +123,11 @@
 void gateway_core::impl::on(event::answer_end&& e) {
   auto* x = by_call(e.call);
   if (x == nullptr) return;
-  note_end(*x, e.end == call_end::complete);
-  if (x->status != 0) ++counts_.answer_ends[{x->framing, e.end}];
-  if (e.end == call_end::not_sent) {
+  const auto end = end_of_answer(*x, e.end);
+  const bool whole = end == call_end::complete;
+  note_end(*x, whole);
+  if (x->status != 0) ++counts_.answer_ends[{x->framing, end}];
+  if (end == call_end::not_sent) {
     end_call(*x, false, true);
     --x->runs;
     ++x->unsent_tries;
@@ -99,13 +138,12 @@
     }
     return;
   }
-  const bool whole = e.end == call_end::complete;
-  const bool good = x->status >= kOk && x->status < kMultipleChoices;
-  if (!whole || (good && !x->answer.is_signed) || x->status < kOk) {
-    broken_call(*x, e.end);
+  if (!whole || (is_success(x->status) && !x->answer.is_signed) ||
+      x->status < kOk) {
+    broken_call(*x, end);
     return;
   }
-  if (good) {
+  if (is_success(x->status)) {
     whole_answer(*x);
   } else {
     failed_answer(*x);
@@ -117,15 +155,13 @@
   if (auto* target = target_of(x)) targets_.succeeded(*target);
   end_call(x, true, false);
   ++counts_.answered;
-  log("answered",
-      {{"request", x.facts.id},
-       {"target", x.target},
-       {"status", x.status},
-       {"framing", std::string(to_string(x.framing))},
-       {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
-       {"after_ms", to_ms(now_ - x.started)}});
-  if (x.way->stream) {
-    send_stream_data(x, true);
+  log("answered", {{"request", x.facts.id},
+                   {"target", x.target},
+                   {"status", x.status},
+                   {"framing", std::string(to_string(x.framing))},
+                   {"after_ms", to_ms(now_ - x.started)}});
+  if (is_event_stream(x)) {
+    send_stream_head(x);
     do_act(action::reply_end{x.caller});
     finish(x.caller);
     return;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -437,7 +437,8 @@
    */
   duration return_spread(const exchange& x, duration apart);
   void pass_on(exchange& x);
-  void send_stream_data(exchange& x, bool flush);
+  void send_stream_head(exchange& x);
+  void send_events(exchange& x);
   void finish(caller_id caller);
   void expire_exchanges();
   exchange* by_call(call_id call);
--- a/src/request/answer_end.cc
+++ b/src/request/answer_end.cc
@@ -30,9 +30,11 @@
     case call_end::reset:
       return "reset";
     case call_end::malformed:
+      return "malformed";
+    case call_end::within_event:
       break;
   }
-  return "malformed";
+  return "within_event";
 }
 
 }  // namespace seamglade::gateway
--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -44,8 +44,6 @@
   after_return_ = false;
 }
 
-std::string event_stream::take_rest() { return std::exchange(pending_, {}); }
-
 void event_stream::note_ids(std::string_view events) {
   while (!events.empty()) {
     const auto end = events.find_first_of("\r\n");
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -22,8 +22,6 @@
   void add(std::string_view bytes);
   /** Returns the whole events that have come in, as one text. */
   std::string take_events();
-  /** Returns what is left: the beginning of an event. */
-  std::string take_rest();
   /** Drops the beginning of an event that a target broke off. */
   void drop_rest();
   /** Returns the bytes that have come of an event that is not whole. */
--- a/test/stream_end-test.cc
+++ b/test/stream_end-test.cc
@@ -119,16 +119,35 @@
   expect_rules_kept(world_);
 }
 
+TEST_F(stream_end, a_body_that_is_no_series_of_events_is_passed_on_unchanged) {
+  for (const auto framing : {body_framing::length, body_framing::chunked,
+                             body_framing::connection}) {
+    fake_stream how;
+    how.framing = framing;
+    how.media_type = "application/json";
+    how.other_body = R"({"error":"none"})";
+    send_streams(how);
+    const auto& got = call();
+    EXPECT_TRUE(got.complete) << to_string(framing);
+    EXPECT_EQ(got.status, kOk);
+    EXPECT_EQ(got.body, *how.other_body);
+  }
+}
+
 class two_engines : public stream_end {
  protected:
   two_engines() : stream_end(2) {}
 
-  /** Has one engine break streams off, and the other send them whole. */
-  void break_off_at_first(const fake_stream& how) {
+  /** Calls; the first run is broken off, and others are whole. */
+  gateway_call& call_broken_once(const fake_stream& how) {
+    send_streams(how);
     auto whole = how;
     whole.cut_at.reset();
-    world_.send_streams("llm-0", how);
-    world_.send_streams("llm-1", whole);
+    world_.at(world_.now() + 3ms, [this, whole] { send_streams(whole); });
+    auto& out = call(true);
+    // The other engine may have to load the adapter.
+    world_.run_for(2s);
+    return out;
   }
 };
 
@@ -137,16 +156,30 @@
   how.events = 5;
   how.framing = body_framing::connection;
   const auto size = gateway_world::stream_text("r9", how).size();
-  for (std::size_t cut = 1; cut + 1 < size; cut += 7) {
+  for (std::size_t cut = 1; cut + 1 < size; cut += 4) {
     how.cut_at = cut;
-    break_off_at_first(how);
-    const auto& got = call(true);
+    const auto& got = call_broken_once(how);
     EXPECT_TRUE(got.complete) << cut;
     expect_stream_kept(world_, got, how.events);
-    EXPECT_LE(world_.runs_of(got.id), 2U);
+    const bool was_seen = !world_.was_cut_unseen(got.id);
+    EXPECT_EQ(world_.runs_of(got.id), was_seen ? 2U : 1U) << cut;
   }
   expect_rules_kept(world_);
 }
 
+TEST_F(two_engines, a_resumed_stream_takes_no_body_of_another_type) {
+  fake_stream how;
+  how.cut_at = 40;
+  send_streams(how);
+  fake_stream other;
+  other.media_type = "application/json";
+  other.other_body = "{}";
+  world_.at(world_.now() + 3ms, [&] { send_streams(other); });
+  const auto& got = call(true);
+  world_.run_for(2s);
+  EXPECT_TRUE(got.aborted);
+  expect_stream_kept(world_, got, how.events);
+}
+
 }  // namespace
 }  // namespace seamglade
