An unframed answer to a caller ends in order only when it is whole

A caller of HTTP/1.0 gets neither chunks nor, for a stream, a length: the end of the connection is all that marks the end of its answer. Where the instance dropped a caller that reads too slowly, was at the end of its grace time or was killed, the system closed the connection in order, and a cut answer looked whole.

Such a connection is now reset by any close, also by the end of the process, from the answer's head until its last byte is written.

ending_server.resets_an_unframed_answer_that_it_leaves_unfinished and .resets_an_unframed_answer_that_its_caller_does_not_read failed before (closed in order both times).

--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -79,6 +79,11 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void set_reset_on_close(evutil_socket_t fd, bool resets) {
+  const linger how{resets ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof(how));
+}
+
 void set_dead_peer_timeout(evutil_socket_t fd, duration timeout) {
   const int on = 1;
   const auto ms = static_cast<int>(
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -68,6 +68,12 @@
 /** Lets the system close a connection whose other end is out of reach. */
 void set_dead_peer_timeout(evutil_socket_t fd, duration timeout);
 
+/**
+ * Has the system reset a connection that is closed, also by the end of this
+ * process, in place of closing it in order.
+ */
+void set_reset_on_close(evutil_socket_t fd, bool resets);
+
 /** Runs a task on the loop, after the callbacks that run now. */
 void run_later(event_base* base, std::function<void()> task);
 
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -219,8 +219,13 @@
 }
 
 void gateway_server::on_written(connection& c) {
-  if (c.now != phase::closing) return;
-  shutdown(bufferevent_getfd(c.io.get()), SHUT_WR);
+  if (c.now == phase::closing) end_output(c);
+}
+
+void gateway_server::end_output(connection& c) {
+  const auto fd = bufferevent_getfd(c.io.get());
+  if (c.body == framing::until_close) set_reset_on_close(fd, false);
+  shutdown(fd, SHUT_WR);
 }
 
 void gateway_server::close_after_flush(connection& c) {
@@ -231,7 +236,7 @@
   auto* in = bufferevent_get_input(c.io.get());
   evbuffer_drain(in, evbuffer_get_length(in));
   if (evbuffer_get_length(bufferevent_get_output(c.io.get())) == 0) {
-    shutdown(bufferevent_getfd(c.io.get()), SHUT_WR);
+    end_output(c);
   }
 }
 
@@ -255,7 +260,11 @@
   } else {
     c->body = c->old_version ? framing::until_close : framing::chunked;
   }
-  if (c->body == framing::until_close) c->keep = false;
+  if (c->body == framing::until_close) {
+    // Only finish() may end it in order: that is all that marks its end.
+    set_reset_on_close(bufferevent_getfd(c->io.get()), true);
+    c->keep = false;
+  }
   const auto phrase =
       head.reason.empty() ? reason_phrase(head.status) : head.reason;
   std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, phrase);
@@ -324,9 +333,6 @@
   auto* c = find(caller);
   if (c == nullptr) return;
   if (c->body == framing::until_close) {
-    const linger reset{1, 0};
-    setsockopt(bufferevent_getfd(c->io.get()), SOL_SOCKET, SO_LINGER, &reset,
-               sizeof(reset));
     erase(*c);
     return;
   }
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -101,6 +101,8 @@
   void refuse(connection& c, int status);
   void start_reading(connection& c);
   void close_after_flush(connection& c);
+  /** Closes the way out once all is written. */
+  void end_output(connection& c);
   void arm(connection& c, duration wait);
   void erase(connection& c);
   connection* find(caller_id caller);
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -171,6 +171,7 @@
           if ((what & BEV_EVENT_CONNECTED) != 0) return;
           auto* both_ends = static_cast<context*>(arg);
           *both_ends->back += *take_all(bufferevent_get_input(from));
+          both_ends->self->raw_was_reset_ = (what & BEV_EVENT_ERROR) != 0;
           both_ends->self->stop();
         },
         &both);
@@ -190,6 +191,8 @@
   std::vector<gateway::caller_message> seen_;
   std::vector<int> refused_;
   int gone_ = 0;
+  /** The connection of the last raw() ended by a reset. */
+  bool raw_was_reset_ = false;
   std::function<void(caller_id, const gateway::caller_message&)> on_request_;
   gateway_server server_;
   call_client client_;
@@ -393,6 +396,69 @@
   EXPECT_LT(first, second);
 }
 
+/** A server that goes away, and an answer that is under way then. */
+class ending_server : public gateway_http {
+ protected:
+  ending_server()
+      : ending_(std::make_unique<gateway_server>(
+            base_.get(),
+            gateway_server::handlers{
+                [this](caller_id caller, const gateway::caller_message&) {
+                  answer_(caller);
+                },
+                [](caller_id) {}, [](int) {}})) {
+    address_ = ending_->listen({"127.0.0.1", 0}).value();
+  }
+
+  static std::shared_ptr<const std::string> text(std::string_view from) {
+    return std::make_shared<const std::string>(from);
+  }
+
+  std::unique_ptr<gateway_server> ending_;
+  std::function<void(caller_id)> answer_;
+};
+
+TEST_F(ending_server, resets_an_unframed_answer_that_it_leaves_unfinished) {
+  const auto end = [](evutil_socket_t, short, void* server) {
+    static_cast<std::unique_ptr<gateway_server>*>(server)->reset();
+  };
+  event_handle timer(event_new(base_.get(), -1, 0, end, &ending_));
+  answer_ = [&](caller_id caller) {
+    ending_->begin(caller, {200, "", {}, std::nullopt});
+    ending_->write(caller, text("half"));
+    const auto wait = to_timeval(50ms);
+    event_add(timer.get(), &wait);
+  };
+  const auto back = raw("GET /x HTTP/1.0\r\n\r\n");
+  EXPECT_TRUE(back.ends_with("half")) << back;
+  EXPECT_TRUE(raw_was_reset_);
+}
+
+TEST_F(ending_server, resets_an_unframed_answer_that_its_caller_does_not_read) {
+  const auto large = text(std::string(64UL << 20U, 'x'));
+  answer_ = [&](caller_id caller) {
+    ending_->begin(caller, {200, "", {}, std::nullopt});
+    ending_->write(caller, large);
+    // Beyond what may wait for a slow caller.
+    ending_->write(caller, large);
+  };
+  const auto back = raw("GET /x HTTP/1.0\r\n\r\n");
+  EXPECT_LT(back.size(), 2 * large->size());
+  EXPECT_TRUE(raw_was_reset_);
+}
+
+TEST_F(ending_server, ends_a_whole_unframed_answer_in_order) {
+  const auto large = text(std::string(1UL << 20U, 'x'));
+  answer_ = [&](caller_id caller) {
+    ending_->begin(caller, {200, "", {}, std::nullopt});
+    ending_->write(caller, large);
+    ending_->finish(caller);
+  };
+  const auto back = raw("GET /x HTTP/1.0\r\n\r\n");
+  EXPECT_TRUE(back.ends_with(*large));
+  EXPECT_FALSE(raw_was_reset_);
+}
+
 TEST_F(gateway_http, reads_chunked_bodies) {
   raw("POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
       "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
