On the path through owners too, half an event ends no whole answer

The same cause as on the direct path, found by looking for it elsewhere: libevent's client takes an orderly close for the end of a body without length or chunks, so that a stream that its target had broken off within an event was passed on with its last piece. Its events are now followed as they pass; an answer that was read to its end within one, or that has none and no framing, has failed.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -11,6 +11,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+
+#include "request/event_stream.h"
 
 namespace seamglade::detail {
 namespace {
@@ -78,6 +81,11 @@
   int status = 0;
   std::vector<http_header> headers;
   bool gathers = false;
+  /** The end of the connection is all that marks the end of the body. */
+  bool is_unframed = false;
+  /** Follows the events of a stream; none: the body is none. */
+  std::optional<gateway::event_stream> events;
+  bool has_event = false;
   bool head_given = false;
   std::string gathered;
 };
@@ -192,6 +200,13 @@
   auto* headers = evhttp_request_get_input_headers(request);
   state.headers = end_to_end_headers(headers);
   state.gathers = evhttp_find_header(headers, "Content-Length") != nullptr;
+  state.is_unframed =
+      !state.gathers &&
+      evhttp_find_header(headers, "Transfer-Encoding") == nullptr;
+  const auto* type = evhttp_find_header(headers, "Content-Type");
+  if (type != nullptr && gateway::is_event_stream_type(type)) {
+    state.events.emplace();
+  }
 }
 
 void http_client::gather(call_state& state, evhttp_request* request) {
@@ -200,6 +215,15 @@
   const auto before = state.gathered.size();
   state.gathered.resize(before + size);
   evbuffer_remove(input, state.gathered.data() + before, size);
+  if (!state.events) return;
+  state.events->add(std::string_view(state.gathered).substr(before));
+  if (!state.events->take_events().empty()) state.has_event = true;
+}
+
+bool http_client::was_broken_off(const call_state& state) {
+  if (!state.events) return false;
+  if (state.events->unfinished() > 0) return true;
+  return state.is_unframed && !state.has_event;
 }
 
 void http_client::on_chunk(call_state& state, evhttp_request* request) {
@@ -232,6 +256,12 @@
   }
   if (state.status == 0) on_headers(state, request);
   gather(state, request);
+  if (was_broken_off(state)) {
+    run_later(base_, [this, token, alive = alive_] {
+      if (*alive) fail(token);
+    });
+    return;
+  }
   const auto* closing = evhttp_find_header(
       evhttp_request_get_input_headers(request), "Connection");
   const bool reusable = closing == nullptr || !same_name("close", closing);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -70,6 +70,8 @@
   void gather(call_state& state, evhttp_request* request);
   void on_chunk(call_state& state, evhttp_request* request);
   void on_done(call_state& state, evhttp_request* request);
+  /** Whether an answer that was read to its end is a stream without its end. */
+  static bool was_broken_off(const call_state& state);
   void give_piece(call_state& state, bool last);
   void fail(call_token token);
   void release(call_token token, bool reusable);
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -28,7 +28,7 @@
 bool names_other_type(const exchange& x) {
   for (const auto& header : x.headers) {
     if (!boost::algorithm::iequals(header.name, "Content-Type")) continue;
-    return !boost::algorithm::istarts_with(header.value, "text/event-stream");
+    return !is_event_stream_type(header.value);
   }
   return false;
 }
--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -5,6 +5,7 @@
 
 #include "request/event_stream.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 namespace seamglade::gateway {
@@ -14,6 +15,10 @@
 
 }  // namespace
 
+bool is_event_stream_type(std::string_view media_type) {
+  return boost::algorithm::istarts_with(media_type, "text/event-stream");
+}
+
 void event_stream::add(std::string_view bytes) {
   for (const char c : bytes) {
     const auto at = pending_.size();
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -11,6 +11,9 @@
 
 namespace seamglade::gateway {
 
+/** Whether a media type, with or without parameters, is that of events. */
+bool is_event_stream_type(std::string_view media_type);
+
 /**
  * Bytes go in as they come; whole events come out, unchanged.
  *
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -10,78 +10,13 @@
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
 #include "connection/gateway_server.h"
+#include "raw_target.h"
 
 namespace seamglade::detail {
 namespace {
 
 constexpr duration kPatience = 3s;
 
-/** Sends one answer, piece by piece, and ends its connection. */
-class raw_target {
- public:
-  enum class ending : std::uint8_t { close, reset, none };
-
-  raw_target(event_base* base, std::vector<std::string> pieces, ending how)
-      : pieces_(std::move(pieces)), how_(how) {
-    auto where = to_socket_address({"127.0.0.1", 0});
-    const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
-                             int, void* self) {
-      static_cast<raw_target*>(self)->accept(fd);
-    };
-    listener_.reset(evconnlistener_new_bind(
-        base, accepted, this, LEV_OPT_CLOSE_ON_FREE, 1,
-        reinterpret_cast<sockaddr*>(&where), sizeof(where)));
-    const auto tick = [](evutil_socket_t, short, void* self) {
-      static_cast<raw_target*>(self)->step();
-    };
-    timer_.reset(event_new(base, -1, EV_PERSIST, tick, this));
-  }
-  ~raw_target() {
-    if (fd_ >= 0) close(fd_);
-  }
-  raw_target(const raw_target&) = delete;
-  raw_target& operator=(const raw_target&) = delete;
-
-  std::string address() const {
-    return bound_endpoint(evconnlistener_get_fd(listener_.get())).str();
-  }
-
- private:
-  void accept(evutil_socket_t fd) {
-    fd_ = fd;
-    evutil_make_socket_nonblocking(fd);
-    const auto wait = to_timeval(20ms);
-    event_add(timer_.get(), &wait);
-  }
-
-  void step() {
-    char request[4096];
-    // Unread bytes would turn the close into a reset.
-    while (recv(fd_, request, sizeof(request), 0) > 0) {
-    }
-    if (next_ < pieces_.size()) {
-      const auto& piece = pieces_[next_++];
-      EXPECT_EQ(send(fd_, piece.data(), piece.size(), 0),
-                static_cast<ssize_t>(piece.size()));
-      return;
-    }
-    event_del(timer_.get());
-    if (how_ == ending::none) return;
-    if (how_ == ending::reset) {
-      const linger reset{1, 0};
-      setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-    }
-    close(std::exchange(fd_, -1));
-  }
-
-  std::vector<std::string> pieces_;
-  ending how_;
-  std::size_t next_ = 0;
-  evutil_socket_t fd_ = -1;
-  listener_handle listener_;
-  event_handle timer_;
-};
-
 /** A server that answers by a rule, and a client, on one loop. */
 class gateway_http : public testing::Test {
  protected:
