The platform's stand-in sends streams in each framing and breaks them off

The stand-in is made of the product's server, which learns to end a body with its connection where the caller knows chunks.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -258,7 +258,8 @@
   if (empty || head.length) {
     c->body = framing::length;
   } else {
-    c->body = c->old_version ? framing::until_close : framing::chunked;
+    const bool has_chunks = !c->old_version && !head.until_close;
+    c->body = has_chunks ? framing::chunked : framing::until_close;
   }
   if (c->body == framing::until_close) {
     // Only finish() may end it in order: that is all that marks its end.
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -25,6 +25,8 @@
   std::vector<http_header> headers;
   /** None: the length is not known yet. */
   std::optional<std::uint64_t> length;
+  /** Without a length: the body ends with the connection, not with a chunk. */
+  bool until_close = false;
 };
 
 /** Returns the usual phrase for a status. */
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <iostream>
+#include <optional>
 #include <set>
 
 #include "platform_store.h"
@@ -31,6 +32,16 @@
 constexpr duration kEndsAfter = 30ms;
 constexpr duration kDownFor = 1s;
 
+/** How an engine sends its streams. */
+struct stream_word {
+  /** `chunked`, `length` or `none`. */
+  std::string framing = "chunked";
+  /** Bytes behind which it breaks off; none: it does not. */
+  std::optional<std::size_t> cut;
+  /** How it breaks off: `close`, `silence` or, without framing, `reset`. */
+  std::string ending = "close";
+};
+
 /** A target; an engine if it has adapters to load. */
 class target {
  public:
@@ -42,12 +53,17 @@
   /**
    * From now on its answers say that it leaves (`leaving`) or name a limit of
    * requests a second (`limit`; 0: none), or it turns all requests away and
-   * asks for so many seconds of rest (`rest`; 0: no longer).
+   * asks for so many seconds of rest (`rest`; 0: no longer). Its streams have
+   * a `framing`, and break off behind `cut` bytes with an `ending`.
    */
   void take_word(const json& word) {
     says_leaving_ = word.value("leaving", false);
     rest_s_ = word.value("rest", 0);
     limit_ = word.value("limit", 0.0);
+    streams_ = {};
+    streams_.framing = word.value("framing", streams_.framing);
+    streams_.ending = word.value("ending", streams_.ending);
+    if (word.contains("cut")) streams_.cut = word["cut"].get<std::size_t>();
   }
 
   void publish() {
@@ -193,16 +209,41 @@
       reply(*server_, caller, 200, "answer to " + request, headers);
       return;
     }
-    server_->begin(caller, {200, "", headers, std::nullopt});
+    send_stream(caller, request, std::move(headers));
+  }
+
+  void send_stream(caller_id caller, const std::string& request,
+                   std::vector<http_header> headers) {
+    std::string text;
     for (int i = 1; i <= kEvents; ++i) {
-      while_alive(kEventTime * i, [this, caller, i, request] {
-        server_->write(caller, std::make_shared<const std::string>(fmt::format(
-                                   "id: {}\ndata: {}\n\n", i, request)));
-        if (i == kEvents) server_->finish(caller);
+      text += fmt::format("id: {}\ndata: {}\n\n", i, request);
+    }
+    const auto step = text.size() / kEvents;
+    reply_head head{200, "", std::move(headers), std::nullopt};
+    head.until_close = streams_.framing == "none";
+    if (streams_.framing == "length") head.length = text.size();
+    server_->begin(caller, head);
+    if (streams_.cut) text.resize(std::min(*streams_.cut, text.size()));
+    for (int i = 1; i <= kEvents; ++i) {
+      const auto from =
+          std::min(step * static_cast<std::size_t>(i - 1), text.size());
+      while_alive(kEventTime * i, [this, caller, i, how = streams_,
+                                   piece = text.substr(from, step)] {
+        server_->write(caller, std::make_shared<const std::string>(piece));
+        if (i == kEvents) end_stream(caller, how);
       });
     }
   }
 
+  void end_stream(caller_id caller, const stream_word& how) {
+    const bool closes_in_order = how.framing == "none" && how.ending == "close";
+    if (!how.cut || closes_in_order) {
+      server_->finish(caller);
+    } else if (how.ending != "silence") {
+      server_->abort(caller);
+    }
+  }
+
   world& world_;
   store& store_;
   std::string id_;
@@ -218,6 +259,7 @@
   bool says_leaving_ = false;
   int rest_s_ = 0;
   double limit_ = 0;
+  stream_word streams_;
 };
 
 json route(const char* prefix, const char* type, const char* service) {
