Broken answers to callers of HTTP/1.0 are reset on the path through owners

As on the direct path: a stream to a caller of HTTP/1.0 ends with its connection, and abort() closed that in order, so that a broken answer looked whole. It is reset now, and so is the connection of a process that is killed meanwhile.

--- a/src/connection/caller_server.cc
+++ b/src/connection/caller_server.cc
@@ -5,6 +5,7 @@
 
 #include "connection/caller_server.h"
 
+#include <event2/http_struct.h>
 #include <sys/socket.h>
 
 #include "connection/http_client.h"
@@ -60,6 +61,13 @@
   caller_id id = 0;
   evhttp_request* http = nullptr;
   bool streaming = false;
+
+  evutil_socket_t socket() const {
+    auto* connection = evhttp_request_get_connection(http);
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  }
+  /** The end of the connection is all that marks the end of its stream. */
+  bool is_unframed() const { return http->major == 1 && http->minor == 0; }
 };
 
 caller_server::caller_server(event_base* base, caller_observer observer)
@@ -171,12 +179,16 @@
       evhttp_send_reply(caller.http, status, nullptr, data);
     } else {
       caller.streaming = true;
+      if (caller.is_unframed()) set_reset_on_close(caller.socket(), true);
       evhttp_send_reply_start(caller.http, status, nullptr);
     }
   }
   if (caller.streaming) {
     if (data != nullptr) evhttp_send_reply_chunk(caller.http, data);
-    if (piece.last) evhttp_send_reply_end(caller.http);
+    if (piece.last) {
+      if (caller.is_unframed()) set_reset_on_close(caller.socket(), false);
+      evhttp_send_reply_end(caller.http);
+    }
   }
   if (data != nullptr) evbuffer_free(data);
   if (piece.last) finish(id);
@@ -212,8 +224,11 @@
         caller.http);
     // Without the closing chunk the caller's library reports an error; libevent
     // frees the connection when it sees the end.
-    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-             SHUT_RDWR);
+    if (caller.is_unframed()) {
+      reset_connection(caller.socket());
+    } else {
+      shutdown(caller.socket(), SHUT_RDWR);
+    }
   }
   requests_.erase(it);
 }
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -84,6 +84,12 @@
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof(how));
 }
 
+void reset_connection(evutil_socket_t fd) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  connect(fd, &none, sizeof(none));
+}
+
 void set_dead_peer_timeout(evutil_socket_t fd, duration timeout) {
   const int on = 1;
   const auto ms = static_cast<int>(
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -74,6 +74,9 @@
  */
 void set_reset_on_close(evutil_socket_t fd, bool resets);
 
+/** Resets a connection now; its socket stays open. */
+void reset_connection(evutil_socket_t fd);
+
 /** Runs a task on the loop, after the callbacks that run now. */
 void run_later(event_base* base, std::function<void()> task);
 
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -10,6 +10,7 @@
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
 #include "connection/gateway_server.h"
+#include "raw_caller.h"
 #include "raw_target.h"
 
 namespace seamglade::detail {
@@ -88,38 +89,9 @@
 
   /** Sends raw bytes and returns all that comes back until the close. */
   std::string raw(const std::string& bytes) {
-    bufferevent_handle io(
-        bufferevent_socket_new(base_.get(), -1, BEV_OPT_CLOSE_ON_FREE));
-    std::string back;
-    struct context {
-      gateway_http* self;
-      std::string* back;
-    } both{this, &back};
-    bufferevent_setcb(
-        io.get(),
-        [](bufferevent* from, void* arg) {
-          const auto text = take_all(bufferevent_get_input(from));
-          *static_cast<context*>(arg)->back += *text;
-        },
-        nullptr,
-        [](bufferevent* from, short what, void* arg) {
-          if ((what & BEV_EVENT_CONNECTED) != 0) return;
-          auto* both_ends = static_cast<context*>(arg);
-          *both_ends->back += *take_all(bufferevent_get_input(from));
-          both_ends->self->raw_was_reset_ = (what & BEV_EVENT_ERROR) != 0;
-          both_ends->self->stop();
-        },
-        &both);
-    bufferevent_enable(io.get(), EV_READ | EV_WRITE);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(address_.port);
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bufferevent_socket_connect(io.get(), reinterpret_cast<sockaddr*>(&to),
-                               sizeof(to));
-    bufferevent_write(io.get(), bytes.data(), bytes.size());
-    run();
-    return back;
+    const auto got = call_raw(base_.get(), address_, bytes);
+    raw_was_reset_ = got.was_reset;
+    return got.bytes;
   }
 
   base_handle base_;
