--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -47,6 +47,7 @@
   call_id call = 0;
   std::shared_ptr<const std::string> data;
 };
+/** A call to a target has ended, with or without an answer. */
 struct answer_end {
   call_id call = 0;
   call_end end = call_end::complete;
@@ -266,7 +267,7 @@
   std::size_t calling = 0;
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
-  /** Calls of requests to targets. */
+  /** Calls to targets for requests. */
   answer_end_counts answer_ends;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -15,6 +15,8 @@
 namespace seamglade::detail {
 namespace {
 
+using gateway::body_framing;
+
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
@@ -224,7 +226,7 @@
 
 void gateway_server::end_output(connection& c) {
   const auto fd = bufferevent_getfd(c.io.get());
-  if (c.body == framing::until_close) set_reset_on_close(fd, false);
+  if (c.body == body_framing::connection) set_reset_on_close(fd, false);
   shutdown(fd, SHUT_WR);
 }
 
@@ -256,12 +258,12 @@
   if (draining_) c->keep = false;
   const bool empty = has_no_body(head.status);
   if (empty || head.length) {
-    c->body = framing::length;
+    c->body = body_framing::length;
   } else {
     const bool has_chunks = !c->old_version && !head.until_close;
-    c->body = has_chunks ? framing::chunked : framing::until_close;
+    c->body = has_chunks ? body_framing::chunked : body_framing::connection;
   }
-  if (c->body == framing::until_close) {
+  if (c->body == body_framing::connection) {
     // Only finish() may end it in order: that is all that marks its end.
     set_reset_on_close(bufferevent_getfd(c->io.get()), true);
     c->keep = false;
@@ -277,7 +279,7 @@
   }
   if (!empty && head.length) {
     text += fmt::format("Content-Length: {}\r\n", *head.length);
-  } else if (c->body == framing::chunked) {
+  } else if (c->body == body_framing::chunked) {
     text += "Transfer-Encoding: chunked\r\n";
   }
   if (!c->keep) {
@@ -298,11 +300,11 @@
     on_event(*c, BEV_EVENT_ERROR);
     return;
   }
-  if (c->body == framing::chunked) {
+  if (c->body == body_framing::chunked) {
     append(out, fmt::format("{:x}\r\n", data->size()));
   }
   evbuffer_add(out, data->data(), data->size());
-  if (c->body == framing::chunked) append(out, "\r\n");
+  if (c->body == body_framing::chunked) append(out, "\r\n");
 }
 
 std::size_t gateway_server::unsent_bytes() const {
@@ -316,7 +318,7 @@
 void gateway_server::finish(caller_id caller) {
   auto* c = find(caller);
   if (c == nullptr) return;
-  if (c->body == framing::chunked && !c->bodyless) {
+  if (c->body == body_framing::chunked && !c->bodyless) {
     append(bufferevent_get_output(c->io.get()), "0\r\n\r\n");
   }
   if (!c->keep || draining_) {
@@ -333,7 +335,7 @@
 void gateway_server::abort(caller_id caller) {
   auto* c = find(caller);
   if (c == nullptr) return;
-  if (c->body == framing::until_close) {
+  if (c->body == body_framing::connection) {
     erase(*c);
     return;
   }
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -13,6 +13,7 @@
 
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
+#include "seamglade/answer_end.h"
 #include "seamglade/controller.h"
 #include "seamglade/gateway_types.h"
 
@@ -73,7 +74,6 @@
 
  private:
   enum class phase : std::uint8_t { reading, answering, closing };
-  enum class framing : std::uint8_t { length, chunked, until_close };
 
   struct connection {
     gateway_server* owner = nullptr;
@@ -88,7 +88,7 @@
     bool old_version = false;
     bool bodyless = false;
     bool told_continue = false;
-    framing body = framing::length;
+    gateway::body_framing body = gateway::body_framing::length;
     time_point since;
   };
 
