--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -87,7 +87,7 @@
 void reset_connection(evutil_socket_t fd) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  connect(fd, &none, sizeof(none));
+  static_cast<void>(connect(fd, &none, sizeof(none)));
 }
 
 void set_dead_peer_timeout(evutil_socket_t fd, duration timeout) {
--- a/test/event_stream-test.cc
+++ b/test/event_stream-test.cc
@@ -5,6 +5,7 @@
 
 #include "request/event_stream.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -20,7 +21,7 @@
       const bool is_one_line_end = a == "\r" && b == "\n";
       if (is_one_line_end) continue;
       event_stream events;
-      const auto text = "id: 7" + a + "data: x" + a + b;
+      const auto text = fmt::format("id: 7{0}data: x{0}{1}", a, b);
       events.add(text + "data: y");
       EXPECT_EQ(events.take_events(), text);
       EXPECT_EQ(events.last_id(), "7");
