A stream of comments alone has no event

A caller could get a truncated stream as whole where its target had sent nothing but a comment to keep the connection open: without a length or chunks an event is the only sign that the answer has come, and the comment, or an empty line, passed for one. Found by reading the change; nobody has reported it. Only a block with a field is an event now.

event_stream.comments_and_empty_lines_alone_are_no_event and stream_end.a_close_delimited_stream_of_comments_alone_is_not_whole failed before.

--- a/src/request/event_stream.cc
+++ b/src/request/event_stream.cc
@@ -28,16 +28,24 @@
     if (ends_same_line) {
       if (events_end_ == at) events_end_ = at + 1;
     } else if (c == '\n' || c == '\r') {
-      if (line_is_empty_) events_end_ = at + 1;
-      line_is_empty_ = true;
+      end_line(at + 1);
     } else {
+      // A line that begins with a colon is a comment.
+      if (line_is_empty_ && c != ':') has_field_ = true;
       line_is_empty_ = false;
     }
   }
 }
 
+void event_stream::end_line(std::size_t end) {
+  if (line_is_empty_) {
+    events_end_ = end;
+    if (std::exchange(has_field_, false)) has_event_ = true;
+  }
+  line_is_empty_ = true;
+}
+
 std::string event_stream::take_events() {
-  if (events_end_ > 0) has_event_ = true;
   std::string events = pending_.substr(0, events_end_);
   pending_.erase(0, std::exchange(events_end_, 0));
   note_ids(events);
@@ -48,6 +56,7 @@
   pending_.resize(events_end_);
   line_is_empty_ = true;
   after_return_ = false;
+  has_field_ = false;
   has_event_ = false;
 }
 
--- a/src/request/event_stream.h
+++ b/src/request/event_stream.h
@@ -31,12 +31,14 @@
   void restart();
   /** Returns the bytes that have come of an event that is not whole. */
   std::size_t unfinished() const { return pending_.size() - events_end_; }
-  /** Whether the run has had a whole event. */
+  /** Whether the run has had a whole event, comments apart. */
   bool has_event() const { return has_event_; }
   /** Returns the id of the last whole event taken; empty: none. */
   const std::string& last_id() const { return last_id_; }
 
  private:
+  /** A line ends at this place in `pending_`. */
+  void end_line(std::size_t end);
   void note_ids(std::string_view events);
 
   std::string pending_;
@@ -45,6 +47,8 @@
   bool line_is_empty_ = true;
   /** The last byte was a carriage return: a line feed ends the same line. */
   bool after_return_ = false;
+  /** The event that has begun has more than comments. */
+  bool has_field_ = false;
   bool has_event_ = false;
   std::string last_id_;
 };
--- a/test/event_stream-test.cc
+++ b/test/event_stream-test.cc
@@ -63,6 +63,21 @@
   EXPECT_EQ(events.unfinished(), 0U);
 }
 
+TEST(event_stream, comments_and_empty_lines_alone_are_no_event) {
+  for (const std::string text : {"\n\n", ": ping\n\n", ":\r\r: x\r\n\r\n"}) {
+    event_stream events;
+    events.add(text);
+    EXPECT_EQ(events.take_events(), text);
+    EXPECT_EQ(end_of_stream(events, body_framing::close_delimited),
+              call_end::closed);
+    EXPECT_EQ(end_of_stream(events, body_framing::chunked), call_end::complete);
+    events.add(": ping\ndata: x\n\n");
+    events.take_events();
+    EXPECT_EQ(end_of_stream(events, body_framing::close_delimited),
+              call_end::complete);
+  }
+}
+
 TEST(event_stream, begins_anew_behind_a_truncated_event) {
   event_stream events;
   events.add("id: 1\ndata: a\n\nid: 2\nda");
--- a/test/stream_end-test.cc
+++ b/test/stream_end-test.cc
@@ -82,6 +82,14 @@
   EXPECT_EQ(world_.runs_of(got.id), 1U);
 }
 
+TEST_F(stream_end, a_close_delimited_stream_of_comments_alone_is_not_whole) {
+  fake_stream how;
+  how.framing = body_framing::close_delimited;
+  how.other_body = ": ping\n\n";
+  send_streams(how);
+  EXPECT_TRUE(call().aborted);
+}
+
 TEST_F(stream_end, a_silent_target_ends_no_stream_as_whole) {
   fake_stream how;
   how.ends_by = fake_stream::ending::silence;
