Answers tell the connection that brought them, in the log and metrics

Two answers to one request that came on one connection could not be told from two that came on two: target_failed named neither. answered, target_failed, call_broken, order_taken and order_refused name the connection and the calls that it had carried. Answers that belong to no call are counted by when they came; those behind an answer were not counted at all.

No change of decisions; gateway_http-test passes.

--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -1,4 +1,4 @@
-// seamglade - how the end of an answer is marked, and how it came
+// seamglade - what brings an answer, how its end is marked and how it came
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -34,6 +34,14 @@
 
 std::string_view to_string(call_end end);
 
+/** The connection that brought an answer. */
+struct answer_carrier {
+  /** Number of the connection in its instance; 0: none. */
+  std::uint64_t connection = 0;
+  /** Calls that it had carried before. */
+  std::uint32_t calls_before = 0;
+};
+
 /** Counts answers by framing and end. */
 using answer_end_counts =
     std::map<std::pair<body_framing, call_end>, std::uint64_t>;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -42,6 +42,7 @@
   std::string reason;
   std::vector<http_header> headers;
   body_framing framing = body_framing::length;
+  answer_carrier carrier = {};
 };
 struct answer_data {
   call_id call = 0;
@@ -57,6 +58,7 @@
   engine_order_status status = engine_order_status::unanswered;
   /** What the answer says of the target beside. */
   target_word word = {};
+  answer_carrier carrier = {};
 };
 struct report_answer {
   engine_call_id call = 0;
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -174,7 +174,7 @@
 void call_client::on_readable(connection& c) {
   if (c.now == phase::idle) {
     // An answer that nobody asked for.
-    ++counts_.skipped_answers;
+    ++counts_.skipped_while_idle;
     std::erase(idle_[c.address], &c);
     connections_.erase(c.number);
     return;
@@ -223,7 +223,7 @@
     // The answer to another request, or word that one is to come.
     c.skipping = true;
     if (c.reader->head().status >= kFirstFinalStatus) {
-      ++counts_.skipped_answers;
+      ++counts_.skipped_during_call;
     }
     if (c.reader->head().framing == body_framing::close_delimited) {
       end_call(c, call_end::malformed);
@@ -234,7 +234,7 @@
   c.head_given = true;
   const auto call = c.call;
   const auto on = c.on;
-  on->head(c.reader->head());
+  on->head(c.reader->head(), {c.number, c.calls_before});
   return calls_.contains(call);
 }
 
@@ -255,8 +255,9 @@
 void call_client::complete(connection& c) {
   const auto* in = bufferevent_get_input(c.io.get());
   const auto* out = bufferevent_get_output(c.io.get());
-  const bool clean =
-      evbuffer_get_length(in) == 0 && evbuffer_get_length(out) == 0;
+  const bool has_more = evbuffer_get_length(in) > 0;
+  if (has_more) ++counts_.skipped_behind_answer;
+  const bool clean = !has_more && evbuffer_get_length(out) == 0;
   if (!clean || !c.reader->keeps_connection()) {
     end_call(c, call_end::complete);
     return;
@@ -270,6 +271,7 @@
 
 void call_client::keep(connection& c, std::uint32_t keep_alive_seconds) {
   c.call = 0;
+  ++c.calls_before;
   c.on.reset();
   c.request = {};
   c.reader.reset();
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -34,6 +34,7 @@
   std::string answer_value;
 };
 
+using gateway::answer_carrier;
 using gateway::body_framing;
 using gateway::call_end;
 
@@ -48,7 +49,7 @@
   using token = std::uint64_t;
 
   struct handlers {
-    std::function<void(const answer_head&)> head;
+    std::function<void(const answer_head&, const answer_carrier&)> head;
     std::function<void(std::shared_ptr<const std::string>)> data;
     std::function<void(call_end)> end;
   };
@@ -56,8 +57,11 @@
   struct counters {
     std::uint64_t opened = 0;
     std::uint64_t reused = 0;
-    /** Answers to other requests that were skipped. */
-    std::uint64_t skipped_answers = 0;
+    /** Answers that belong to no call of their connection, by when they came.
+     */
+    std::uint64_t skipped_while_idle = 0;
+    std::uint64_t skipped_during_call = 0;
+    std::uint64_t skipped_behind_answer = 0;
   };
 
   explicit call_client(event_base* base);
@@ -88,6 +92,8 @@
     /** Shared: a handler may cancel its own call while it runs. */
     std::shared_ptr<handlers> on;
     std::unique_ptr<answer_reader> reader;
+    /** Calls that it carried before this one. */
+    std::uint32_t calls_before = 0;
     bool head_given = false;
     bool skipping = false;
   };
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -76,6 +76,7 @@
   x->reason = std::move(e.reason);
   x->headers = std::move(e.headers);
   x->framing = e.framing;
+  x->carrier = e.carrier;
   x->answer = platform_.read_answer(x->status, x->headers);
   note_answer(*x);
   hear_answer(*x);
@@ -151,6 +152,8 @@
                    {"target", x.target},
                    {"status", x.status},
                    {"framing", std::string(to_string(x.framing))},
+                   {"connection", connection_of(x.carrier)},
+                   {"calls_before", x.carrier.calls_before},
                    {"after_ms", to_ms(now_ - x.started)}});
   if (is_event_stream(x)) {
     send_stream_head(x);
@@ -180,7 +183,9 @@
   log("target_failed", {{"request", x.facts.id},
                         {"target", x.target},
                         {"status", x.status},
-                        {"not_run", static_cast<std::int64_t>(not_run)}});
+                        {"not_run", static_cast<std::int64_t>(not_run)},
+                        {"connection", connection_of(x.carrier)},
+                        {"calls_before", x.carrier.calls_before}});
   if (not_run) {
     --x.runs;
   } else {
@@ -231,6 +236,8 @@
        {"status", x.status},
        {"framing", std::string(to_string(x.framing))},
        {"end", std::string(to_string(end))},
+       {"connection", connection_of(x.carrier)},
+       {"calls_before", x.carrier.calls_before},
        {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
        {"from", static_cast<std::int64_t>(x.message.caller_address)},
        {"content", to_hex(x.fingerprint.content)},
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -63,6 +63,7 @@
   ++x.runs;
   x.status = 0;
   x.framing = body_framing::length;
+  x.carrier = {};
   x.headers.clear();
   x.body.clear();
   x.answer = {};
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -61,6 +61,23 @@
   return out;
 }
 
+prometheus::MetricFamily skipped_family(const call_client::counters& calls) {
+  prometheus::MetricFamily out;
+  out.name = "seamglade_answers_skipped_total";
+  out.help = "Answers that belong to no call, by when they came";
+  out.type = prometheus::MetricType::Counter;
+  const auto add = [&](const char* when, std::uint64_t count) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"when", when}};
+    metric.counter.value = static_cast<double>(count);
+    out.metric.push_back(std::move(metric));
+  };
+  add("idle", calls.skipped_while_idle);
+  add("during_call", calls.skipped_during_call);
+  add("behind_answer", calls.skipped_behind_answer);
+  return out;
+}
+
 }  // namespace
 
 std::string metrics_page(const gateway::gateway_status& status,
@@ -152,12 +169,11 @@
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
           calls.reused);
-  counter("seamglade_answers_skipped_total", "Answers nobody asked for",
-          calls.skipped_answers);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
+  out.push_back(skipped_family(calls));
   gauge("seamglade_ready", "Whether new connections are taken",
         status.ready ? 1 : 0);
   gauge("seamglade_configuration_version", "Configuration in force",
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -294,12 +294,14 @@
   }
   const auto keeper = keepers_.find(call.target);
   if (keeper == keepers_.end() || keeper->second->fence() != call.fence) return;
-  if (e.status != engine_order_status::started &&
-      e.status != engine_order_status::done) {
-    log("order_refused",
-        {{"target", call.target}, {"status", std::string(to_string(e.status))}},
-        true);
-  }
+  const bool taken = e.status == engine_order_status::started ||
+                     e.status == engine_order_status::done;
+  log(taken ? "order_taken" : "order_refused",
+      {{"target", call.target},
+       {"status", std::string(to_string(e.status))},
+       {"connection", connection_of(e.carrier)},
+       {"calls_before", e.carrier.calls_before}},
+      !taken);
   if (e.status == engine_order_status::fenced) {
     ++counts_.step_backs;
     const auto hash = hash_of(call.target);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -267,9 +267,9 @@
   call.answer_value = std::move(a.request_id);
   const auto id = a.call;
   call_client::handlers on;
-  on.head = [this, id](const answer_head& head) {
+  on.head = [this, id](const answer_head& head, const answer_carrier& carrier) {
     post(event::answer_head{id, head.status, head.reason, head.headers,
-                            head.framing});
+                            head.framing, carrier});
   };
   on.data = [this, id](std::shared_ptr<const std::string> data) {
     post(event::answer_data{id, std::move(data)});
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -32,6 +32,7 @@
   std::optional<int> status;
   std::vector<http_header> headers;
   std::string body;
+  answer_carrier carrier;
 };
 
 /** One instance of the direct path, on one loop. */
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -44,9 +44,10 @@
   pending->client = &calls_;
   pending->done = std::move(done);
   call_client::handlers on;
-  on.head = [pending](const answer_head& head) {
+  on.head = [pending](const answer_head& head, const answer_carrier& carrier) {
     pending->answer.status = head.status;
     pending->answer.headers = head.headers;
+    pending->answer.carrier = carrier;
   };
   on.data = [pending](const std::shared_ptr<const std::string>& data) {
     pending->answer.body += *data;
@@ -85,6 +86,7 @@
         event::order_answer answer{id};
         if (got.status) {
           answer.status = platform_->order_status(*got.status);
+          answer.carrier = got.carrier;
           answer.word = platform_->read_word(*got.status, got.headers);
         }
         post(answer);
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -115,6 +115,7 @@
   std::vector<http_header> headers;
   answer_facts answer;
   body_framing framing = body_framing::length;
+  answer_carrier carrier;
   std::string body;
   bool head_sent = false;
   event_stream events;
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -65,7 +65,7 @@
   std::shared_ptr<outcome_of_call> call(outgoing_call what) {
     auto out = std::make_shared<outcome_of_call>();
     client_.start(std::move(what),
-                  {[out](const answer_head& head) {
+                  {[out](const answer_head& head, const answer_carrier&) {
                      out->status = head.status;
                      out->framing = head.framing;
                    },
@@ -141,7 +141,7 @@
   const auto out = call(what);
   run(300ms);
   EXPECT_EQ(out->status, 0);
-  EXPECT_EQ(client_.counts().skipped_answers, 1U);
+  EXPECT_EQ(client_.counts().skipped_during_call, 1U);
 }
 
 TEST_F(gateway_http, a_closed_port_has_not_been_sent_to) {
@@ -252,7 +252,7 @@
   on_request_ = [](caller_id, const gateway::caller_message&) {};
   auto what = get("/x");
   const auto token =
-      client_.start(what, {[](const answer_head&) {},
+      client_.start(what, {[](const answer_head&, const answer_carrier&) {},
                            [](const std::shared_ptr<const std::string>&) {},
                            [](call_end) {}});
   run(100ms);
