A repeated answer no longer passes for the answer to a second send

A target that answers 421 and is then known under a new id at the same address is sent the request again, on the kept connection; a late copy of the 421 bears the id of the request and passed for the answer to that second send, which ran.

A connection no longer carries two calls of one name, so a name tells one call. Copies may come any number of answers late. A connection on which something has come before a call is written, a copy or its close, is not used; one on which an answer was skipped is not kept. The names are remembered as hashes, 256 at most: two of one hash only cost a connection.

call_client-test: 6 of 6 failed before (a copy before the next answer, behind it, before the call is written; a closed connection), all pass. gateway_http-test passes.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -8,7 +8,9 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace seamglade::detail {
@@ -24,6 +26,13 @@
 constexpr duration kDeadPeer = 10s;
 /** A body that is read and not passed on may be this long. */
 constexpr std::size_t kMaxSkipped = 1024UL * 1024UL;
+/** Bounds the names that a connection has to remember. */
+constexpr std::uint32_t kMostCalls = 256;
+
+/** Two names of one hash are taken for the same: that is always safe. */
+std::size_t hash_of_name(const outgoing_call& call) {
+  return std::hash<std::string>()(call.answer_value);
+}
 
 std::string request_head(const outgoing_call& call) {
   std::string text =
@@ -52,7 +61,7 @@
 call_client::~call_client() = default;
 
 call_client::token call_client::start(outgoing_call call, handlers on) {
-  auto* c = take_idle(call.address);
+  auto* c = take_idle(call);
   if (c != nullptr) {
     ++counts_.reused;
   } else {
@@ -61,6 +70,7 @@
   }
   const auto number = next_token_++;
   c->call = number;
+  if (!call.answer_header.empty()) c->names.push_back(hash_of_name(call));
   c->request = std::move(call);
   c->on = std::make_shared<handlers>(std::move(on));
   calls_.emplace(number, c);
@@ -68,14 +78,45 @@
   return number;
 }
 
-call_client::connection* call_client::take_idle(const std::string& address) {
-  const auto found = idle_.find(address);
-  if (found == idle_.end() || found->second.empty()) return nullptr;
-  auto* c = found->second.back();
-  found->second.pop_back();
-  event_del(c->timer.get());
-  c->now = phase::calling;
-  return c;
+call_client::connection* call_client::take_idle(const outgoing_call& call) {
+  const auto found = idle_.find(call.address);
+  if (found == idle_.end()) return nullptr;
+  auto& idle = found->second;
+  for (auto i = idle.size(); i-- > 0;) {
+    auto* c = idle[i];
+    if (!may_carry(*c, call)) continue;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (!is_quiet(*c)) {
+      ++counts_.found_ended;
+      connections_.erase(c->number);
+      continue;
+    }
+    event_del(c->timer.get());
+    c->now = phase::calling;
+    return c;
+  }
+  return nullptr;
+}
+
+bool call_client::may_carry(const connection& c, const outgoing_call& call) {
+  if (call.answer_header.empty()) return true;
+  return std::find(c.names.begin(), c.names.end(), hash_of_name(call)) ==
+         c.names.end();
+}
+
+bool call_client::is_quiet(const connection& c) {
+  if (evbuffer_get_length(bufferevent_get_input(c.io.get())) > 0) return false;
+  char byte = 0;
+  const auto count =
+      recv(bufferevent_getfd(c.io.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool call_client::may_be_kept(const connection& c) {
+  // A repeated answer to HEAD names a length and has no body: what follows it
+  // would be taken for its body.
+  if (c.request.method == "HEAD" || c.has_skipped) return false;
+  return c.reader->keeps_connection() && c.calls_before + 1 < kMostCalls;
 }
 
 call_client::connection* call_client::open(const outgoing_call& call) {
@@ -223,6 +264,7 @@
     // The answer to another request, or word that one is to come.
     c.skipping = true;
     if (c.reader->head().status >= kFirstFinalStatus) {
+      c.has_skipped = true;
       ++counts_.skipped_during_call;
     }
     if (c.reader->head().framing == body_framing::close_delimited) {
@@ -258,7 +300,7 @@
   const bool has_more = evbuffer_get_length(in) > 0;
   if (has_more) ++counts_.skipped_behind_answer;
   const bool clean = !has_more && evbuffer_get_length(out) == 0;
-  if (!clean || !c.reader->keeps_connection()) {
+  if (!clean || !may_be_kept(c)) {
     end_call(c, call_end::complete);
     return;
   }
@@ -301,11 +343,4 @@
   connections_.erase(c->number);
 }
 
-void call_client::forget(const std::string& address) {
-  const auto found = idle_.find(address);
-  if (found == idle_.end()) return;
-  for (const auto* c : found->second) connections_.erase(c->number);
-  idle_.erase(found);
-}
-
 }  // namespace seamglade::detail
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -29,8 +29,9 @@
   std::shared_ptr<const std::string> body;
   /** How long a new connection may take to come up. */
   duration connect_timeout = 500ms;
-  /** An answer counts only if this header has this value; empty: any. */
+  /** The header of an answer that names its call; empty: none does. */
   std::string answer_header;
+  /** The call's name. */
   std::string answer_value;
 };
 
@@ -41,8 +42,19 @@
 /**
  * Makes calls and keeps connections for the next ones.
  *
+ * The other side may send an answer again on its connection, at any later time:
+ * before, during or behind the calls that follow, and more than once. What a
+ * call is given is its own answer all the same:
+ *
+ * - An answer counts only if it bears the name of the call under way; others
+ *   are skipped.
+ * - No connection carries two calls of one name, so a name tells one call.
+ *   Names come from callers and need not be unique.
+ *
  * A connection carries one call at a time. It is kept only if the answer was
- * whole, the request had been written whole, and nothing followed the answer.
+ * whole, the request had been written whole, and no answer was skipped on it.
+ * A kept connection on which anything comes, be it its close, carries no
+ * further call.
  */
 class call_client {
  public:
@@ -62,6 +74,8 @@
     std::uint64_t skipped_while_idle = 0;
     std::uint64_t skipped_during_call = 0;
     std::uint64_t skipped_behind_answer = 0;
+    /** Kept connections on which something had come when a call was due. */
+    std::uint64_t found_ended = 0;
   };
 
   explicit call_client(event_base* base);
@@ -73,8 +87,6 @@
   token start(outgoing_call call, handlers on);
   /** Ends a call and its connection; no handler runs afterwards. */
   void cancel(token call);
-  /** Closes the idle connections to an address. */
-  void forget(const std::string& address);
   const counters& counts() const { return counts_; }
 
  private:
@@ -94,12 +106,20 @@
     std::unique_ptr<answer_reader> reader;
     /** Calls that it carried before this one. */
     std::uint32_t calls_before = 0;
+    /** Hashes of the names that it has carried. */
+    std::vector<std::size_t> names;
     bool head_given = false;
     bool skipping = false;
+    bool has_skipped = false;
   };
 
   connection* open(const outgoing_call& call);
-  connection* take_idle(const std::string& address);
+  /** Returns an idle connection that may carry a call; null: none may. */
+  connection* take_idle(const outgoing_call& call);
+  static bool may_carry(const connection& c, const outgoing_call& call);
+  static bool may_be_kept(const connection& c);
+  /** Whether nothing has come on an idle connection, also no close. */
+  static bool is_quiet(const connection& c);
   void write_request(connection& c);
   void on_readable(connection& c);
   void on_event(connection& c, short what);
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -169,6 +169,9 @@
           calls.opened);
   counter("seamglade_connections_reused_total", "Calls on kept connections",
           calls.reused);
+  counter("seamglade_connections_found_ended_total",
+          "Kept connections that had been closed or written to unasked",
+          calls.found_ended);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
   out.push_back(datagram_family(datagrams));
--- /dev/null
+++ b/test/call_client-test.cc
@@ -0,0 +1,147 @@
+// seamglade - calls on kept connections to a target that repeats its answers
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "connection/call_client.h"
+
+#include <gtest/gtest.h>
+
+#include "repeating_target.h"
+
+namespace seamglade::detail {
+namespace {
+
+using moment = repeating_target::moment;
+
+constexpr duration kPatience = 3s;
+
+/** Makes calls one after the other; a call has a serial, and maybe a name. */
+class repeated_answers_test : public testing::Test {
+ protected:
+  struct outcome_of_call {
+    int status = 0;
+    /** Serial of the call whose answer came. */
+    std::string serial;
+    std::optional<call_end> end;
+  };
+
+  repeated_answers_test()
+      : base_(event_base_new()),
+        target_(base_.get(), [this](const auto& m) { return rule_(m); }),
+        client_(base_.get()) {}
+
+  outgoing_call to_target(const std::string& name) {
+    outgoing_call what;
+    what.address = target_.address();
+    what.method = "POST";
+    what.target = "/x";
+    what.headers = {{kSerialHeader, std::to_string(++last_serial_)}};
+    if (name.empty()) return what;
+    what.headers.push_back({kNameHeader, name});
+    what.answer_header = kNameHeader;
+    what.answer_value = name;
+    return what;
+  }
+
+  /** Makes a call and waits for its end; an empty name: it has none. */
+  outcome_of_call call(const std::string& name) {
+    outcome_of_call out;
+    call_client::handlers on;
+    on.head = [&](const answer_head& head, const answer_carrier&) {
+      out.status = head.status;
+      out.serial = header_value(head.headers, kSerialHeader);
+    };
+    on.data = [](const std::shared_ptr<const std::string>&) {};
+    on.end = [&](call_end end) {
+      out.end = end;
+      event_base_loopbreak(base_.get());
+    };
+    const auto token = client_.start(to_target(name), std::move(on));
+    run(kPatience);
+    if (!out.end) client_.cancel(token);
+    return out;
+  }
+
+  void run(duration most) {
+    const auto wait = to_timeval(most);
+    event_base_loopexit(base_.get(), &wait);
+    event_base_dispatch(base_.get());
+  }
+
+  void expect_own_answer(const outcome_of_call& got) const {
+    EXPECT_EQ(got.end, call_end::complete);
+    EXPECT_EQ(got.serial, std::to_string(last_serial_));
+  }
+
+  /** The first answer is a refusal that comes again, the next ones succeed. */
+  void refuse_first(repeating_target::copy again) {
+    rule_ = [this, again](const gateway::caller_message&) {
+      repeating_target::reply out;
+      if (++answered_ > 1) return out;
+      out.status = 421;
+      out.copies = {again};
+      return out;
+    };
+  }
+
+  base_handle base_;
+  repeating_target::rule rule_ = [](const auto&) {
+    return repeating_target::reply();
+  };
+  repeating_target target_;
+  call_client client_;
+  int last_serial_ = 0;
+  int answered_ = 0;
+};
+
+// A refusal that came again passed for the answer to the second send, which
+// ran: the request was then sent to another target, and ran twice.
+TEST_F(repeated_answers_test, a_refusal_is_not_taken_for_the_second_send) {
+  refuse_first({moment::before_answer});
+  EXPECT_EQ(call("a").status, 421);
+  const auto second = call("a");
+  expect_own_answer(second);
+  EXPECT_EQ(second.status, 200);
+}
+
+TEST_F(repeated_answers_test, an_answer_that_is_late_by_two_is_not_taken) {
+  refuse_first({moment::before_answer, 2});
+  EXPECT_EQ(call("a").status, 421);
+  expect_own_answer(call("b"));
+  expect_own_answer(call("a"));
+}
+
+TEST_F(repeated_answers_test, an_answer_that_came_before_a_call_is_not_taken) {
+  refuse_first({moment::on_demand});
+  EXPECT_EQ(call("a").status, 421);
+  target_.send_on_demand();
+  expect_own_answer(call("a"));
+}
+
+TEST_F(repeated_answers_test, other_names_go_on_the_same_connection) {
+  for (const auto* name : {"a", "b", "c"}) expect_own_answer(call(name));
+  EXPECT_EQ(target_.connections(), 1U);
+  expect_own_answer(call("b"));
+  EXPECT_EQ(target_.connections(), 2U);
+}
+
+TEST_F(repeated_answers_test, a_connection_with_an_answer_to_none_is_not_kept) {
+  refuse_first({moment::before_answer});
+  call("a");
+  expect_own_answer(call("b"));
+  EXPECT_EQ(client_.counts().skipped_during_call, 1U);
+  expect_own_answer(call("c"));
+  EXPECT_EQ(target_.connections(), 2U);
+}
+
+TEST_F(repeated_answers_test, a_connection_that_was_closed_is_not_written_to) {
+  for (const auto* name : {"a", "b", "c"}) {
+    expect_own_answer(call(name));
+    target_.close_all();
+  }
+  EXPECT_EQ(client_.counts().opened, 3U);
+}
+
+}  // namespace
+}  // namespace seamglade::detail
