No other answer passes for the answer to an order or a report

Orders and reports bear no name that their answers carry back, and went out on connections that had carried requests: a late second answer to a request, 200, passed for that to an order to unload that was still waiting.

A call without a name is now the first on its connection, so nothing else can come there; the connection is kept for requests, which tell their own answers by name. Calls to the platform's store and to other instances, which answer each call once, have a client of their own and keep theirs.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -57,7 +57,8 @@
 
 }  // namespace
 
-call_client::call_client(event_base* base) : base_(base) {}
+call_client::call_client(event_base* base, repeated_answers repeats)
+    : base_(base), repeats_(repeats) {}
 call_client::~call_client() = default;
 
 call_client::token call_client::start(outgoing_call call, handlers on) {
@@ -98,8 +99,10 @@
   return nullptr;
 }
 
-bool call_client::may_carry(const connection& c, const outgoing_call& call) {
-  if (call.answer_header.empty()) return true;
+bool call_client::may_carry(const connection& c,
+                            const outgoing_call& call) const {
+  if (repeats_ == repeated_answers::never) return true;
+  if (call.answer_header.empty()) return false;
   return std::find(c.names.begin(), c.names.end(), hash_of_name(call)) ==
          c.names.end();
 }
@@ -112,11 +115,12 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool call_client::may_be_kept(const connection& c) {
+bool call_client::may_be_kept(const connection& c) const {
+  if (!c.reader->keeps_connection() || c.has_skipped) return false;
+  if (repeats_ == repeated_answers::never) return true;
   // A repeated answer to HEAD names a length and has no body: what follows it
   // would be taken for its body.
-  if (c.request.method == "HEAD" || c.has_skipped) return false;
-  return c.reader->keeps_connection() && c.calls_before + 1 < kMostCalls;
+  return c.request.method != "HEAD" && c.calls_before + 1 < kMostCalls;
 }
 
 call_client::connection* call_client::open(const outgoing_call& call) {
@@ -145,6 +149,7 @@
       },
       c);
   connections_.emplace(c->number, std::move(made));
+  note_peak(c->address);
   const auto wait = to_timeval(call.connect_timeout);
   event_add(c->timer.get(), &wait);
   const auto where = parse_endpoint(call.address);
@@ -159,6 +164,14 @@
   return c;
 }
 
+void call_client::note_peak(const std::string& address) {
+  const auto count = std::count_if(
+      connections_.begin(), connections_.end(),
+      [&](const auto& pair) { return pair.second->address == address; });
+  counts_.most_to_one_address =
+      std::max(counts_.most_to_one_address, static_cast<std::uint64_t>(count));
+}
+
 void call_client::write_request(connection& c) {
   begin_answer(c);
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -39,6 +39,9 @@
 using gateway::body_framing;
 using gateway::call_end;
 
+/** Whether the other side may send an answer again. */
+enum class repeated_answers : std::uint8_t { possible, never };
+
 /**
  * Makes calls and keeps connections for the next ones.
  *
@@ -46,10 +49,13 @@
  * before, during or behind the calls that follow, and more than once. What a
  * call is given is its own answer all the same:
  *
- * - An answer counts only if it bears the name of the call under way; others
- *   are skipped.
- * - No connection carries two calls of one name, so a name tells one call.
- *   Names come from callers and need not be unique.
+ * - The answer to a call with a name counts only if it bears that name; others
+ *   are skipped. No connection carries two calls of one name, so a name tells
+ *   one call. Names come from callers and need not be unique.
+ * - A call without a name is the first on its connection.
+ *
+ * Where the other side answers each call once (`repeated_answers::never`), a
+ * connection carries any calls one after the other.
  *
  * A connection carries one call at a time. It is kept only if the answer was
  * whole, the request had been written whole, and no answer was skipped on it.
@@ -76,9 +82,11 @@
     std::uint64_t skipped_behind_answer = 0;
     /** Kept connections on which something had come when a call was due. */
     std::uint64_t found_ended = 0;
+    /** Peak of connections to one address. */
+    std::uint64_t most_to_one_address = 0;
   };
 
-  explicit call_client(event_base* base);
+  call_client(event_base* base, repeated_answers repeats);
   ~call_client();
   call_client(const call_client&) = delete;
   call_client& operator=(const call_client&) = delete;
@@ -114,10 +122,11 @@
   };
 
   connection* open(const outgoing_call& call);
+  void note_peak(const std::string& address);
   /** Returns an idle connection that may carry a call; null: none may. */
   connection* take_idle(const outgoing_call& call);
-  static bool may_carry(const connection& c, const outgoing_call& call);
-  static bool may_be_kept(const connection& c);
+  bool may_carry(const connection& c, const outgoing_call& call) const;
+  bool may_be_kept(const connection& c) const;
   /** Whether nothing has come on an idle connection, also no close. */
   static bool is_quiet(const connection& c);
   void write_request(connection& c);
@@ -134,6 +143,7 @@
   void begin_answer(connection& c);
 
   event_base* base_;
+  repeated_answers repeats_;
   token next_token_ = 1;
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -61,10 +61,27 @@
   return out;
 }
 
+using client_counter = std::uint64_t call_client::counters::*;
+
+/** Returns a family with a metric for each client. */
+prometheus::MetricFamily client_family(const char* name, const char* help,
+                                       prometheus::MetricType type,
+                                       const call_counters& calls,
+                                       client_counter which) {
+  auto out =
+      family(name, help, type, static_cast<double>(calls.to_targets.*which));
+  out.metric.front().label = {{"to", "targets"}};
+  auto fleet =
+      family(name, help, type, static_cast<double>(calls.to_fleet.*which));
+  fleet.metric.front().label = {{"to", "fleet"}};
+  out.metric.push_back(std::move(fleet.metric.front()));
+  return out;
+}
+
 prometheus::MetricFamily skipped_family(const call_client::counters& calls) {
   prometheus::MetricFamily out;
   out.name = "seamglade_answers_skipped_total";
-  out.help = "Answers that belong to no call, by when they came";
+  out.help = "Answers of targets that belong to no call, by when they came";
   out.type = prometheus::MetricType::Counter;
   const auto add = [&](const char* when, std::uint64_t count) {
     prometheus::ClientMetric metric;
@@ -78,10 +95,31 @@
   return out;
 }
 
+std::vector<prometheus::MetricFamily> client_families(
+    const call_counters& calls) {
+  using counters = call_client::counters;
+  constexpr auto counter = prometheus::MetricType::Counter;
+  return {
+      client_family("seamglade_connections_opened_total", "Connections opened",
+                    counter, calls, &counters::opened),
+      client_family("seamglade_connections_reused_total",
+                    "Calls on kept connections", counter, calls,
+                    &counters::reused),
+      client_family("seamglade_connections_found_ended_total",
+                    "Kept connections that had been closed or written to "
+                    "unasked",
+                    counter, calls, &counters::found_ended),
+      client_family("seamglade_connections_to_one_address_peak",
+                    "Most connections that were open to one address",
+                    prometheus::MetricType::Gauge, calls,
+                    &counters::most_to_one_address),
+      skipped_family(calls.to_targets)};
+}
+
 }  // namespace
 
 std::string metrics_page(const gateway::gateway_status& status,
-                         const call_client::counters& calls,
+                         const call_counters& calls,
                          std::uint64_t log_lines_dropped,
                          const datagram_bytes& datagrams) {
   std::vector<prometheus::MetricFamily> out;
@@ -165,18 +203,11 @@
   counter("seamglade_grants_unanswered_total",
           "Questions for such a grant without an answer in time",
           status.grant_unanswered);
-  counter("seamglade_connections_opened_total", "Connections opened",
-          calls.opened);
-  counter("seamglade_connections_reused_total", "Calls on kept connections",
-          calls.reused);
-  counter("seamglade_connections_found_ended_total",
-          "Kept connections that had been closed or written to unasked",
-          calls.found_ended);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
-  out.push_back(skipped_family(calls));
+  for (auto& each : client_families(calls)) out.push_back(std::move(each));
   gauge("seamglade_ready", "Whether new connections are taken",
         status.ready ? 1 : 0);
   gauge("seamglade_configuration_version", "Configuration in force",
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -29,9 +29,16 @@
   std::array<std::uint64_t, 3> sent_{};
 };
 
+/** What the clients of an instance have counted. */
+struct call_counters {
+  call_client::counters to_targets;
+  /** To the platform's store and other instances. */
+  call_client::counters to_fleet;
+};
+
 /** Returns the counters in Prometheus' text form. */
 std::string metrics_page(const gateway::gateway_status& status,
-                         const call_client::counters& calls,
+                         const call_counters& calls,
                          std::uint64_t log_lines_dropped,
                          const datagram_bytes& datagrams = {});
 
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -116,7 +116,8 @@
                    if (!message) return;
                    post(event::datagram{from, std::move(message.value())});
                  }),
-      calls_(base_.get()),
+      target_client_(base_.get(), repeated_answers::possible),
+      fleet_client_(base_.get(), repeated_answers::never),
       prober_(base_.get()) {
   if (auto text = read_file(config_file_)) config_text_ = text.value();
 }
@@ -278,13 +279,13 @@
     target_calls_.erase(id);
     post(event::answer_end{id, end});
   };
-  target_calls_[id] = calls_.start(std::move(call), std::move(on));
+  target_calls_[id] = target_client_.start(std::move(call), std::move(on));
 }
 
 void gateway_shell::carry_out(action::cancel_call&& a) {
   const auto found = target_calls_.find(a.call);
   if (found == target_calls_.end()) return;
-  calls_.cancel(found->second);
+  target_client_.cancel(found->second);
   target_calls_.erase(found);
 }
 
@@ -323,7 +324,8 @@
   if (path == kMetricsPath) {
     reply_whole(
         metrics_, caller, kOk,
-        metrics_page(status, calls_.counts(), log_.dropped(), datagram_bytes_));
+        metrics_page(status, {target_client_.counts(), fleet_client_.counts()},
+                     log_.dropped(), datagram_bytes_));
   } else if (path == kStatusPath) {
     reply_whole(metrics_, caller, kOk, status_page(status));
   } else {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -75,7 +75,7 @@
   void carry_out(gateway::action::log_line&& a);
 
   /** Makes a call whose answer is wanted whole. */
-  void ask(outgoing_call call, duration timeout,
+  void ask(call_client& client, outgoing_call call, duration timeout,
            std::function<void(collected_answer)> done);
   void read_store(gateway::store_call_id id, gateway::store_scope scope,
                   std::string path, duration timeout);
@@ -98,7 +98,9 @@
   gateway_server peers_;
   datagram_socket datagrams_;
   datagram_bytes datagram_bytes_;
-  call_client calls_;
+  call_client target_client_;
+  /** For the platform's store and for other instances. */
+  call_client fleet_client_;
   connect_prober prober_;
   event_handle timer_;
   std::vector<event_handle> signals_;
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -38,10 +38,11 @@
 
 }  // namespace
 
-void gateway_shell::ask(outgoing_call call, duration timeout,
+void gateway_shell::ask(call_client& client, outgoing_call call,
+                        duration timeout,
                         std::function<void(collected_answer)> done) {
   auto pending = std::make_shared<pending_answer>();
-  pending->client = &calls_;
+  pending->client = &client;
   pending->done = std::move(done);
   call_client::handlers on;
   on.head = [pending](const answer_head& head, const answer_carrier& carrier) {
@@ -61,15 +62,13 @@
   const auto late = [](evutil_socket_t, short, void* arg) {
     auto* self = static_cast<pending_answer*>(arg);
     const auto finished = std::exchange(self->done, {});
-    auto* client = self->client;
-    const auto token = self->token;
-    client->cancel(token);  // frees self
+    self->client->cancel(self->token);  // frees self
     finished({});
   };
   pending->timer.reset(event_new(base_.get(), -1, 0, late, pending.get()));
   const auto wait = to_timeval(timeout);
   event_add(pending->timer.get(), &wait);
-  pending->token = calls_.start(std::move(call), std::move(on));
+  pending->token = client.start(std::move(call), std::move(on));
 }
 
 void gateway_shell::carry_out(action::send_order&& a) {
@@ -81,7 +80,7 @@
   call.body =
       std::make_shared<const std::string>(platform_->order_body(a.order));
   call.connect_timeout = kTargetConnect;
-  ask(std::move(call), kOrderTimeout,
+  ask(target_client_, std::move(call), kOrderTimeout,
       [this, id = a.call](const collected_answer& got) {
         event::order_answer answer{id};
         if (got.status) {
@@ -99,7 +98,7 @@
   call.method = "GET";
   call.target = platform_->report_path();
   call.connect_timeout = kTargetConnect;
-  ask(std::move(call), kReportTimeout,
+  ask(target_client_, std::move(call), kReportTimeout,
       [this, id = a.call](const collected_answer& got) {
         event::report_answer answer{id, std::nullopt};
         if (got.status) {
@@ -131,22 +130,23 @@
   call.address = config_.store_address;
   call.method = "GET";
   call.target = std::move(path);
-  ask(std::move(call), timeout, [this, id, scope](const collected_answer& got) {
-    using outcome = event::store_read::outcome;
-    event::store_read read;
-    read.call = id;
-    read.scope = scope;
-    read.status = got.status.value_or(0);
-    read.epoch = platform_->read_store_epoch(got.headers);
-    if (got.status == kGone) read.how = outcome::history_gone;
-    if (got.status == kOk) {
-      if (auto answer = platform_->read_store(got.body)) {
-        read.how = outcome::answered;
-        read.answer = std::move(answer.value());
-      }
-    }
-    post(std::move(read));
-  });
+  ask(fleet_client_, std::move(call), timeout,
+      [this, id, scope](const collected_answer& got) {
+        using outcome = event::store_read::outcome;
+        event::store_read read;
+        read.call = id;
+        read.scope = scope;
+        read.status = got.status.value_or(0);
+        read.epoch = platform_->read_store_epoch(got.headers);
+        if (got.status == kGone) read.how = outcome::history_gone;
+        if (got.status == kOk) {
+          if (auto answer = platform_->read_store(got.body)) {
+            read.how = outcome::answered;
+            read.answer = std::move(answer.value());
+          }
+        }
+        post(std::move(read));
+      });
 }
 
 void gateway_shell::carry_out(action::watch_store&& a) {
@@ -164,7 +164,7 @@
   call.address = fmt::format("{}:{}", to_text(a.from), peer_port_);
   call.method = "GET";
   call.target = changes_path(a.known);
-  ask(std::move(call), kPeerTimeout,
+  ask(fleet_client_, std::move(call), kPeerTimeout,
       [this, from = a.from](const collected_answer& got) {
         event::peer_changes answer{from, std::nullopt};
         if (got.status == kOk) {
--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -29,7 +29,7 @@
   repeated_answers_test()
       : base_(event_base_new()),
         target_(base_.get(), [this](const auto& m) { return rule_(m); }),
-        client_(base_.get()) {}
+        client_(base_.get(), repeated_answers::possible) {}
 
   outgoing_call to_target(const std::string& name) {
     outgoing_call what;
@@ -135,6 +135,27 @@
   EXPECT_EQ(target_.connections(), 2U);
 }
 
+// A late answer to a request passed for the answer to an order to unload: the
+// next order loaded an adapter beyond the target's places.
+TEST_F(repeated_answers_test, no_answer_is_taken_for_that_of_a_nameless_call) {
+  refuse_first({moment::before_answer});
+  call("a");
+  expect_own_answer(call(""));
+}
+
+TEST_F(repeated_answers_test, nameless_answers_are_not_taken_for_each_other) {
+  refuse_first({moment::before_answer});
+  call("");
+  expect_own_answer(call(""));
+}
+
+TEST_F(repeated_answers_test, a_named_call_may_follow_a_nameless_one) {
+  refuse_first({moment::before_answer});
+  call("");
+  expect_own_answer(call("a"));
+  EXPECT_EQ(target_.connections(), 1U);
+}
+
 TEST_F(repeated_answers_test, a_connection_that_was_closed_is_not_written_to) {
   for (const auto* name : {"a", "b", "c"}) {
     expect_own_answer(call(name));
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -33,7 +33,7 @@
                    stop();
                  },
                  [this](int status) { refused_.push_back(status); }}),
-        client_(base_.get()) {
+        client_(base_.get(), repeated_answers::never) {
     address_ = server_.listen({"127.0.0.1", 0}).value();
     on_request_ = [this](caller_id caller, const gateway::caller_message& m) {
       answer(caller, 200, "body of " + m.target);
