--- a/test/drawn_play.h
+++ b/test/drawn_play.h
@@ -6,9 +6,8 @@
 #ifndef SEAMGLADE_TEST_DRAWN_PLAY_H_
 #define SEAMGLADE_TEST_DRAWN_PLAY_H_
 
-#include <cstdlib>
-
 #include "gateway_checks.h"
+#include "soak_seeds.h"
 
 namespace seamglade {
 
@@ -102,12 +101,6 @@
   gateway_world world_;
 };
 
-/** Seeds to play: 12 where SEAMGLADE_SOAK_SEEDS names no number. */
-inline std::uint64_t soak_seeds() {
-  const char* text = std::getenv("SEAMGLADE_SOAK_SEEDS");
-  return text == nullptr ? 12 : std::strtoull(text, nullptr, 10);
-}
-
 /** No request ran twice that may not, or was refused and ran. */
 inline void expect_runs_kept(gateway_world& w) {
   for (const auto& call : w.calls()) {
