--- a/bench/load.cc
+++ b/bench/load.cc
@@ -21,7 +21,10 @@
 class closed_loop {
  public:
   closed_loop(event_base* base, detail::http_call call, int callers, int total)
-      : base_(base), client_(base), call_(std::move(call)), total_(total) {
+      : base_(base),
+        client_(base, detail::repeated_answers::never),
+        call_(std::move(call)),
+        total_(total) {
     latencies_.reserve(static_cast<std::size_t>(total));
     started_ = detail::boot_now();
     for (int i = 0; i < callers; ++i) send();
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -14,6 +14,7 @@
 
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
+#include "connection/repeated_answers.h"
 #include "seamglade/types.h"
 
 namespace seamglade::detail {
@@ -39,9 +40,6 @@
 using gateway::body_framing;
 using gateway::call_end;
 
-/** Whether the other side may send an answer again. */
-enum class repeated_answers : std::uint8_t { possible, never };
-
 /**
  * Makes calls and keeps connections for the next ones.
  *
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -103,7 +103,8 @@
   return kept;
 }
 
-http_client::http_client(event_base* base) : base_(base) {}
+http_client::http_client(event_base* base, repeated_answers repeats)
+    : base_(base), repeats_(repeats) {}
 
 http_client::~http_client() {
   *alive_ = false;
@@ -255,7 +256,8 @@
   }
   const auto* closing = evhttp_find_header(
       evhttp_request_get_input_headers(request), "Connection");
-  const bool reusable = closing == nullptr || !same_name("close", closing);
+  const bool reusable = repeats_ == repeated_answers::never &&
+                        (closing == nullptr || !same_name("close", closing));
   // The connection is still in use by libevent until this callback returns.
   run_later(base_, [this, token, reusable, alive = alive_] {
     if (*alive) release(token, reusable);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "connection/event_handles.h"
+#include "connection/repeated_answers.h"
 
 namespace seamglade::detail {
 
@@ -44,12 +45,17 @@
   std::function<void(http_end end)> on_failure;
 };
 
-/** Makes calls by HTTP/1.1 on one loop; a connection serves one at a time. */
+/**
+ * Makes calls by HTTP/1.1 on one loop; a connection serves one at a time.
+ *
+ * Answers do not name their call here. Where the other side may repeat them, a
+ * connection carries one call, so that no other answer can come on it.
+ */
 class http_client {
  public:
   using call_token = std::uint64_t;
 
-  explicit http_client(event_base* base);
+  http_client(event_base* base, repeated_answers repeats);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -78,6 +84,7 @@
   void release(call_token token, bool reusable);
 
   event_base* base_;
+  repeated_answers repeats_;
   call_token last_token_ = 0;
   std::unordered_map<call_token, std::unique_ptr<call_state>> calls_;
   std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -233,7 +233,7 @@
 result<std::string> ask(const std::string& address, const char* method,
                         const char* path) {
   const detail::base_handle base(event_base_new());
-  detail::http_client client(base.get());
+  detail::http_client client(base.get(), detail::repeated_answers::never);
   result<std::string> answer = failure{errc::service_unreachable, address, 0};
   std::string text;
   detail::http_call call;
--- a/src/process/shell.cc
+++ b/src/process/shell.cc
@@ -61,8 +61,8 @@
       operators_(base_.get(), config_.id,
                  {[this] { return decisions_.status(); },
                   [this] { return peers_.traffic(); }, [this] { drain(); }}),
-      targets_(base_.get()),
-      service_(base_.get()) {
+      targets_(base_.get(), repeated_answers::possible),
+      service_(base_.get(), repeated_answers::never) {
   timer_.reset(event_new(
       base_.get(), -1, 0,
       [](evutil_socket_t, short, void* arg) {
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "raw_target.h"
+#include "repeating_target.h"
 
 namespace seamglade::detail {
 namespace {
@@ -19,10 +20,8 @@
 };
 
 /** Calls a target that sends these pieces and closes its connection. */
-got_answer call(const std::vector<std::string>& pieces) {
-  const base_handle base(event_base_new());
-  raw_target target(base.get(), pieces, raw_target::ending::close);
-  http_client client(base.get());
+/** Calls a target and waits for the end of the answer. */
+got_answer call(event_base* base, http_client& client, http_call what) {
   got_answer out;
   http_observer observer;
   observer.on_piece = [&](int, const std::vector<http_header>&,
@@ -30,23 +29,31 @@
                           bool last) {
     if (data) out.body += *data;
     out.is_whole = last;
-    if (last) event_base_loopbreak(base.get());
+    if (last) event_base_loopbreak(base);
   };
   observer.on_failure = [&](http_end) {
     out.has_failed = true;
-    event_base_loopbreak(base.get());
+    event_base_loopbreak(base);
   };
-  http_call what;
-  what.address = target.address();
   what.path = "/x";
   what.timeout = 2s;
   client.start(std::move(what), std::move(observer));
   const auto patience = to_timeval(3s);
-  event_base_loopexit(base.get(), &patience);
-  event_base_dispatch(base.get());
+  event_base_loopexit(base, &patience);
+  event_base_dispatch(base);
   return out;
 }
 
+/** Calls a target that sends these pieces and closes its connection. */
+got_answer call(const std::vector<std::string>& pieces) {
+  const base_handle base(event_base_new());
+  raw_target target(base.get(), pieces, raw_target::ending::close);
+  http_client client(base.get(), repeated_answers::possible);
+  http_call what;
+  what.address = target.address();
+  return call(base.get(), client, std::move(what));
+}
+
 const std::string kHead =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
 const std::string kEvent = "id: 1\ndata: a\n\n";
@@ -83,5 +90,24 @@
                "ab");
 }
 
+// A refusal that came again passed for the answer to the next call.
+TEST(http_client, a_repeated_answer_is_not_taken_for_that_to_the_next_call) {
+  const base_handle base(event_base_new());
+  repeating_target target(base.get(), [](const auto&) {
+    repeating_target::reply out;
+    out.copies = {{repeating_target::moment::before_answer}};
+    return out;
+  });
+  http_client client(base.get(), repeated_answers::possible);
+  for (const std::string serial : {"1", "2", "3"}) {
+    http_call what;
+    what.address = target.address();
+    what.headers = {{kSerialHeader, serial}};
+    const auto got = call(base.get(), client, std::move(what));
+    EXPECT_TRUE(got.is_whole);
+    EXPECT_EQ(got.body, "body of " + serial);
+  }
+}
+
 }  // namespace
 }  // namespace seamglade::detail
