Orders share connections with requests again, one order a connection

An answer that bears no name can belong to no request, so a connection carries one call without a name beside the named ones.

Ruled out: names of our own for orders.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -19,6 +19,7 @@
 constexpr int kContinue = 100;
 constexpr int kSwitching = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kAccepted = 202;
 /** How long a connection is kept where the other side names no time. */
 constexpr duration kDefaultIdle = 8s;
 /** Taken off a named time: a call must not meet the other side's close. */
@@ -31,7 +32,16 @@
 
 /** Two names of one hash are taken for the same: that is always safe. */
 std::size_t hash_of_name(const outgoing_call& call) {
-  return std::hash<std::string>()(call.answer_value);
+  return std::hash<std::string>()(call.name);
+}
+
+/** Returns what a call without a name asks for. */
+std::string content_of(const outgoing_call& call) {
+  auto text = call.method + " " + call.target + "\n";
+  for (const auto& header : call.headers) {
+    text += header.name + ":" + header.value + "\n";
+  }
+  return call.body ? text + *call.body : text;
 }
 
 std::string request_head(const outgoing_call& call) {
@@ -57,8 +67,8 @@
 
 }  // namespace
 
-call_client::call_client(event_base* base, repeated_answers repeats)
-    : base_(base), repeats_(repeats) {}
+call_client::call_client(event_base* base, std::string name_header)
+    : base_(base), name_header_(std::move(name_header)) {}
 call_client::~call_client() = default;
 
 call_client::token call_client::start(outgoing_call call, handlers on) {
@@ -71,7 +81,7 @@
   }
   const auto number = next_token_++;
   c->call = number;
-  if (!call.answer_header.empty()) c->names.push_back(hash_of_name(call));
+  note_call(*c, call);
   c->request = std::move(call);
   c->on = std::make_shared<handlers>(std::move(on));
   calls_.emplace(number, c);
@@ -101,12 +111,25 @@
 
 bool call_client::may_carry(const connection& c,
                             const outgoing_call& call) const {
-  if (repeats_ == repeated_answers::never) return true;
-  if (call.answer_header.empty()) return false;
+  if (name_header_.empty()) return true;
+  if (call.name.empty()) {
+    return c.nameless_call.empty() ||
+           (c.nameless_goes_on && c.nameless_call == content_of(call));
+  }
   return std::find(c.names.begin(), c.names.end(), hash_of_name(call)) ==
          c.names.end();
 }
 
+void call_client::note_call(connection& c, const outgoing_call& call) const {
+  if (name_header_.empty()) return;
+  if (!call.name.empty()) {
+    c.names.push_back(hash_of_name(call));
+    return;
+  }
+  if (c.nameless_call.empty()) c.nameless_goes_on = true;
+  c.nameless_call = content_of(call);
+}
+
 bool call_client::is_quiet(const connection& c) {
   if (evbuffer_get_length(bufferevent_get_input(c.io.get())) > 0) return false;
   char byte = 0;
@@ -116,8 +139,8 @@
 }
 
 bool call_client::may_be_kept(const connection& c) const {
-  if (!c.reader->keeps_connection() || c.has_skipped) return false;
-  if (repeats_ == repeated_answers::never) return true;
+  if (!c.reader->keeps_connection() || c.ends_after_call) return false;
+  if (name_header_.empty()) return true;
   // A repeated answer to HEAD names a length and has no body: what follows it
   // would be taken for its body.
   return c.request.method != "HEAD" && c.calls_before + 1 < kMostCalls;
@@ -256,16 +279,32 @@
   }
 }
 
-bool call_client::belongs_to_call(const connection& c) const {
-  const auto& head = c.reader->head();
-  if (head.status >= kContinue && head.status < kFirstFinalStatus) return false;
-  if (c.request.answer_header.empty()) return true;
+std::optional<std::string_view> call_client::name_in(
+    const answer_head& head) const {
   for (const auto& header : head.headers) {
-    if (boost::algorithm::iequals(header.name, c.request.answer_header)) {
-      return header.value == c.request.answer_value;
+    if (boost::algorithm::iequals(header.name, name_header_)) {
+      return header.value;
     }
   }
-  return false;
+  return std::nullopt;
+}
+
+bool call_client::belongs_to_call(const connection& c) const {
+  const auto& head = c.reader->head();
+  if (head.status >= kContinue && head.status < kFirstFinalStatus) return false;
+  if (name_header_.empty()) return true;
+  const auto name = name_in(head);
+  if (!c.request.name.empty()) return name == c.request.name;
+  // Nothing else can come on a connection that has carried nothing else.
+  return !name || c.calls_before == 0;
+}
+
+void call_client::note_head(connection& c) const {
+  if (name_header_.empty() || !c.request.name.empty()) return;
+  const auto& head = c.reader->head();
+  if (head.status != kAccepted) c.nameless_goes_on = false;
+  // Bears a name that may be another call's later.
+  if (name_in(head)) c.ends_after_call = true;
 }
 
 bool call_client::give_head(connection& c) {
@@ -277,7 +316,7 @@
     // The answer to another request, or word that one is to come.
     c.skipping = true;
     if (c.reader->head().status >= kFirstFinalStatus) {
-      c.has_skipped = true;
+      c.ends_after_call = true;
       ++counts_.skipped_during_call;
     }
     if (c.reader->head().framing == body_framing::close_delimited) {
@@ -287,6 +326,7 @@
     return true;
   }
   c.head_given = true;
+  note_head(c);
   const auto call = c.call;
   const auto on = c.on;
   on->head(c.reader->head(), {c.number, c.calls_before});
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -9,12 +9,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
-#include "connection/repeated_answers.h"
 #include "seamglade/types.h"
 
 namespace seamglade::detail {
@@ -30,10 +30,8 @@
   std::shared_ptr<const std::string> body;
   /** How long a new connection may take to come up. */
   duration connect_timeout = 500ms;
-  /** The header of an answer that names its call; empty: none does. */
-  std::string answer_header;
-  /** The call's name. */
-  std::string answer_value;
+  /** What its answer bears in the client's name header; empty: nothing. */
+  std::string name;
 };
 
 using gateway::answer_carrier;
@@ -50,10 +48,12 @@
  * - The answer to a call with a name counts only if it bears that name; others
  *   are skipped. No connection carries two calls of one name, so a name tells
  *   one call. Names come from callers and need not be unique.
- * - A call without a name is the first on its connection.
+ * - A connection carries one call without a name, so an answer without a name
+ *   tells it. That call may be made again there while all its answers have been
+ *   202 (accepted and not yet carried out): these answer the new one as well.
  *
- * Where the other side answers each call once (`repeated_answers::never`), a
- * connection carries any calls one after the other.
+ * A client without a name header is for those that answer each call once, in
+ * order: its connections carry any calls one after the other.
  *
  * A connection carries one call at a time. It is kept only if the answer was
  * whole, the request had been written whole, and no answer was skipped on it.
@@ -84,7 +84,8 @@
     std::uint64_t most_to_one_address = 0;
   };
 
-  call_client(event_base* base, repeated_answers repeats);
+  /** `name_header`: the header in which answers bear the names of calls. */
+  call_client(event_base* base, std::string name_header);
   ~call_client();
   call_client(const call_client&) = delete;
   call_client& operator=(const call_client&) = delete;
@@ -114,9 +115,14 @@
     std::uint32_t calls_before = 0;
     /** Hashes of the names that it has carried. */
     std::vector<std::size_t> names;
+    /** The call without a name that it has carried; empty: none. */
+    std::string nameless_call;
+    /** All answers to that call have been 202. */
+    bool nameless_goes_on = false;
     bool head_given = false;
     bool skipping = false;
-    bool has_skipped = false;
+    /** What came is not told apart from what may follow. */
+    bool ends_after_call = false;
   };
 
   connection* open(const outgoing_call& call);
@@ -133,7 +139,11 @@
   void on_timer(connection& c);
   /** Gives out the head; returns false if the connection is gone. */
   bool give_head(connection& c);
+  /** Returns the name that an answer bears; none: it bears none. */
+  std::optional<std::string_view> name_in(const answer_head& head) const;
   bool belongs_to_call(const connection& c) const;
+  void note_call(connection& c, const outgoing_call& call) const;
+  void note_head(connection& c) const;
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
@@ -141,7 +151,7 @@
   void begin_answer(connection& c);
 
   event_base* base_;
-  repeated_answers repeats_;
+  std::string name_header_;
   token next_token_ = 1;
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "connection/event_handles.h"
-#include "connection/repeated_answers.h"
 
 namespace seamglade::detail {
 
@@ -45,6 +44,9 @@
   std::function<void(http_end end)> on_failure;
 };
 
+/** Whether the other side may send an answer again, at any later time. */
+enum class repeated_answers : std::uint8_t { possible, never };
+
 /**
  * Makes calls by HTTP/1.1 on one loop; a connection serves one at a time.
  *
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -116,8 +116,8 @@
                    if (!message) return;
                    post(event::datagram{from, std::move(message.value())});
                  }),
-      target_client_(base_.get(), repeated_answers::possible),
-      fleet_client_(base_.get(), repeated_answers::never),
+      target_client_(base_.get(), std::string(platform_->request_id_header())),
+      fleet_client_(base_.get(), {}),
       prober_(base_.get()) {
   if (auto text = read_file(config_file_)) config_text_ = text.value();
 }
@@ -264,8 +264,7 @@
   call.headers = std::move(a.headers);
   call.body = std::move(a.body);
   call.connect_timeout = kTargetConnect;
-  call.answer_header = platform_->request_id_header();
-  call.answer_value = std::move(a.request_id);
+  call.name = std::move(a.request_id);
   const auto id = a.call;
   call_client::handlers on;
   on.head = [this, id](const answer_head& head, const answer_carrier& carrier) {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -99,7 +99,7 @@
   datagram_socket datagrams_;
   datagram_bytes datagram_bytes_;
   call_client target_client_;
-  /** For the platform's store and for other instances. */
+  /** For the platform's store and other instances: they answer in order. */
   call_client fleet_client_;
   connect_prober prober_;
   event_handle timer_;
