Real processes before targets that send answers again

The platform's stand-in can put a relay before each target that sends a part of its answers again, up to three answers late, on the same connection. Such a target is back 0.3 s after its end, at its address, while its former entry stands. repeated_answers-test: three instances, orders to load and unload beside streams and plain requests, three ends of engines.

--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -15,6 +15,7 @@
 #include <set>
 
 #include "platform_store.h"
+#include "repeating_relay.h"
 
 namespace {
 
@@ -31,6 +32,9 @@
 constexpr std::string_view kDeadly = "deadly";
 constexpr duration kEndsAfter = 30ms;
 constexpr duration kDownFor = 1s;
+/** Behind a relay a target is back so soon, and its former entry stays on. */
+constexpr duration kSoonBack = 300ms;
+constexpr duration kFormerEntry = 2s;
 
 /** How an engine sends its streams. */
 struct stream_plan {
@@ -45,8 +49,14 @@
 /** A target; an engine if it has adapters to load. */
 class target {
  public:
-  target(world& w, store& s, std::string id, bool engine)
-      : world_(w), store_(s), id_(std::move(id)), engine_(engine) {
+  /** `relay`: stands before the target, at one address for all its lives. */
+  target(world& w, store& s, std::string id, bool engine,
+         std::unique_ptr<repeating_relay> relay)
+      : world_(w),
+        store_(s),
+        id_(std::move(id)),
+        engine_(engine),
+        relay_(std::move(relay)) {
     start();
   }
 
@@ -98,7 +108,9 @@
     server_ = std::make_unique<gateway_server>(
         world_.base(),
         on_request([this](auto c, const auto& m) { serve(c, m); }));
-    address_ = server_->listen({"127.0.0.1", 0}).value().str();
+    const auto where = server_->listen({"127.0.0.1", 0}).value();
+    if (relay_) relay_->lead_to(where);
+    address_ = relay_ ? relay_->address() : where.str();
     publish();
   }
 
@@ -111,8 +123,17 @@
     pending_.clear();
     sequence_ = 0;
     fence_ = 0;
-    world_.after(kDownFor, [this] {
-      store_.erase("servers/" + id_);
+    if (!relay_) {
+      world_.after(kDownFor, [this] {
+        store_.erase("servers/" + id_);
+        id_ += "+";
+        start();
+      });
+      return;
+    }
+    world_.after(kFormerEntry,
+                 [this, former = id_] { store_.erase("servers/" + former); });
+    world_.after(kSoonBack, [this] {
       id_ += "+";
       start();
     });
@@ -252,6 +273,7 @@
   store& store_;
   std::string id_;
   bool engine_;
+  std::unique_ptr<repeating_relay> relay_;
   std::unique_ptr<gateway_server> server_;
   std::uint64_t life_ = 0;
   std::string address_;
@@ -296,14 +318,21 @@
 
 }  // namespace
 
-int main() {
+/** Usage: seamglade-platform-standin [PART]: so many answers come again. */
+int main(int count, char** words) {
+  const double part = count > 1 ? std::stod(words[1]) : 0;
   world w;
   store s(w);
   const auto where = s.listen({"127.0.0.1", 0});
   s.put("op/config", configuration(1));
-  target one(w, s, "engine-1", true);
-  target two(w, s, "engine-2", true);
-  target three(w, s, "desk-1", false);
+  unsigned seed = 0;
+  const auto relay = [&] {
+    return part > 0 ? std::make_unique<repeating_relay>(w.base(), part, ++seed)
+                    : nullptr;
+  };
+  target one(w, s, "engine-1", true, relay());
+  target two(w, s, "engine-2", true, relay());
+  target three(w, s, "desk-1", false, relay());
   const std::array all{&one, &two, &three};
   s.on_word = [all](std::size_t number, const json& word) {
     all.at(number)->take_word(word);
