A report is asked of one target, not of whoever has its address

The same class as the answers that passed for others': a report names nobody, and was asked of an address. Where that had gone to another target or life, its adapters, places and orders done were taken for those of the target before. Read in the code while the related paths were looked at; nobody reported it.

--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -366,7 +366,7 @@
       for (const auto& [when, report] : t->history) {
         if (when + kReportLag <= now_) old = report;
       }
-      answer.report = old;
+      if (ask.target == t->id) answer.report = old;
       answer.word.is_leaving = t->says_leaving;
     }
     const auto wait = is_dark ? kCallPatience : kLinkDelay;
--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -70,6 +70,9 @@
       std::string_view key) const = 0;
 
   virtual std::string report_path() const = 0;
+  /** Returns the headers of a report asked of one target. */
+  virtual std::vector<http_header> report_headers(
+      const target_id& target) const = 0;
   virtual result<engine_report> read_report(std::string_view body) const = 0;
   virtual std::string order_path() const = 0;
   virtual std::string order_body(const engine_order& order) const = 0;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -162,6 +162,7 @@
 struct read_report {
   engine_call_id call = 0;
   std::string address;
+  target_id target;
 };
 /** Opens a connection, sends nothing and closes it. */
 struct probe_target {
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -261,7 +261,7 @@
   engine_calls_[call] = {keeper.id(), keeper.fence(), now_,
                          target->entry.started_ms};
   if (step.what == keeper_step::kind::report) {
-    do_act(action::read_report{call, target->entry.address});
+    do_act(action::read_report{call, target->entry.address, keeper.id()});
     return;
   }
   claims_[target->hash].heard = now_;
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -97,6 +97,7 @@
   call.address = std::move(a.address);
   call.method = "GET";
   call.target = platform_->report_path();
+  call.headers = platform_->report_headers(a.target);
   call.connect_timeout = kTargetConnect;
   ask(target_client_, std::move(call), kReportTimeout,
       [this, id = a.call](const collected_answer& got) {
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -147,6 +147,10 @@
   }
 
   void serve(caller_id caller, const caller_message& m) {
+    if (header_of(m, "X-Expect-Replica") != id_) {
+      refuse_misdirected(caller, m);
+      return;
+    }
     if (m.target == "/report") {
       json pending = json::array();
       for (const auto& name : pending_) {
@@ -161,10 +165,6 @@
             own_headers());
       return;
     }
-    if (header_of(m, "X-Expect-Replica") != id_) {
-      reply(*server_, caller, 421, "", {{"X-Not-Executed", "1"}});
-      return;
-    }
     if (m.target == "/order") {
       reply(*server_, caller, take_order(json::parse(*m.body)), "",
             own_headers());
@@ -173,6 +173,16 @@
     run(caller, m);
   }
 
+  void refuse_misdirected(caller_id caller, const caller_message& m) {
+    std::vector<http_header> headers{{"X-Not-Executed", "1"}};
+    const auto request = header_of(m, "X-Request-Id");
+    if (!request.empty()) headers.push_back({"X-Request-Id", request});
+    if (m.target == "/report" && header_of(m, "X-Expect-Replica").empty()) {
+      std::cout << "BROKEN " << id_ << " a report of any target" << std::endl;
+    }
+    reply(*server_, caller, 421, "", std::move(headers));
+  }
+
   int take_order(const json& order) {
     const auto fence = order.value("fence", std::uint64_t{0});
     if (fence < fence_) return 412;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -278,6 +278,14 @@
   EXPECT_EQ(report.value().pending[0].version, 3U);
 }
 
+// A report of another target at a reused address was taken for this one's.
+TEST_F(platform, asks_one_target_for_its_report) {
+  const auto headers = d_->report_headers("i-7f");
+  ASSERT_EQ(headers.size(), 1U);
+  EXPECT_EQ(headers[0].name, "X-Expect-Replica");
+  EXPECT_EQ(headers[0].value, "i-7f");
+}
+
 TEST_F(platform, writes_orders) {
   engine_order order;
   order.what = {"m", "a3"};
