Only questions about one load share a connection without a name

An answer 202 was taken to hold for each later order of the same text on its connection. That is not so for an unload that is ordered again after the adapter was loaded again: a late 200 to the first would have passed for the second, which still waits for its runs, and the next load would have gone beyond the places. Found by reading; nothing showed it.

The decisions now say which orders ask the same: a load and the questions whether it has ended, which nothing contradicts between them.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -158,6 +158,11 @@
   std::string address;
   target_id target;
   engine_order order;
+  /**
+   * The first of the orders for the same load, of which this asks whether it
+   * has ended; else this call.
+   */
+  engine_call_id series = 0;
 };
 struct read_report {
   engine_call_id call = 0;
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -19,7 +19,6 @@
 constexpr int kContinue = 100;
 constexpr int kSwitching = 101;
 constexpr int kFirstFinalStatus = 200;
-constexpr int kAccepted = 202;
 /** How long a connection is kept where the other side names no time. */
 constexpr duration kDefaultIdle = 8s;
 /** Taken off a named time: a call must not meet the other side's close. */
@@ -35,15 +34,6 @@
   return std::hash<std::string>()(call.name);
 }
 
-/** Returns what a call without a name asks for. */
-std::string content_of(const outgoing_call& call) {
-  auto text = call.method + " " + call.target + "\n";
-  for (const auto& header : call.headers) {
-    text += header.name + ":" + header.value + "\n";
-  }
-  return call.body ? text + *call.body : text;
-}
-
 std::string request_head(const outgoing_call& call) {
   std::string text =
       fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target,
@@ -113,8 +103,8 @@
                             const outgoing_call& call) const {
   if (name_header_.empty()) return true;
   if (call.name.empty()) {
-    return c.nameless_call.empty() ||
-           (c.nameless_goes_on && c.nameless_call == content_of(call));
+    return !c.nameless_series ||
+           (call.series != 0 && call.series == c.nameless_series);
   }
   return std::find(c.names.begin(), c.names.end(), hash_of_name(call)) ==
          c.names.end();
@@ -122,12 +112,11 @@
 
 void call_client::note_call(connection& c, const outgoing_call& call) const {
   if (name_header_.empty()) return;
-  if (!call.name.empty()) {
+  if (call.name.empty()) {
+    c.nameless_series = call.series;
+  } else {
     c.names.push_back(hash_of_name(call));
-    return;
   }
-  if (c.nameless_call.empty()) c.nameless_goes_on = true;
-  c.nameless_call = content_of(call);
 }
 
 bool call_client::is_quiet(const connection& c) {
@@ -299,14 +288,6 @@
   return !name || c.calls_before == 0;
 }
 
-void call_client::note_head(connection& c) const {
-  if (name_header_.empty() || !c.request.name.empty()) return;
-  const auto& head = c.reader->head();
-  if (head.status != kAccepted) c.nameless_goes_on = false;
-  // Bears a name that may be another call's later.
-  if (name_in(head)) c.ends_after_call = true;
-}
-
 bool call_client::give_head(connection& c) {
   if (c.reader->head().status == kSwitching) {
     end_call(c, call_end::malformed);
@@ -326,7 +307,10 @@
     return true;
   }
   c.head_given = true;
-  note_head(c);
+  // A name that no call had may be another call's later.
+  if (c.request.name.empty() && name_in(c.reader->head())) {
+    c.ends_after_call = true;
+  }
   const auto call = c.call;
   const auto on = c.on;
   on->head(c.reader->head(), {c.number, c.calls_before});
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -32,6 +32,11 @@
   duration connect_timeout = 500ms;
   /** What its answer bears in the client's name header; empty: nothing. */
   std::string name;
+  /**
+   * Of a call without a name: an answer to an earlier call of the same series
+   * holds for this one too. 0: of none.
+   */
+  std::uint64_t series = 0;
 };
 
 using gateway::answer_carrier;
@@ -48,9 +53,8 @@
  * - The answer to a call with a name counts only if it bears that name; others
  *   are skipped. No connection carries two calls of one name, so a name tells
  *   one call. Names come from callers and need not be unique.
- * - A connection carries one call without a name, so an answer without a name
- *   tells it. That call may be made again there while all its answers have been
- *   202 (accepted and not yet carried out): these answer the new one as well.
+ * - A connection carries one call without a name, or those of one series, so an
+ *   answer without a name tells which.
  *
  * A client without a name header is for those that answer each call once, in
  * order: its connections carry any calls one after the other.
@@ -115,10 +119,8 @@
     std::uint32_t calls_before = 0;
     /** Hashes of the names that it has carried. */
     std::vector<std::size_t> names;
-    /** The call without a name that it has carried; empty: none. */
-    std::string nameless_call;
-    /** All answers to that call have been 202. */
-    bool nameless_goes_on = false;
+    /** Series of the calls without a name it has carried; none: no such. */
+    std::optional<std::uint64_t> nameless_series;
     bool head_given = false;
     bool skipping = false;
     /** What came is not told apart from what may follow. */
@@ -143,7 +145,6 @@
   std::optional<std::string_view> name_in(const answer_head& head) const;
   bool belongs_to_call(const connection& c) const;
   void note_call(connection& c, const outgoing_call& call) const;
-  void note_head(connection& c) const;
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -279,8 +279,10 @@
        {"adapter", step.name.str()},
        {"version", static_cast<std::int64_t>(step.version.value_or(0))},
        {"fence", static_cast<std::int64_t>(order.fence)}});
+  if (!step.repeated) keeper.note_order(step.name, call);
+  const auto series = step.repeated ? keeper.order_about(step.name) : call;
   do_act(action::send_order{call, target->entry.address, keeper.id(),
-                            std::move(order)});
+                            std::move(order), series});
 }
 
 void gateway_core::impl::on(event::order_answer&& e) {
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -79,6 +79,7 @@
   call.headers = platform_->order_headers(a.target);
   call.body =
       std::make_shared<const std::string>(platform_->order_body(a.order));
+  call.series = a.series;
   call.connect_timeout = kTargetConnect;
   ask(target_client_, std::move(call), kOrderTimeout,
       [this, id = a.call](const collected_answer& got) {
--- a/src/process/target_answers.cc
+++ b/src/process/target_answers.cc
@@ -27,6 +27,16 @@
 
 }  // namespace
 
+void target_keeper::note_order(const adapter_name& name, std::uint64_t call) {
+  const auto found = places_.find(name);
+  if (found != places_.end()) found->second.order = call;
+}
+
+std::uint64_t target_keeper::order_about(const adapter_name& name) const {
+  const auto found = places_.find(name);
+  return found == places_.end() ? 0 : found->second.order;
+}
+
 void target_keeper::order_answered(time_point now, engine_order_status status) {
   const auto step = std::exchange(under_way_, {});
   const auto look = [&](duration wait) {
--- a/src/process/target_keeper.h
+++ b/src/process/target_keeper.h
@@ -80,6 +80,10 @@
   /** Returns when next_step() may have something to do. */
   time_point next_wakeup() const;
 
+  /** Takes the number of the call that makes the order under way. */
+  void note_order(const adapter_name& name, std::uint64_t call);
+  /** Returns the call of the last order about an adapter; 0: none is known. */
+  std::uint64_t order_about(const adapter_name& name) const;
   /** Takes the answer to the order under way. */
   void order_answered(time_point now, engine_order_status status);
   /** Takes a report that was asked for at `asked`; none: no answer. */
@@ -132,6 +136,8 @@
     std::uint32_t questions = 0;
     /** The target held it lately, so the load is a matter of moments. */
     bool was_there = false;
+    /** The call of the last order about it that was no question; 0: none. */
+    std::uint64_t order = 0;
   };
   struct wish {
     adapter_name name;
--- a/test/target_keeper-test.cc
+++ b/test/target_keeper-test.cc
@@ -197,6 +197,20 @@
   EXPECT_FALSE(c.keeper.places()[0].ready);
 }
 
+// An answer to an order before passed for that to the question about a load.
+TEST(target_keeper, each_load_is_an_order_of_its_own_also_of_one_adapter) {
+  confirmed_keeper c(4);
+  const adapter_name name{"m", "a"};
+  EXPECT_EQ(c.keeper.order_about(name), 0U);
+  c.keeper.set_interest(c.now, 1, {wants("a")});
+  EXPECT_EQ(c.keeper.next_step(c.now, true).name, name);
+  c.keeper.note_order(name, 7);
+  EXPECT_EQ(c.keeper.order_about(name), 7U);
+  // Not taken: the next load is another order.
+  c.keeper.order_answered(c.now, engine_order_status::busy);
+  EXPECT_EQ(c.keeper.order_about(name), 0U);
+}
+
 TEST(target_keeper, a_repeated_order_without_an_answer_is_left_to_reports) {
   confirmed_keeper c(1);
   c.keeper.set_interest(c.now, 1, {wants("a")});
