Idle connections that orders opened no longer pile up at a target

Of the idle connections that have carried a call without a name, eight a target are kept, the oldest goes first.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -28,6 +28,11 @@
 constexpr std::size_t kMaxSkipped = 1024UL * 1024UL;
 /** Bounds the names that a connection has to remember. */
 constexpr std::uint32_t kMostCalls = 256;
+/**
+ * Idle connections to one address that have carried a call without a name. Each
+ * such call opens one, and targets accept few in all.
+ */
+constexpr std::ptrdiff_t kMostSpent = 8;
 
 /** Two names of one hash are taken for the same: that is always safe. */
 std::size_t hash_of_name(const outgoing_call& call) {
@@ -363,6 +368,18 @@
   const auto wait = to_timeval(idle);
   event_add(c.timer.get(), &wait);
   idle_[c.address].push_back(&c);
+  close_surplus(c.address);
+}
+
+void call_client::close_surplus(const std::string& address) {
+  auto& idle = idle_[address];
+  const auto is_spent = [](const connection* c) {
+    return c->nameless_series.has_value();
+  };
+  if (std::count_if(idle.begin(), idle.end(), is_spent) <= kMostSpent) return;
+  const auto oldest = std::find_if(idle.begin(), idle.end(), is_spent);
+  connections_.erase((*oldest)->number);
+  idle.erase(oldest);
 }
 
 void call_client::end_call(connection& c, call_end how) {
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -62,7 +62,7 @@
  * A connection carries one call at a time. It is kept only if the answer was
  * whole, the request had been written whole, and no answer was skipped on it.
  * A kept connection on which anything comes, be it its close, carries no
- * further call.
+ * further call. Few are kept that have carried a call without a name.
  */
 class call_client {
  public:
@@ -149,6 +149,7 @@
   void complete(connection& c);
   void end_call(connection& c, call_end how);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
+  void close_surplus(const std::string& address);
   void begin_answer(connection& c);
 
   event_base* base_;
--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -179,6 +179,12 @@
   EXPECT_EQ(target_.connections(), 2U);
 }
 
+// Each nameless call opens a connection: idle ones filled the target's limit.
+TEST_F(repeated_answers_test, few_connections_of_nameless_calls_stay_open) {
+  for (int i = 0; i < 30; ++i) expect_own_answer(call(""));
+  EXPECT_LE(client_.counts().most_to_one_address, 10U);
+}
+
 TEST_F(repeated_answers_test, a_connection_that_was_closed_is_not_written_to) {
   for (const auto* name : {"a", "b", "c"}) {
     expect_own_answer(call(name));
