--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -96,8 +96,7 @@
   int answered_ = 0;
 };
 
-// A refusal that came again passed for the answer to the second send, which
-// ran: the request was then sent to another target, and ran twice.
+// A repeated refusal passed for the answer to a second send, and that had run.
 TEST_F(repeated_answers_test, a_refusal_is_not_taken_for_the_second_send) {
   refuse_first({moment::before_answer});
   EXPECT_EQ(call("a").status, 421);
@@ -136,8 +135,7 @@
   EXPECT_EQ(target_.connections(), 2U);
 }
 
-// A late answer to a request passed for the answer to an order to unload: the
-// next order loaded an adapter beyond the target's places.
+// A late answer to a request passed for that to an order to unload.
 TEST_F(repeated_answers_test, no_answer_is_taken_for_that_of_a_nameless_call) {
   refuse_first({moment::before_answer});
   call("a");
