--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -29,10 +29,10 @@
 /** Bounds the names that a connection has to remember. */
 constexpr std::uint32_t kMostCalls = 256;
 /**
- * Idle connections to one address that have carried a call without a name. Each
- * such call opens one, and targets accept few in all.
+ * Idle connections to one address that have carried a call without a name. Most
+ * such calls open one, and targets accept a limited number in all.
  */
-constexpr std::ptrdiff_t kMostSpent = 8;
+constexpr std::ptrdiff_t kMostIdleNameless = 8;
 
 /** Two names of one hash are taken for the same: that is always safe. */
 std::size_t hash_of_name(const outgoing_call& call) {
@@ -312,7 +312,7 @@
     return true;
   }
   c.head_given = true;
-  // A name that no call had may be another call's later.
+  // A later call may have the name that this answer bears.
   if (c.request.name.empty() && name_in(c.reader->head())) {
     c.ends_after_call = true;
   }
@@ -373,11 +373,12 @@
 
 void call_client::close_surplus(const std::string& address) {
   auto& idle = idle_[address];
-  const auto is_spent = [](const connection* c) {
+  const auto is_nameless = [](const connection* c) {
     return c->nameless_series.has_value();
   };
-  if (std::count_if(idle.begin(), idle.end(), is_spent) <= kMostSpent) return;
-  const auto oldest = std::find_if(idle.begin(), idle.end(), is_spent);
+  const auto count = std::count_if(idle.begin(), idle.end(), is_nameless);
+  if (count <= kMostIdleNameless) return;
+  const auto oldest = std::find_if(idle.begin(), idle.end(), is_nameless);
   connections_.erase((*oldest)->number);
   idle.erase(oldest);
 }
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -30,7 +30,10 @@
   std::shared_ptr<const std::string> body;
   /** How long a new connection may take to come up. */
   duration connect_timeout = 500ms;
-  /** What its answer bears in the client's name header; empty: nothing. */
+  /**
+   * Tells the call from others: its answer carries it back in the client's name
+   * header. Empty: the call has no name.
+   */
   std::string name;
   /**
    * Of a call without a name: an answer to an earlier call of the same series
@@ -119,11 +122,11 @@
     std::uint32_t calls_before = 0;
     /** Hashes of the names that it has carried. */
     std::vector<std::size_t> names;
-    /** Series of the calls without a name it has carried; none: no such. */
+    /** Series of the calls without a name that it carried; none: no such. */
     std::optional<std::uint64_t> nameless_series;
     bool head_given = false;
     bool skipping = false;
-    /** What came is not told apart from what may follow. */
+    /** An answer came on it that a later one might be mistaken for. */
     bool ends_after_call = false;
   };
 
@@ -144,11 +147,13 @@
   /** Returns the name that an answer bears; none: it bears none. */
   std::optional<std::string_view> name_in(const answer_head& head) const;
   bool belongs_to_call(const connection& c) const;
+  /** Remembers what a connection now carries, for may_carry(). */
   void note_call(connection& c, const outgoing_call& call) const;
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
+  /** Bounds the idle connections that take no further call without a name. */
   void close_surplus(const std::string& address);
   void begin_answer(connection& c);
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -33,11 +33,6 @@
 /** Returns whole milliseconds, for the log. */
 inline std::int64_t to_ms(duration time) { return time / 1ms; }
 
-/** Returns a connection's number as the log takes it. */
-inline std::int64_t connection_of(const answer_carrier& carrier) {
-  return static_cast<std::int64_t>(carrier.connection);
-}
-
 /** Returns thousandths, for the log. */
 inline std::int64_t to_milli(double value) {
   constexpr double most = 1e12;
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -109,6 +109,11 @@
   std::uint64_t life = 0;
 };
 
+/** Returns a connection's number as the log takes it. */
+inline std::int64_t connection_of(const answer_carrier& carrier) {
+  return static_cast<std::int64_t>(carrier.connection);
+}
+
 }  // namespace seamglade::gateway
 
 #endif  // SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
