Stand-ins and tests with processes: what stood twice stands once

Three fakes of targets opened their listener alike, and two tests started instances of the direct path alike (the project's check for duplicates). loopback_listener and functions of scripts/fleet.sh take their place; the relay's long function is split, and names without metaphors.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,7 @@
 # Functions that start stand-ins and instances on loopback; sourced by
 # scripts/demo, the benchmarks of the path and the tests with processes.
-# The caller sets `bin` to the folder of the built programs.
+# The caller sets `bin` to the folder of the built programs and, for instances
+# of the direct path, `net` to the first three numbers of their addresses.
 
 work=$(mktemp -d)
 pids=()
@@ -119,3 +120,60 @@
   done
   return 1
 }
+
+# fail WORDS...: ends a test; prints the last lines of all that ran.
+fail() {
+  echo "FAILED: $*" >&2
+  local file
+  for file in "$work"/*.out "$work"/*.log; do
+    echo "--- $file" >&2
+    tail -n 30 "$file" >&2
+  done
+  exit 1
+}
+
+# start_platform [PART]: starts the platform's stand-in and sets `store`; so many
+# answers of its targets come again. Sets `port`: instances of the direct path
+# use it and the next three, each on an address of its own in `net`.
+start_platform() {
+  "$bin/seamglade-platform-standin" "$@" >"$work/platform.out" 2>&1 &
+  pids+=($!)
+  store=$(wait_for "$work/platform.out" '^listening' | cut -d' ' -f2)
+  port=$((20000 + $$ % 20000))
+}
+
+# start_gateway N: starts instance N of the direct path.
+start_gateway() {
+  local ip=$net.$1
+  cat >"$work/g$1.ini" <<INI
+[gateway]
+id = g$1
+failure_domain = z$1
+caller_address = $ip:$port
+ready_address = $ip:$((port + 1))
+peer_address = $ip:$((port + 2))
+metrics_address = $ip:$((port + 3))
+store_address = $store
+seeds = $net.1:1,$net.2:1
+grace = 4s
+INI
+  "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
+  pids+=($!)
+  pid_of[g$1]=$!
+}
+
+# until_gateway_ready N: waits until instance N takes requests.
+until_gateway_ready() {
+  for _ in $(seq 200); do
+    curl -sf -o /dev/null "http://$net.$1:$((port + 1))/readyz" && return
+    sleep 0.05
+  done
+  fail "g$1 is not ready"
+}
+
+# call N PATH ID [CURL OPTION...]: prints the body and the status.
+call() {
+  curl -s -m 8 -w ' %{http_code}' -H 'Host: desk.example' \
+    -H "X-Request-Id: $3" -H 'X-Deadline-Ms: 5000' "${@:4}" \
+    "http://$net.$1:$port$2" || true
+}
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -109,7 +109,7 @@
         world_.base(),
         on_request([this](auto c, const auto& m) { serve(c, m); }));
     const auto where = server_->listen({"127.0.0.1", 0}).value();
-    if (relay_) relay_->lead_to(where);
+    if (relay_) relay_->connect_to(where);
     address_ = relay_ ? relay_->address() : where.str();
     publish();
   }
--- a/standin/repeating_relay.h
+++ b/standin/repeating_relay.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "loopback_listener.h"
 #include "platform_world.h"
 
 namespace seamglade::standin {
@@ -26,28 +27,20 @@
  public:
   /** `part`: of the answers that come again, 0 to 1; `seed`: of the draws. */
   repeating_relay(event_base* base, double part, unsigned seed)
-      : base_(base), part_(part), random_(seed) {
-    auto where = to_socket_address({"127.0.0.1", 0});
-    const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
-                             int, void* self) {
-      static_cast<repeating_relay*>(self)->accept(fd);
-    };
-    listener_.reset(evconnlistener_new_bind(
-        base, accepted, this, LEV_OPT_CLOSE_ON_FREE, 64,
-        reinterpret_cast<sockaddr*>(&where), sizeof(where)));
-  }
+      : base_(base),
+        part_(part),
+        random_(seed),
+        listener_(base, [this](evutil_socket_t fd) { accept(fd); }) {}
 
-  std::string address() const {
-    return bound_endpoint(evconnlistener_get_fd(listener_.get())).str();
-  }
-  /** Connections that are opened from now on lead there. */
-  void lead_to(endpoint target) { target_ = std::move(target); }
+  std::string address() const { return listener_.address(); }
+  /** Connections that are opened from now on go to `target`. */
+  void connect_to(endpoint target) { target_ = std::move(target); }
 
  private:
-  /** Of the answers that follow, a copy comes before one of so many. */
+  /** A copy comes before one of the next answers, this many at most. */
   static constexpr int kMostLate = 3;
 
-  struct owed_answer {
+  struct pending_copy {
     std::string bytes;
     int answers_left;
   };
@@ -59,7 +52,7 @@
     /** Follows the answer under way; none: the next has not begun. */
     std::unique_ptr<answer_reader> reader;
     std::string answer;
-    std::vector<owed_answer> owed;
+    std::vector<pending_copy> copies;
   };
 
   void accept(evutil_socket_t fd) {
@@ -70,6 +63,13 @@
     constexpr int kOptions = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
     l->caller.reset(bufferevent_socket_new(base_, fd, kOptions));
     l->target.reset(bufferevent_socket_new(base_, -1, kOptions));
+    pass_on(*l);
+    connect_target(*l);
+    links_.emplace(l->number, std::move(made));
+  }
+
+  /** Has the bytes of each side go to the other until one side ends. */
+  static void pass_on(link& l) {
     const auto ended = [](bufferevent*, short what, void* arg) {
       if ((what & BEV_EVENT_CONNECTED) != 0) return;
       auto* self = static_cast<link*>(arg);
@@ -83,15 +83,16 @@
       auto* self = static_cast<link*>(arg);
       self->relay->pass_answers(*self);
     };
-    bufferevent_setcb(l->caller.get(), from_caller, nullptr, ended, l);
-    bufferevent_setcb(l->target.get(), from_target, nullptr, ended, l);
+    bufferevent_setcb(l.caller.get(), from_caller, nullptr, ended, &l);
+    bufferevent_setcb(l.target.get(), from_target, nullptr, ended, &l);
+    bufferevent_enable(l.caller.get(), EV_READ | EV_WRITE);
+    bufferevent_enable(l.target.get(), EV_READ | EV_WRITE);
+  }
+
+  void connect_target(link& l) {
     auto address = to_socket_address(target_);
-    bufferevent_socket_connect(l->target.get(),
-                               reinterpret_cast<sockaddr*>(&address),
-                               sizeof(address));
-    bufferevent_enable(l->caller.get(), EV_READ | EV_WRITE);
-    bufferevent_enable(l->target.get(), EV_READ | EV_WRITE);
-    links_.emplace(l->number, std::move(made));
+    bufferevent_socket_connect(
+        l.target.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
   }
 
   void pass_answers(link& l) {
@@ -112,18 +113,19 @@
 
   void begin_answer(link& l) {
     l.reader = std::make_unique<answer_reader>(false);
-    for (auto& owed : l.owed) {
-      if (--owed.answers_left > 0) continue;
-      bufferevent_write(l.caller.get(), owed.bytes.data(), owed.bytes.size());
+    for (auto& copy : l.copies) {
+      if (--copy.answers_left > 0) continue;
+      bufferevent_write(l.caller.get(), copy.bytes.data(), copy.bytes.size());
       std::cout << "repeated " << address() << std::endl;
     }
-    std::erase_if(l.owed, [](const auto& o) { return o.answers_left <= 0; });
+    std::erase_if(l.copies,
+                  [](const auto& copy) { return copy.answers_left <= 0; });
   }
 
   void end_answer(link& l) {
     std::uniform_real_distribution<double> chance(0, 1);
     std::uniform_int_distribution<int> late(1, kMostLate);
-    if (chance(random_) < part_) l.owed.push_back({l.answer, late(random_)});
+    if (chance(random_) < part_) l.copies.push_back({l.answer, late(random_)});
     l.answer.clear();
     l.reader.reset();
   }
@@ -132,7 +134,7 @@
   double part_;
   std::mt19937 random_;
   endpoint target_;
-  listener_handle listener_;
+  loopback_listener listener_;
   std::uint64_t last_link_ = 0;
   std::map<std::uint64_t, std::unique_ptr<link>> links_;
 };
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -6,56 +6,13 @@
 bin=$1
 source "$(dirname "$0")/../scripts/fleet.sh"
 
-fail() {
-  echo "FAILED: $*" >&2
-  tail -n 30 "$work"/*.out "$work"/*.log >&2
-  exit 1
-}
-
-"$bin/seamglade-platform-standin" >"$work/platform.out" 2>&1 &
-pids+=($!)
-store=$(wait_for "$work/platform.out" '^listening' | cut -d' ' -f2)
-
-# All instances use one port for each purpose, on addresses of their own.
-port=$((20000 + $$ % 20000))
-start_gateway() {
-  local ip=127.0.1.$1
-  cat >"$work/g$1.ini" <<INI
-[gateway]
-id = g$1
-failure_domain = z$1
-caller_address = $ip:$port
-ready_address = $ip:$((port + 1))
-peer_address = $ip:$((port + 2))
-metrics_address = $ip:$((port + 3))
-store_address = $store
-seeds = 127.0.1.1:1,127.0.1.2:1
-grace = 4s
-INI
-  "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
-  pids+=($!)
-  pid_of[g$1]=$!
-}
-ready() {
-  for _ in $(seq 200); do
-    curl -sf -o /dev/null "http://127.0.1.$1:$((port + 1))/readyz" && return
-    sleep 0.05
-  done
-  fail "g$1 is not ready"
-}
-# call N PATH ID [CURL OPTION...]: prints the body and the status.
-call() {
-  local n=$1 path=$2 id=$3
-  shift 3
-  curl -s -m 8 -w ' %{http_code}' -H 'Host: desk.example' \
-    -H "X-Request-Id: $id" -H 'X-Deadline-Ms: 5000' "$@" \
-    "http://127.0.1.$n:$port$path" || true
-}
+net=127.0.1
+start_platform
 draft() { call "$1" /draft/x "$2" -H "X-Model: base/$3" -d 'prompt'; }
 expect() { [[ $1 == *"$2"* ]] || fail "expected '$2', got '$1'"; }
 
 for n in 1 2 3; do start_gateway "$n"; done
-for n in 1 2 3; do ready "$n"; done
+for n in 1 2 3; do until_gateway_ready "$n"; done
 
 expect "$(call 1 /get/a%20b?c=d p1)" 'answer to p1 200'
 expect "$(call 2 /set/x p2 -d 'hello')" 'answer to p2 200'
@@ -104,7 +61,7 @@
   wait_for "$work/g$n.log" '"event":"request_quarantined"' >/dev/null ||
     fail "g$n has not heard of the request"
 done
-expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+expect "$(curl -s "http://$net.1:$((port + 3))/metrics")" \
   'seamglade_quarantined 1'
 
 # An engine that turns all away and asks for rest: the other one serves, and it
@@ -191,7 +148,7 @@
 in_force 6
 expect "$(draft 1 e1 a1)" ' 200'
 for n in 1 2 3; do
-  expect "$(curl -s "http://127.0.1.$n:$((port + 3))/metrics")" \
+  expect "$(curl -s "http://$net.$n:$((port + 3))/metrics")" \
     'seamglade_store_epoch 2'
 done
 
@@ -206,7 +163,7 @@
     result=0
     answer=$(curl -s -m 8 -w ' %{http_code}' -H 'Host: desk.example' \
       -H "X-Request-Id: $2" -H 'X-Deadline-Ms: 2000' -H 'X-Model: base/a1' \
-      -d 'prompt' "${@:3}" "http://127.0.1.$1:$port/draft/x") || result=$?
+      -d 'prompt' "${@:3}" "http://$net.$1:$port/draft/x") || result=$?
     [[ $answer == *' 503' ]] || break
   done
   echo "$answer result $result"
@@ -228,7 +185,7 @@
   done
 done
 say_both '{}'
-expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+expect "$(curl -s "http://$net.1:$((port + 3))/metrics")" \
   'seamglade_target_answers_total{framing="close_delimited",end="within_event"}'
 
 # A killed instance: the others serve, also what it held.
@@ -250,7 +207,7 @@
 wait "$stream"
 expect "$(cat "$work/stream")" 'id: 6'
 status=$(curl -s -o /dev/null -w '%{http_code}' \
-  "http://127.0.1.2:$((port + 1))/readyz" || true)
+  "http://$net.2:$((port + 1))/readyz" || true)
 [[ $status == 503 || $status == 000 ]] || fail "ready while stopping: $status"
 wait "${pid_of[g2]}" || fail 'the planned stop ended with a failure'
 
@@ -274,13 +231,13 @@
   fail 'nobody heard that an engine leaves'
 fi
 
-expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+expect "$(curl -s "http://$net.1:$((port + 3))/metrics")" \
   'seamglade_requests_total'
-expect "$(curl -s "http://127.0.1.1:$((port + 3))/metrics")" \
+expect "$(curl -s "http://$net.1:$((port + 3))/metrics")" \
   'seamglade_datagram_bytes_total{distance="region"}'
 grep -q '"event":"dispatch".*"distance":"' "$work/g1.log" ||
   fail 'no distance was logged'
-expect "$("$bin/seamglade" status --address "127.0.1.1:$((port + 3))")" 'ready'
+expect "$("$bin/seamglade" status --address "$net.1:$((port + 3))")" 'ready'
 if grep BROKEN "$work/platform.out"; then fail 'a rule was broken'; fi
 duplicates=$(grep '^run' "$work/platform.out" | cut -d' ' -f2 | sort | uniq -d)
 [ -z "$duplicates" ] || fail "ran more than once: $duplicates"
--- a/test/processes-test.sh
+++ b/test/processes-test.sh
@@ -6,15 +6,6 @@
 bin=$1
 . "$(dirname "$0")/../scripts/fleet.sh"
 
-fail() {
-  echo "FAILED: $*" >&2
-  for log in "$work"/*.log; do
-    echo "--- $log" >&2
-    tail -n 15 "$log" >&2
-  done
-  exit 1
-}
-
 # runs TARGET TAG: how often a target ran a request.
 runs() {
   curl -sf "http://${address[$1]}/log" | grep -o "\"tag\":\"$2\"" | wc -l
--- a/test/raw_target.h
+++ b/test/raw_target.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "connection/event_handles.h"
+#include "loopback_listener.h"
 
 namespace seamglade::detail {
 
@@ -24,15 +25,9 @@
   enum class ending : std::uint8_t { close, reset, none };
 
   raw_target(event_base* base, std::vector<std::string> pieces, ending how)
-      : pieces_(std::move(pieces)), how_(how) {
-    auto where = to_socket_address({"127.0.0.1", 0});
-    const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
-                             int, void* self) {
-      static_cast<raw_target*>(self)->accept(fd);
-    };
-    listener_.reset(evconnlistener_new_bind(
-        base, accepted, this, LEV_OPT_CLOSE_ON_FREE, 1,
-        reinterpret_cast<sockaddr*>(&where), sizeof(where)));
+      : pieces_(std::move(pieces)),
+        how_(how),
+        listener_(base, [this](evutil_socket_t fd) { accept(fd); }) {
     const auto tick = [](evutil_socket_t, short, void* self) {
       static_cast<raw_target*>(self)->step();
     };
@@ -44,9 +39,7 @@
   raw_target(const raw_target&) = delete;
   raw_target& operator=(const raw_target&) = delete;
 
-  std::string address() const {
-    return bound_endpoint(evconnlistener_get_fd(listener_.get())).str();
-  }
+  std::string address() const { return listener_.address(); }
 
  private:
   void accept(evutil_socket_t fd) {
@@ -77,7 +70,7 @@
   ending how_;
   std::size_t next_ = 0;
   evutil_socket_t fd_ = -1;
-  listener_handle listener_;
+  loopback_listener listener_;
   event_handle timer_;
 };
 
--- a/test/repeated_answers-test.sh
+++ b/test/repeated_answers-test.sh
@@ -7,54 +7,20 @@
 bin=$1
 source "$(dirname "$0")/../scripts/fleet.sh"
 
-fail() {
-  echo "FAILED: $*" >&2
-  tail -n 30 "$work"/*.out "$work"/*.log >&2
-  exit 1
-}
-
-"$bin/seamglade-platform-standin" 0.3 >"$work/platform.out" 2>&1 &
-pids+=($!)
-store=$(wait_for "$work/platform.out" '^listening' | cut -d' ' -f2)
+net=127.0.2
+start_platform 0.3
+for n in 1 2 3; do start_gateway "$n"; done
+for n in 1 2 3; do until_gateway_ready "$n"; done
 
-port=$((20000 + $$ % 20000))
-for n in 1 2 3; do
-  ip=127.0.2.$n
-  cat >"$work/g$n.ini" <<INI
-[gateway]
-id = g$n
-failure_domain = z$n
-caller_address = $ip:$port
-ready_address = $ip:$((port + 1))
-peer_address = $ip:$((port + 2))
-metrics_address = $ip:$((port + 3))
-store_address = $store
-seeds = 127.0.2.1:1,127.0.2.2:1
-grace = 4s
-INI
-  "$bin/seamglade" serve --config "$work/g$n.ini" >"$work/g$n.log" 2>&1 &
-  pids+=($!)
-done
-for n in 1 2 3; do
-  for _ in $(seq 200); do
-    curl -sf -o /dev/null "http://127.0.2.$n:$((port + 1))/readyz" && break
-    sleep 0.05
-  done
-done
-
-# call N PATH ID [CURL OPTION...]: writes its status and body under its id.
-call() {
-  curl -s -m 8 -w ' %{http_code}' -H 'Host: desk.example' \
-    -H "X-Request-Id: $3" -H 'X-Deadline-Ms: 5000' "${@:4}" \
-    "http://127.0.2.$1:$port$2" >"$work/answer-$3" || true
-}
+# ask N PATH ID [CURL OPTION...]: writes the body and the status under the id.
+ask() { call "$@" >"$work/answer-$3"; }
 # Orders to load and unload beside streams and plain requests: there are more
 # adapters than places.
 callers() {
   local n=$1 i
   for i in $(seq 60); do
-    call "$n" /draft/x "d$n-$i" -H "X-Model: base/a$(((i + n) % 8))" -d 'prompt'
-    call "$n" /set/x "s$n-$i" -d 'once'
+    ask "$n" /draft/x "d$n-$i" -H "X-Model: base/a$(((i + n) % 8))" -d 'prompt'
+    ask "$n" /set/x "s$n-$i" -d 'once'
   done
 }
 running=()
@@ -63,7 +29,7 @@
   running+=($!)
 done
 for i in 1 2 3; do
-  call 1 /draft/x "deadly-$i" -H "X-Model: base/a$i" -d "deadly $i"
+  ask 1 /draft/x "deadly-$i" -H "X-Model: base/a$i" -d "deadly $i"
   sleep 1
 done
 for pid in "${running[@]}"; do wait "$pid"; done
--- a/test/repeating_target.h
+++ b/test/repeating_target.h
@@ -21,6 +21,7 @@
 
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
+#include "loopback_listener.h"
 
 namespace seamglade::detail {
 
@@ -69,20 +70,11 @@
   using rule = std::function<reply(const gateway::caller_message&)>;
 
   repeating_target(event_base* base, rule how)
-      : base_(base), how_(std::move(how)) {
-    auto where = to_socket_address({"127.0.0.1", 0});
-    const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*,
-                             int, void* self) {
-      static_cast<repeating_target*>(self)->accept(fd);
-    };
-    listener_.reset(evconnlistener_new_bind(
-        base, accepted, this, LEV_OPT_CLOSE_ON_FREE, 64,
-        reinterpret_cast<sockaddr*>(&where), sizeof(where)));
-  }
+      : base_(base),
+        how_(std::move(how)),
+        listener_(base, [this](evutil_socket_t fd) { accept(fd); }) {}
 
-  std::string address() const {
-    return bound_endpoint(evconnlistener_get_fd(listener_.get())).str();
-  }
+  std::string address() const { return listener_.address(); }
   /** Sends the copies that are due on demand, without the loop. */
   void send_on_demand() {
     for (auto& [number, l] : links_) {
@@ -106,7 +98,7 @@
   std::size_t copies() const { return copies_; }
 
  private:
-  struct owed_copy {
+  struct pending_copy {
     std::string bytes;
     int requests_left;
   };
@@ -115,7 +107,7 @@
     std::uint64_t number = 0;
     bufferevent_handle io;
     std::unique_ptr<request_reader> reader;
-    std::vector<owed_copy> owed;
+    std::vector<pending_copy> pending;
     std::vector<std::string> on_demand;
   };
 
@@ -171,7 +163,7 @@
           send_later(l.number, bytes, each.wait);
           break;
         case moment::before_answer:
-          l.owed.push_back({bytes, each.request});
+          l.pending.push_back({bytes, each.request});
           break;
         case moment::on_demand:
           l.on_demand.push_back(bytes);
@@ -184,12 +176,13 @@
   /** Returns the copies that are due before the answer to a request. */
   std::string take_due(link& l) {
     std::string out;
-    for (auto& owed : l.owed) {
-      if (--owed.requests_left > 0) continue;
-      out += owed.bytes;
+    for (auto& next : l.pending) {
+      if (--next.requests_left > 0) continue;
+      out += next.bytes;
       ++copies_;
     }
-    std::erase_if(l.owed, [](const auto& o) { return o.requests_left <= 0; });
+    std::erase_if(l.pending,
+                  [](const auto& c) { return c.requests_left <= 0; });
     return out;
   }
 
@@ -234,7 +227,7 @@
 
   event_base* base_;
   rule how_;
-  listener_handle listener_;
+  loopback_listener listener_;
   std::uint64_t last_link_ = 0;
   std::map<std::uint64_t, std::unique_ptr<link>> links_;
   std::list<delayed> timers_;
