Sight: which targets an instance reaches over its own connections

Logs and metrics could not tell a target that is gone from an instance that has lost its own way to all of them: a call that hangs left no line until it was given up. Each overdue, unsent or reset call now doubts its target, one connection is tried (target_out_of_reach, target_in_reach), and where three are out of reach with nothing heard since, targets_lost and targets_back are logged and counted. No decision goes by it yet.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -298,6 +298,11 @@
   /** Failure domains that were suspected, and that are now. */
   std::uint64_t domain_suspicions = 0;
   std::size_t suspect_domains = 0;
+  /** Times that this instance lost its way to all targets; it has lost it. */
+  std::uint64_t target_cuts = 0;
+  bool is_cut_off = false;
+  /** Targets that take no connection from here. */
+  std::size_t out_of_reach = 0;
   /** Targets that ended while a request of this instance ran there. */
   std::uint64_t target_ends = 0;
   /** Requests that came to be refused, as seen here or told by others. */
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -41,6 +41,7 @@
     close_accounts();
     watch_.reset();
     doubts_ = {};
+    reach_.reset();
     close_grants();
   }
   now_ = now;
@@ -107,6 +108,7 @@
   if (now_ >= next_claim_check_) tick_claims();
   tick_workspaces();
   watch_domains();
+  watch_reach();
   tick_grants();
   expire_exchanges();
   ledger_.expire(now_);
@@ -114,6 +116,7 @@
     next_expiry_ = now_ + kExpiryPeriod;
     targets_.expire(now_);
     ends_.expire(now_);
+    reach_.expire(now_);
     quarantine_.expire(now_);
   }
   waiting_dirty_ = true;
@@ -168,6 +171,8 @@
     ++(x.now == exchange::phase::calling ? out.calling : out.waiting);
   }
   out.suspect_domains = watch_.suspects();
+  out.is_cut_off = reach_.is_cut_off();
+  out.out_of_reach = reach_.out_of_reach();
   out.key_age = key_age();
   out.accounts = accounts_.size();
   out.evacuated_domains = domains_.evacuated();
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -54,6 +54,7 @@
 void gateway_core::impl::end_call(exchange& x, bool success, bool severe) {
   calls_.erase(x.call);
   watch_.dropped(x.call);
+  reach_.ended(x.call);
   end_admission(x, success);
   auto* target = target_of(x);
   if (target == nullptr) return;
@@ -120,6 +121,7 @@
   const auto end = end_of_answer(*x, e.end);
   const bool whole = end == call_end::complete;
   note_end(*x, whole);
+  if (!whole && x->status == 0) note_unreached(x->target);
   if (x->status != 0) ++counts_.answer_ends[{x->framing, end}];
   if (end == call_end::not_sent) {
     end_call(*x, false, true);
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -312,6 +312,18 @@
   void leave_hung_calls();
   void leave_hung_call(exchange& x);
 
+  // gateway_reach.cc
+  /** A target was heard, or took a connection. */
+  void note_reached(const target_id& target);
+  /** No connection to a target came up, or one broke. */
+  void note_unreached(const target_id& target);
+  /** A connection to a target was tried for its own sake. */
+  void note_tried(const event::target_probed& e);
+  void watch_reach();
+  void try_connection(const target_state* target);
+  void begin_cut();
+  void end_cut(time_point since);
+
   // gateway_words.cc
   /** Takes in what the answer under way says of its target. */
   void hear_answer(exchange& x);
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -33,18 +33,20 @@
 
 void gateway_core::impl::watch_call(const exchange& x,
                                     const target_state& target) {
+  const auto bound = waits_[x.service->name].bound();
+  reach_.called(now_, target.hash, x.call, bound);
   const auto& domain = target.entry.failure_domain;
   if (domain == options_.failure_domain) return;
   const auto key = domain_hash(domain);
   domain_names_.try_emplace(key, domain);
-  watch_.called(now_, key, target.hash, x.call,
-                waits_[x.service->name].bound());
+  watch_.called(now_, key, target.hash, x.call, bound);
 }
 
 void gateway_core::impl::note_answer(const exchange& x) {
   const auto took = watch_.answered(now_, x.call);
   // What a target turns away takes it no time.
   if (took && !x.answer.not_run) waits_[x.service->name].learn(*took);
+  reach_.ended(x.call);
   note_life_of(x.target);
 }
 
@@ -53,12 +55,14 @@
     note_answer(x);
   } else {
     watch_.failed(now_, x.call);
+    reach_.ended(x.call);
   }
 }
 
 void gateway_core::impl::note_life_of(const target_id& target) {
   const auto* found = targets_.find(target);
   if (found == nullptr) return;
+  note_reached(target);
   note_life_in(domain_hash(found->entry.failure_domain), false);
 }
 
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -29,6 +29,7 @@
 #include "process/retry_budget.h"
 #include "process/roster.h"
 #include "process/target_keeper.h"
+#include "process/target_reach.h"
 #include "process/target_table.h"
 #include "request/exchange.h"
 #include "seamglade/gateway.h"
@@ -181,6 +182,7 @@
   // What is silent.
   domain_watch watch_;
   doubt_table doubts_;
+  target_reach reach_;
   /** How long targets of a service take for their first byte. */
   std::map<std::string, wait_estimate, std::less<>> waits_;
   std::map<domain_key, std::string> domain_names_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -170,6 +170,9 @@
   counter("seamglade_no_allowed_region_total",
           "Refused since no target is in a region that is allowed",
           status.no_allowed_region);
+  counter("seamglade_target_cuts_total",
+          "Times that this instance lost its way to all targets",
+          status.target_cuts);
   counter("seamglade_domain_suspicions_total",
           "Failure domains that were found silent", status.domain_suspicions);
   counter("seamglade_left_calls_total",
@@ -235,6 +238,11 @@
         static_cast<double>(status.limited));
   gauge("seamglade_suspect_domains", "Failure domains that are suspect",
         static_cast<double>(status.suspect_domains));
+  gauge("seamglade_targets_out_of_reach",
+        "Targets that take no connection from this instance",
+        static_cast<double>(status.out_of_reach));
+  gauge("seamglade_cut_off", "1 where this instance reaches no target",
+        status.is_cut_off ? 1 : 0);
   gauge("seamglade_members_alive", "Living instances, this one included",
         static_cast<double>(status.members_alive));
   gauge("seamglade_targets", "Targets known",
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -61,6 +61,7 @@
 
 void gateway_core::impl::on(event::target_probed&& e) {
   const auto hash = hash_of(e.target);
+  note_tried(e);
   const auto requests = ends_.probed(now_, hash, e.outcome);
   if (!requests.empty()) blame(requests, e.target, "refuses_connections");
 }
--- /dev/null
+++ b/src/process/gateway_reach.cc
@@ -0,0 +1,72 @@
+// seamglade - the direct path: whether this instance reaches targets at all
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "process/gateway_impl.h"
+
+namespace seamglade::gateway {
+
+bool gateway_view::is_out_of_reach(const target_state& target) const {
+  return reach_.is_out_of_reach(target.hash);
+}
+
+void gateway_core::impl::note_reached(const target_id& target) {
+  const auto since = reach_.cut_since();
+  if (reach_.heard(now_, hash_of(target))) end_cut(*since);
+}
+
+void gateway_core::impl::note_unreached(const target_id& target) {
+  if (!target.empty()) reach_.failed(now_, hash_of(target));
+}
+
+void gateway_core::impl::note_tried(const event::target_probed& e) {
+  using how = event::target_probed::how;
+  const auto since = reach_.cut_since();
+  const auto hash = hash_of(e.target);
+  const bool was_out = reach_.is_out_of_reach(hash);
+  if (reach_.probed(now_, hash, e.outcome == how::connected)) end_cut(*since);
+  const bool is_out = reach_.is_out_of_reach(hash);
+  if (is_out == was_out) return;
+  log(is_out ? "target_out_of_reach" : "target_in_reach",
+      {{"target", e.target},
+       {"refused", static_cast<std::int64_t>(e.outcome == how::refused)}});
+  waiting_dirty_ = true;
+}
+
+void gateway_core::impl::watch_reach() {
+  const bool was_cut_off = reach_.is_cut_off();
+  for (const auto hash : reach_.due_probes(now_, targets_.size())) {
+    try_connection(targets_.find(hash));
+  }
+  if (reach_.is_cut_off() && !was_cut_off) begin_cut();
+  const auto count = reach_.probes_due_in_cut(now_);
+  if (count == 0) return;
+  auto known = targets_.staying(now_);
+  std::shuffle(known.begin(), known.end(), random_);
+  known.resize(std::min(count, known.size()));
+  for (const auto* target : known) try_connection(target);
+}
+
+void gateway_core::impl::try_connection(const target_state* target) {
+  if (target == nullptr || target->has_left(now_)) return;
+  do_act(action::probe_target{target->entry.id, target->entry.address});
+}
+
+void gateway_core::impl::begin_cut() {
+  ++counts_.target_cuts;
+  log("targets_lost",
+      {{"out_of_reach", static_cast<std::int64_t>(reach_.out_of_reach())},
+       {"members", static_cast<std::int64_t>(staying_.size())}},
+      true);
+  waiting_dirty_ = true;
+}
+
+void gateway_core::impl::end_cut(time_point since) {
+  log("targets_back", {{"after_ms", to_ms(now_ - since)}}, true);
+  waiting_dirty_ = true;
+}
+
+}  // namespace seamglade::gateway
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -140,6 +140,9 @@
   /** Returns whether loads can be wished of a target's holder now. */
   bool has_reachable_holder(target_hash target) const;
 
+  // gateway_reach.cc
+  bool is_out_of_reach(const target_state& target) const;
+
   // gateway_words.cc
   word_row word_of(const target_state& target, target_life life) const;
   /** Returns how long after a rest others are to try a target first. */
--- /dev/null
+++ b/src/process/target_reach.cc
@@ -0,0 +1,132 @@
+// seamglade - which targets an instance reaches over its own connections
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "process/target_reach.h"
+
+#include <algorithm>
+
+namespace seamglade::gateway {
+namespace {
+
+/** Targets that must be out of reach before the instance itself is. */
+constexpr std::size_t kLeastLost = 3;
+/** A broken call may have had its target tried for another reason. */
+constexpr duration kProbeAfter = 50ms;
+/** A target that is out of reach is tried again after this, then later. */
+constexpr duration kFirstPause = 250ms;
+constexpr duration kLongestPause = 2s;
+/** Without a way to any target, so many are tried this often. */
+constexpr std::size_t kProbesInCut = 2;
+constexpr duration kProbePauseInCut = 200ms;
+/** A doubt that nothing renewed is dropped, and when a target was heard. */
+constexpr duration kForgotten = 20s;
+
+}  // namespace
+
+void target_reach::called(time_point now, target_hash target, call_id call,
+                          duration bound) {
+  calls_[call] = {target, now, now + bound};
+}
+
+void target_reach::failed(time_point now, target_hash target) {
+  const auto [at, is_new] = doubts_.try_emplace(target);
+  if (is_new) at->second = {now, now + kProbeAfter, kFirstPause};
+}
+
+bool target_reach::heard(time_point now, target_hash target) {
+  heard_[target] = now;
+  last_heard_ = now;
+  doubts_.erase(target);
+  if (!cut_since_) return false;
+  cut_since_.reset();
+  for (auto& [other, known] : doubts_) known.next_probe = now;
+  return true;
+}
+
+bool target_reach::probed(time_point now, target_hash target,
+                          bool is_connected) {
+  if (is_connected) return heard(now, target);
+  auto& known =
+      doubts_.try_emplace(target, doubt{now, now, kFirstPause}).first->second;
+  known.is_probing = false;
+  known.is_out_of_reach = true;
+  known.next_probe = now + known.pause;
+  known.pause = std::min(kLongestPause, known.pause * 2);
+  return false;
+}
+
+std::vector<target_hash> target_reach::due_probes(time_point now,
+                                                  std::size_t known) {
+  doubt_overdue(now);
+  look_for_cut(now, known);
+  std::vector<target_hash> due;
+  if (cut_since_) return due;
+  for (auto& [target, doubted] : doubts_) {
+    if (doubted.is_probing || now < doubted.next_probe) continue;
+    doubted.is_probing = true;
+    due.push_back(target);
+  }
+  return due;
+}
+
+std::size_t target_reach::probes_due_in_cut(time_point now) {
+  if (!cut_since_ || now < next_probe_in_cut_) return 0;
+  next_probe_in_cut_ = now + kProbePauseInCut;
+  return kProbesInCut;
+}
+
+void target_reach::doubt_overdue(time_point now) {
+  for (auto at = calls_.begin(); at != calls_.end();) {
+    const auto& call = at->second;
+    if (now < call.due) {
+      ++at;
+      continue;
+    }
+    const auto heard = heard_.find(call.target);
+    const bool is_silent = heard == heard_.end() || heard->second < call.asked;
+    if (is_silent) failed(now, call.target);
+    at = calls_.erase(at);
+  }
+}
+
+void target_reach::look_for_cut(time_point now, std::size_t known) {
+  if (cut_since_ || known == 0) return;
+  const auto lost =
+      std::count_if(doubts_.begin(), doubts_.end(), [&](const auto& pair) {
+        return pair.second.is_out_of_reach && pair.second.since > last_heard_;
+      });
+  if (static_cast<std::size_t>(lost) < std::min(kLeastLost, known)) return;
+  cut_since_ = now;
+  next_probe_in_cut_ = now + kProbePauseInCut;
+}
+
+bool target_reach::is_out_of_reach(target_hash target) const {
+  if (cut_since_) return true;
+  const auto found = doubts_.find(target);
+  return found != doubts_.end() && found->second.is_out_of_reach;
+}
+
+std::size_t target_reach::out_of_reach() const {
+  return static_cast<std::size_t>(std::count_if(
+      doubts_.begin(), doubts_.end(),
+      [](const auto& pair) { return pair.second.is_out_of_reach; }));
+}
+
+void target_reach::reset() {
+  calls_.clear();
+  doubts_.clear();
+  cut_since_.reset();
+}
+
+void target_reach::expire(time_point now) {
+  std::erase_if(doubts_, [now](const auto& pair) {
+    return now - pair.second.since > kForgotten;
+  });
+  std::erase_if(heard_, [now](const auto& pair) {
+    return now - pair.second > kForgotten;
+  });
+}
+
+}  // namespace seamglade::gateway
--- /dev/null
+++ b/src/process/target_reach.h
@@ -0,0 +1,86 @@
+// seamglade - which targets an instance reaches over its own connections
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_SRC_PROCESS_TARGET_REACH_H_
+#define SEAMGLADE_SRC_PROCESS_TARGET_REACH_H_
+
+#include <map>
+#include <vector>
+
+#include "seamglade/gateway.h"
+
+namespace seamglade::gateway {
+
+/**
+ * Which targets this instance reaches, free of I/O.
+ *
+ * A call that is overdue, or for which no connection came up, is a doubt about
+ * its target unless the target was heard since. One connection is then tried:
+ * a target that does not take it is out of reach until it is heard or takes
+ * one. Where several are out of reach and none at all was heard since the first
+ * doubt about them, the instance has lost its own way to targets, and none is
+ * within reach.
+ */
+class target_reach {
+ public:
+  /** A call went out; its first byte is overdue after `bound`. */
+  void called(time_point now, target_hash target, call_id call, duration bound);
+  /** Nothing more is learned from the call. */
+  void ended(call_id call) { calls_.erase(call); }
+  /** No connection came up, or one broke. */
+  void failed(time_point now, target_hash target);
+  /** Takes any byte from a target; returns whether it ends a cut. */
+  bool heard(time_point now, target_hash target);
+  /** A connection that was tried ended so; returns whether it ends a cut. */
+  bool probed(time_point now, target_hash target, bool is_connected);
+  /**
+   * Returns the doubtful targets to which a connection is to be tried now; none
+   * in a cut. `known`: how many targets there are.
+   */
+  std::vector<target_hash> due_probes(time_point now, std::size_t known);
+  /** Returns how many targets, any of them, are to be tried now in a cut. */
+  std::size_t probes_due_in_cut(time_point now);
+
+  bool is_out_of_reach(target_hash target) const;
+  /** Returns whether this instance reaches no target at all. */
+  bool is_cut_off() const { return cut_since_.has_value(); }
+  std::optional<time_point> cut_since() const { return cut_since_; }
+  /** Returns how many targets were found to be out of reach. */
+  std::size_t out_of_reach() const;
+  /** Returns whether any target was heard at or after a time. */
+  bool was_heard_since(time_point when) const { return last_heard_ >= when; }
+  /** Drops all evidence: this process stood still. */
+  void reset();
+  /** Drops what is known of targets that are no more. */
+  void expire(time_point now);
+
+ private:
+  struct watched_call {
+    target_hash target = 0;
+    time_point asked;
+    time_point due;
+  };
+  struct doubt {
+    time_point since;
+    time_point next_probe;
+    duration pause{};
+    bool is_probing = false;
+    bool is_out_of_reach = false;
+  };
+
+  void doubt_overdue(time_point now);
+  void look_for_cut(time_point now, std::size_t known);
+
+  std::map<call_id, watched_call> calls_;
+  std::map<target_hash, doubt> doubts_;
+  std::map<target_hash, time_point> heard_;
+  time_point last_heard_{};
+  std::optional<time_point> cut_since_;
+  time_point next_probe_in_cut_{};
+};
+
+}  // namespace seamglade::gateway
+
+#endif  // SEAMGLADE_SRC_PROCESS_TARGET_REACH_H_
