--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -87,6 +87,8 @@
    */
   void lose_domain(const std::string& domain);
   void restore_domain(const std::string& domain);
+  /** Partitions an instance from all targets, or heals it. */
+  void cut_targets(gateway::member_address who, target_cut how);
   /** From now on a target's answers come so much later. */
   void slow_target(const std::string& id, duration more);
   /** From now on an answer of the store is so long under way. */
@@ -303,6 +305,15 @@
   void judge_crash(const instance& from, target& at, const std::string& body);
   void end_target(const std::string& id, const std::string& body);
   void break_calls(target& at);
+  void reset_calls_of(target& at, instance& of);
+  /** Whether a partition stops a call; then its end is on its way, if any. */
+  bool is_call_stopped(instance& from,
+                       const gateway::action::call_target& call);
+  /** Whether bytes for an instance wait until its partition heals. */
+  static bool holds_up(const instance& to);
+  /** Gives an instance what a target has sent, as its partition lets it. */
+  void deliver(gateway::member_address to, std::uint64_t life,
+               std::function<void()> bytes);
   /** Judges a request by what its target has told the instance in answers. */
   void judge_words(const instance& from, target& at, const gateway_call& call);
   /** Judges a request by the limit that its target has named. */
--- a/fakes/gateway_world_crashes.cc
+++ b/fakes/gateway_world_crashes.cc
@@ -87,6 +87,9 @@
   auto outcome = how::connected;
   if (t == nullptr || t->down) outcome = how::refused;
   if (t != nullptr && t->dark) outcome = how::silent;
+  if (from.targets_cut != target_cut::none) {
+    outcome = holds_up(from) ? how::silent : how::refused;
+  }
   const auto wait = outcome == how::silent ? kProbeGivenUp : 2 * kLinkDelay;
   later(wait, [this, who = from.address, life = from.life, id = probe.target,
                outcome] {
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -48,6 +48,7 @@
   /** Instances of different sides do not reach each other. */
   int side = 0;
   bool store_denied = false;
+  target_cut targets_cut = target_cut::none;
   time_point frozen_until;
   time_point disturbed;
   /** Its last start, or the end of its last freeze. */
--- a/fakes/gateway_world_streams.cc
+++ b/fakes/gateway_world_streams.cc
@@ -118,6 +118,7 @@
 bool gateway_world::is_heard(const stream_run& run) {
   const auto& i = *instances_.at(run.who);
   return i.life == run.life && !i.cancelled.contains(run.call) &&
+         i.targets_cut != target_cut::hang &&
          run.at->blackouts == run.blackouts;
 }
 
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -44,7 +44,7 @@
       post(i, event::answer_end{call.call, call_end::not_sent});
       return;
     }
-    if (t->dark) return;
+    if (t->dark || is_call_stopped(i, call)) return;
     run_request(i, *t, call);
   });
 }
@@ -218,23 +218,25 @@
                            duration after) {
   if (at.says_leaving) headers.push_back({"Server-Leaving", "1"});
   add_limit(at, headers);
-  later(after, [this, t = &at, blackouts = at.blackouts, to, life, call, status,
-                headers = std::move(headers),
-                body = std::move(body)]() mutable {
-    if (t->blackouts != blackouts) return;
-    std::erase_if(t->open_calls, [&](const auto& open) {
-      return open.who == to && open.life == life && open.call == call;
-    });
-    auto& i = *instances_.at(to);
-    if (i.life != life || i.cancelled.contains(call)) return;
-    note_told(*t, to, headers);
-    post(i, event::answer_head{call, status, "", std::move(headers)});
-    if (!body.empty()) {
-      post(i, event::answer_data{
-                  call, std::make_shared<const std::string>(std::move(body))});
-    }
-    post(i, event::answer_end{call, call_end::complete});
-  });
+  later(after,
+        [this, t = &at, blackouts = at.blackouts, to, life, call, status,
+         headers = std::move(headers), body = std::move(body)]() mutable {
+          if (t->blackouts != blackouts) return;
+          std::erase_if(t->open_calls, [&](const auto& open) {
+            return open.who == to && open.life == life && open.call == call;
+          });
+          deliver(to, life, [this, t, to, call, status, headers, body] {
+            auto& i = *instances_.at(to);
+            if (i.cancelled.contains(call)) return;
+            note_told(*t, to, headers);
+            post(i, event::answer_head{call, status, "", headers});
+            if (!body.empty()) {
+              post(i, event::answer_data{
+                          call, std::make_shared<const std::string>(body)});
+            }
+            post(i, event::answer_end{call, call_end::complete});
+          });
+        });
 }
 
 void gateway_world::serve_order(instance& from,
@@ -247,11 +249,12 @@
     judge_series(i, order);
     auto status = engine_order_status::unanswered;
     auto* t = by_address(order.address);
-    if (t != nullptr && !t->dark && !t->down) {
+    const bool is_cut = i.targets_cut != target_cut::none;
+    if (t != nullptr && !t->dark && !t->down && !is_cut) {
       status = t->id == order.target ? take_order(i, *t, order.order)
                                      : engine_order_status::misplaced;
     }
-    const bool is_dark = t != nullptr && t->dark;
+    const bool is_dark = (t != nullptr && t->dark) || holds_up(i);
     const auto wait = is_dark ? kCallPatience : kLinkDelay;
     const target_word word{t != nullptr && t->says_leaving};
     later(wait, [this, who, life, call = order.call, status, word] {
@@ -375,8 +378,10 @@
   later(kLinkDelay, [this, who, life, ask] {
     auto* t = by_address(ask.address);
     event::report_answer answer{ask.call, std::nullopt};
-    const bool is_dark = t != nullptr && t->dark;
-    if (t != nullptr && !is_dark && !t->down) {
+    const auto& asker = *instances_.at(who);
+    const bool is_dark = (t != nullptr && t->dark) || holds_up(asker);
+    const bool is_cut = asker.targets_cut != target_cut::none;
+    if (t != nullptr && !is_dark && !t->down && !is_cut) {
       ++t->orders;
       judge_evacuation(*instances_.at(who), *t, "a question");
       // The state of a while ago: the newest entry that is old enough.
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -130,6 +130,17 @@
   std::size_t every = 1;
 };
 
+/** How an instance is partitioned from all targets. */
+enum class target_cut : std::uint8_t {
+  none,
+  /** Calls under way and new connections hang. */
+  hang,
+  /** Calls under way are reset, new connections are refused. */
+  reset,
+  /** Kept connections live on, new ones are refused. */
+  refuse_new
+};
+
 /** How an engine sends its streams, and where it truncates them. */
 struct fake_stream {
   gateway::body_framing framing = gateway::body_framing::chunked;
--- /dev/null
+++ b/test/target_cut-test.cc
@@ -0,0 +1,177 @@
+// seamglade - instances that are partitioned from all targets
+//
+// Callers, the store and the other instances still reach such an instance.
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "gateway_checks.h"
+
+namespace seamglade {
+namespace {
+
+using fakes::target_cut;
+using gateway::member_address;
+
+/** A cut is judged from this time after it began. */
+constexpr duration kContact = 3s;
+constexpr duration kCutTime = 12s;
+/** Between two requests of the whole fleet. */
+constexpr duration kGap = 15ms;
+constexpr int kAdapters = 12;
+
+gateway_world_options checkout(std::uint64_t seed) {
+  gateway_world_options options;
+  options.instances = 6;
+  options.engines = 12;
+  options.plain_targets = 4;
+  options.adapter_slots = 12;
+  options.seed = seed;
+  return options;
+}
+
+struct served_share {
+  std::size_t sent = 0;
+  std::size_t served = 0;
+
+  double value() const {
+    return sent == 0 ? 1
+                     : static_cast<double>(served) / static_cast<double>(sent);
+  }
+};
+
+/** What became of the requests of a time, at some instances and at others. */
+struct comparison {
+  served_share there;
+  served_share elsewhere;
+};
+
+comparison compare(gateway_world& w, const std::vector<member_address>& some,
+                   time_point from, time_point until) {
+  comparison out;
+  for (const auto& call : w.calls()) {
+    if (call->sent < from || call->sent >= until) continue;
+    const bool is_there =
+        std::find(some.begin(), some.end(), call->entry) != some.end();
+    auto& share = is_there ? out.there : out.elsewhere;
+    ++share.sent;
+    if (call->complete && call->status == kOk) ++share.served;
+  }
+  return out;
+}
+
+/** Cuts the first `count` instances off for a time, under a steady load. */
+comparison play_cut(gateway_world& w, std::size_t count, target_cut how) {
+  w.run_for(kSettled);
+  send_load(w, kCutTime + 6s, kGap, kAdapters);
+  w.run_for(3s);
+  auto cut = w.instances();
+  cut.resize(count);
+  const auto began = w.now();
+  for (const auto who : cut) w.cut_targets(who, how);
+  w.run_for(kCutTime);
+  for (const auto who : cut) w.cut_targets(who, target_cut::none);
+  w.run_for(12s);
+  return compare(w, cut, began + kContact, began + kCutTime);
+}
+
+/** The rule allows two thirds of the others' share; the aim is all of it. */
+constexpr double kLeastPart = 0.95;
+
+void expect_alike(const comparison& got) {
+  EXPECT_GE(got.elsewhere.value(), kLeastPart)
+      << got.elsewhere.served << " of " << got.elsewhere.sent;
+  EXPECT_GE(got.there.value(), kLeastPart * got.elsewhere.value())
+      << got.there.served << " of " << got.there.sent << ", elsewhere "
+      << got.elsewhere.served << " of " << got.elsewhere.sent;
+}
+
+class target_cut_play : public testing::TestWithParam<target_cut> {};
+
+TEST_P(target_cut_play, callers_of_a_cut_off_instance_are_served_like_others) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    gateway_world w(checkout(seed));
+    const auto got = play_cut(w, 1, GetParam());
+    ASSERT_GT(got.there.sent, 50U);
+    expect_alike(got);
+    expect_rules_kept(w);
+  }
+}
+
+TEST_P(target_cut_play, also_where_only_one_instance_reaches_targets) {
+  gateway_world w(checkout(4));
+  const auto got = play_cut(w, 5, GetParam());
+  expect_alike(got);
+  expect_rules_kept(w);
+}
+
+TEST_P(target_cut_play, no_request_is_blamed_for_a_partition) {
+  gateway_world w(checkout(5));
+  play_cut(w, 2, GetParam());
+  for (const auto who : w.instances()) {
+    EXPECT_EQ(w.status(who).quarantines, 0U);
+  }
+}
+
+std::string name_of(const testing::TestParamInfo<target_cut>& info) {
+  switch (info.param) {
+    case target_cut::none:
+      break;
+    case target_cut::hang:
+      return "hang";
+    case target_cut::reset:
+      return "reset";
+    case target_cut::refuse_new:
+      return "refuse_new";
+  }
+  return "none";
+}
+
+INSTANTIATE_TEST_SUITE_P(, target_cut_play,
+                         testing::Values(target_cut::hang, target_cut::reset,
+                                         target_cut::refuse_new),
+                         name_of);
+
+TEST(target_cut, an_instance_knows_within_two_seconds_that_it_is_cut_off) {
+  gateway_world w(checkout(6));
+  w.run_for(kSettled);
+  send_load(w, 12s, kGap, kAdapters);
+  w.run_for(3s);
+  const auto who = w.instances().front();
+  w.cut_targets(who, target_cut::hang);
+  w.run_for(2s);
+  EXPECT_TRUE(w.status(who).is_cut_off);
+  w.cut_targets(who, target_cut::none);
+  w.run_for(1s);
+  EXPECT_FALSE(w.status(who).is_cut_off);
+}
+
+TEST(target_cut, a_lost_failure_domain_is_no_cut) {
+  auto options = checkout(7);
+  options.target_domains = {"east", "west", "north"};
+  options.instance_domains = {"west", "east", "north"};
+  gateway_world w(options);
+  w.run_for(kSettled);
+  send_load(w, 12s, kGap, kAdapters);
+  w.run_for(3s);
+  w.lose_domain("east");
+  w.run_for(6s);
+  for (const auto who : w.instances()) {
+    if (w.domain_of(who) == "east") continue;
+    EXPECT_EQ(w.status(who).target_cuts, 0U);
+  }
+}
+
+TEST(target_cut, calm_shows_no_target_out_of_reach) {
+  gateway_world w(checkout(8));
+  w.run_for(kSettled);
+  send_load(w, 20s, kGap, kAdapters);
+  w.run_for(25s);
+  for (const auto who : w.instances()) {
+    EXPECT_EQ(w.status(who).target_cuts, 0U);
+    EXPECT_EQ(w.status(who).out_of_reach, 0U);
+  }
+}
+
+}  // namespace
+}  // namespace seamglade
