Reset connections no longer have innocent requests quarantined

Callers saw requests refused for minutes at all instances after one instance had lost its way to targets: its connections were reset and new ones refused, and a refused connection was taken for the end of its target. A refusal now proves an end only once another target has been heard since the calls broke; until then only the target's entry does. An end among working targets is seen as soon as before: bytes of others come within milliseconds.

--- a/src/process/end_watch.cc
+++ b/src/process/end_watch.cc
@@ -34,14 +34,29 @@
 }
 
 std::vector<request_fingerprint> end_watch::probed(
-    time_point now, target_hash target, event::target_probed::how outcome) {
+    time_point now, target_hash target, event::target_probed::how outcome,
+    time_point others_heard) {
   const auto found = groups_.find(target);
   if (found == groups_.end()) return {};
   auto& broken = found->second;
   broken.is_probing = false;
   if (outcome != event::target_probed::how::refused) return {};
   if (now - broken.since > kOneEnd) return {};
-  return conclude(broken);
+  if (others_heard > broken.since) return conclude(broken);
+  broken.is_refusing = true;
+  has_refusing_ = true;
+  return {};
+}
+
+std::vector<end_watch::target_end> end_watch::others_heard(time_point now) {
+  std::vector<target_end> ends;
+  if (!std::exchange(has_refusing_, false)) return ends;
+  for (auto& [target, broken] : groups_) {
+    if (!std::exchange(broken.is_refusing, false)) continue;
+    if (now - broken.since > kOneEnd) continue;
+    ends.push_back({target, conclude(broken)});
+  }
+  return ends;
 }
 
 std::vector<request_fingerprint> end_watch::replaced(time_point now,
--- a/src/process/end_watch.h
+++ b/src/process/end_watch.h
@@ -35,9 +35,22 @@
   };
   verdict call_broke(time_point now, target_hash target,
                      const request_fingerprint& request);
-  /** Returns the requests that were there at a target's end, if it ended. */
+  /**
+   * Returns the requests that were there at a target's end, if it ended.
+   * `others_heard`: since when another target was heard last. A target that
+   * refuses connections has ended only if another is heard after its calls
+   * broke: else this instance may have lost its own way to them.
+   */
   std::vector<request_fingerprint> probed(time_point now, target_hash target,
-                                          event::target_probed::how outcome);
+                                          event::target_probed::how outcome,
+                                          time_point others_heard);
+  /** What was there at the end of a target. */
+  struct target_end {
+    target_hash target = 0;
+    std::vector<request_fingerprint> requests;
+  };
+  /** Another target is heard: those that refuse connections have ended. */
+  std::vector<target_end> others_heard(time_point now);
   /**
    * The target is gone without notice, or has started again: returns what broke
    * there shortly before, if no end was known.
@@ -51,6 +64,8 @@
   struct group {
     time_point since;
     bool is_probing = false;
+    /** It refuses connections; nothing was heard since that proves its end. */
+    bool is_refusing = false;
     bool has_ended = false;
     std::set<request_fingerprint> requests;
   };
@@ -58,6 +73,7 @@
   static std::vector<request_fingerprint> conclude(group& of);
 
   std::map<target_hash, group> groups_;
+  bool has_refusing_ = false;
 };
 
 }  // namespace seamglade::gateway
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -367,6 +367,8 @@
   /** A call broke: finds out whether its target ended. */
   void suspect_request(exchange& x);
   void on(event::target_probed&& e);
+  /** Another target was heard: those that refuse connections have ended. */
+  void blame_refusing_targets();
   /** Without notice, a target went or started again. */
   void note_replaced(const target_id& target, std::string_view reason);
   /** These were running where a target ended. */
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -32,6 +32,8 @@
 /** Rows in one message: 3.2 KB of those that were there at four ends. */
 constexpr std::size_t kMostRows = 32;
 
+constexpr std::string_view kRefuses = "refuses_connections";
+
 }  // namespace
 
 bool gateway_core::impl::may_have_ended_target(const exchange& x) {
@@ -62,8 +64,15 @@
 void gateway_core::impl::on(event::target_probed&& e) {
   const auto hash = hash_of(e.target);
   note_tried(e);
-  const auto requests = ends_.probed(now_, hash, e.outcome);
-  if (!requests.empty()) blame(requests, e.target, "refuses_connections");
+  const auto requests =
+      ends_.probed(now_, hash, e.outcome, reach_.last_heard());
+  if (!requests.empty()) blame(requests, e.target, kRefuses);
+}
+
+void gateway_core::impl::blame_refusing_targets() {
+  for (const auto& end : ends_.others_heard(now_)) {
+    blame(end.requests, target_id_of(end.target), kRefuses);
+  }
 }
 
 void gateway_core::impl::note_replaced(const target_id& target,
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -16,6 +16,7 @@
 void gateway_core::impl::note_reached(const target_id& target) {
   const auto since = reach_.cut_since();
   if (reach_.heard(now_, hash_of(target))) end_cut(*since);
+  blame_refusing_targets();
 }
 
 void gateway_core::impl::note_unreached(const target_id& target) {
--- a/src/process/target_reach.h
+++ b/src/process/target_reach.h
@@ -49,8 +49,8 @@
   std::optional<time_point> cut_since() const { return cut_since_; }
   /** Returns how many targets were found to be out of reach. */
   std::size_t out_of_reach() const;
-  /** Returns whether any target was heard at or after a time. */
-  bool was_heard_since(time_point when) const { return last_heard_ >= when; }
+  /** Returns when any target was last heard. */
+  time_point last_heard() const { return last_heard_; }
   /** Drops all evidence: this process stood still. */
   void reset();
   /** Drops what is known of targets that are no more. */
