Requests are handed on where an instance reaches no target

Callers of instances that had lost their way to all targets were served 6 of 90 at the first attempt, others 417 of 452. Cause: an instance served with what it reached itself, and had only refusals to offer. Now a request that none of the targets within reach may serve goes to another instance over the peers' listener, as an HTTP call with a name of its own; that instance serves it as its caller's and hands it on to nobody. What can't be repeated is sent once: a refusal of the other instance promises that it did not run there, a break after it was sent promises nothing. Keys and quotas are checked and counted where the request came, targets' places, limits and the retry budget where it is sent on.

A cut is known by three targets that take no connection with no byte from any since, or by three that take none while none comes up; it ends with the first connection that does. Ruled out: to say that the instance is not ready (kept connections stay, and all of a domain may be cut), refusals at once (a first try fails all the same).

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -131,6 +131,7 @@
   i.core.reset();
   ++i.life;
   i.disturbed = now_;
+  drop_relays(who);
   for (auto at = open_calls_.begin(); at != open_calls_.end();) {
     if (at->second->entry != who) {
       ++at;
@@ -198,7 +199,10 @@
 }
 
 void gateway_world::carry_out(instance& from, any_action any) {
-  if (const auto* a = std::get_if<action::reply_head>(&any)) {
+  if (const auto relayed = relayed_caller(any);
+      relayed && open_relays_.contains(*relayed)) {
+    answer_relay(*relayed, any);
+  } else if (const auto* a = std::get_if<action::reply_head>(&any)) {
     const auto found = open_calls_.find(a->caller);
     if (found == open_calls_.end()) return;
     found->second->status = a->status;
@@ -224,8 +228,11 @@
     open_calls_.erase(found);
   } else if (const auto* call = std::get_if<action::call_target>(&any)) {
     serve_call(from, *call);
+  } else if (const auto* relay = std::get_if<action::call_peer>(&any)) {
+    serve_relay(from, *relay);
   } else if (const auto* cancel = std::get_if<action::cancel_call>(&any)) {
     from.cancelled.insert(cancel->call);
+    cancel_relay(from, cancel->call);
   } else if (const auto* order = std::get_if<action::send_order>(&any)) {
     serve_order(from, *order);
   } else if (const auto* ask = std::get_if<action::read_report>(&any)) {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -204,6 +204,8 @@
   /** Returns how many requests plain targets rejected since they were full. */
   std::size_t rejections() const { return rejections_; }
   std::size_t loads() const { return loads_; }
+  /** Returns how many requests instances handed on to each other. */
+  std::size_t relays() const { return relays_; }
   /** Orders that asked whether an earlier one of their series has ended. */
   std::size_t questions() const { return questions_; }
   std::size_t store_calls() const { return store_calls_; }
@@ -242,6 +244,12 @@
   void serve_call(instance& from, const gateway::action::call_target& call);
   void run_request(instance& from, target& at,
                    const gateway::action::call_target& call);
+  void serve_relay(instance& from, const gateway::action::call_peer& call);
+  /** Gives an instance a part of the answer to a request that it handed on. */
+  void answer_relay(caller_id caller, const gateway::any_action& part);
+  void cancel_relay(const instance& from, call_id call);
+  /** Ends all that an instance serves for others, and has others serve. */
+  void drop_relays(gateway::member_address who);
   void answer(target& at, gateway::member_address to, std::uint64_t life,
               call_id call, int status, std::vector<http_header> headers,
               std::string body, duration after);
@@ -399,6 +407,15 @@
   /** Since when a failure domain has been evacuated. */
   std::map<std::string, time_point> evacuated_;
   std::map<caller_id, gateway_call*> open_calls_;
+  /** A request that an instance serves for another. */
+  struct open_relay {
+    gateway::member_address origin = 0;
+    std::uint64_t life = 0;
+    call_id call = 0;
+    gateway::member_address helper = 0;
+  };
+  std::map<caller_id, open_relay> open_relays_;
+  std::size_t relays_ = 0;
   std::vector<std::unique_ptr<gateway_call>> calls_;
   caller_id next_caller_ = 1;
   std::size_t loads_ = 0;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -39,6 +39,9 @@
   return {};
 }
 
+/** Returns the caller that an action answers; none: another action. */
+std::optional<caller_id> relayed_caller(const any_action& any);
+
 struct gateway_world::instance {
   member_address address = 0;
   std::string domain;
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -229,7 +229,14 @@
             auto& i = *instances_.at(to);
             if (i.cancelled.contains(call)) return;
             note_told(*t, to, headers);
-            post(i, event::answer_head{call, status, "", headers});
+            // A connection that a partition lets live on had been kept.
+            const bool is_kept = i.targets_cut == target_cut::refuse_new;
+            post(i, event::answer_head{call,
+                                       status,
+                                       "",
+                                       headers,
+                                       body_framing::length,
+                                       {1, is_kept ? 1U : 0U}});
             if (!body.empty()) {
               post(i, event::answer_data{
                           call, std::make_shared<const std::string>(body)});
--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -48,6 +48,14 @@
       const std::vector<http_header>& from_caller,
       const call_facts& facts) const = 0;
 
+  /**
+   * Returns the headers with which a caller's request is handed on to another
+   * instance. `last_event`: empty, the caller's own stands.
+   */
+  virtual std::vector<http_header> relay_headers(
+      const std::vector<http_header>& from_caller, duration remaining,
+      const std::string& last_event) const = 0;
+
   /** Paths of the store: changes behind a revision, all items in pages. */
   virtual std::string watch_path(store_scope scope, std::uint64_t after,
                                  duration wait) const = 0;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -32,6 +32,8 @@
 struct request {
   caller_id caller = 0;
   caller_message message;
+  /** None: it came from a caller. */
+  std::optional<relayed_request> relayed = {};
 };
 struct caller_gone {
   caller_id caller = 0;
@@ -43,12 +45,14 @@
   std::vector<http_header> headers;
   body_framing framing = body_framing::length;
   answer_carrier carrier = {};
+  /** From an instance that can't help with the request, and did not run it. */
+  bool is_no_help = false;
 };
 struct answer_data {
   call_id call = 0;
   std::shared_ptr<const std::string> data;
 };
-/** A call to a target has ended, with or without an answer. */
+/** A call to a target or an instance has ended, with or without an answer. */
 struct answer_end {
   call_id call = 0;
   call_end end = call_end::complete;
@@ -127,6 +131,8 @@
   std::vector<http_header> headers;
   /** None: the length is not known. */
   std::optional<std::uint64_t> length;
+  /** Tells the instance that handed the request on to try another. */
+  bool is_no_help = false;
 };
 struct reply_data {
   caller_id caller = 0;
@@ -150,6 +156,18 @@
   std::shared_ptr<const std::string> body;
   std::string request_id;
 };
+/** Hands a request on to an instance; its answer comes as a target's does. */
+struct call_peer {
+  call_id call = 0;
+  member_address to = 0;
+  std::string method;
+  std::string target;
+  std::string host;
+  std::vector<http_header> headers;
+  std::shared_ptr<const std::string> body;
+  /** Targets on which it may have run. */
+  std::uint32_t runs = 0;
+};
 struct cancel_call {
   call_id call = 0;
 };
@@ -206,9 +224,9 @@
 
 using any_action =
     std::variant<action::reply_head, action::reply_data, action::reply_end,
-                 action::reply_abort, action::call_target, action::cancel_call,
-                 action::send_order, action::read_report, action::probe_target,
-                 action::watch_store, action::range_store,
+                 action::reply_abort, action::call_target, action::call_peer,
+                 action::cancel_call, action::send_order, action::read_report,
+                 action::probe_target, action::watch_store, action::range_store,
                  action::fetch_changes, action::send_datagram,
                  action::set_limits, action::log_line>;
 
@@ -301,6 +319,9 @@
   /** Times that this instance lost its way to all targets; it has lost it. */
   std::uint64_t target_cuts = 0;
   bool is_cut_off = false;
+  /** Requests handed on to other instances, and by them. */
+  std::uint64_t relayed_out = 0;
+  std::uint64_t relayed_in = 0;
   /** Targets that take no connection from here. */
   std::size_t out_of_reach = 0;
   /** Targets that ended while a request of this instance ran there. */
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -366,6 +366,16 @@
                           const request_fingerprint&) = default;
 };
 
+/** What an instance tells of a request that it hands on to another. */
+struct relayed_request {
+  /** IPv4 number of the instance that handed it on, in host order. */
+  std::uint32_t from = 0;
+  /** Targets on which it may have run before. */
+  std::uint32_t runs = 0;
+  /** This instance can't help with it: another may. */
+  bool is_no_help = false;
+};
+
 /** A caller's request as it was read; passed on unchanged. */
 struct caller_message {
   std::string method;
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -61,8 +61,9 @@
   return {phrase.data(), phrase.size()};
 }
 
-gateway_server::gateway_server(event_base* base, handlers on)
-    : base_(base), on_(std::move(on)) {}
+gateway_server::gateway_server(event_base* base, handlers on,
+                               caller_id first_caller)
+    : base_(base), on_(std::move(on)), next_caller_(first_caller) {}
 
 gateway_server::~gateway_server() = default;
 
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -50,7 +50,8 @@
     std::function<void(int)> refused;
   };
 
-  gateway_server(event_base* base, handlers on);
+  /** `first_caller`: names its first caller; the next ones count on. */
+  gateway_server(event_base* base, handlers on, caller_id first_caller = 1);
   ~gateway_server();
   gateway_server(const gateway_server&) = delete;
   gateway_server& operator=(const gateway_server&) = delete;
@@ -120,7 +121,7 @@
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
   std::map<caller_id, connection*> by_caller_;
-  caller_id next_caller_ = 1;
+  caller_id next_caller_;
 };
 
 }  // namespace seamglade::detail
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -78,7 +78,13 @@
   x->headers = std::move(e.headers);
   x->framing = e.framing;
   x->carrier = e.carrier;
+  if (x->relay == 0 && e.carrier.calls_before == 0) note_connected();
   x->answer = platform_.read_answer(x->status, x->headers);
+  if (x->relay != 0) {
+    // An instance promises what it promises to callers.
+    x->answer.not_run = promises_not_run(x->status);
+    x->is_no_help = e.is_no_help;
+  }
   note_answer(*x);
   hear_answer(*x);
 }
@@ -121,17 +127,13 @@
   const auto end = end_of_answer(*x, e.end);
   const bool whole = end == call_end::complete;
   note_end(*x, whole);
-  if (!whole && x->status == 0) note_unreached(x->target);
+  if (!whole && x->status == 0) note_unreached(x->target, end);
   if (x->status != 0) ++counts_.answer_ends[{x->framing, end}];
   if (end == call_end::not_sent) {
     end_call(*x, false, true);
     --x->runs;
     ++x->unsent_tries;
-    if (x->unsent_tries < kUnsentTries && x->until - now_ > kAnswerMargin) {
-      retry(*x, "not_sent");
-    } else {
-      give_up(*x);
-    }
+    retry_unsent(*x);
     return;
   }
   if (!whole || !is_valid(*x)) {
@@ -140,11 +142,21 @@
   }
   if (is_success(x->status)) {
     whole_answer(*x);
+  } else if (x->relay != 0) {
+    relay_failed(*x);
   } else {
     failed_answer(*x);
   }
 }
 
+void gateway_core::impl::retry_unsent(exchange& x) {
+  if (x.unsent_tries < kUnsentTries && x.until - now_ > kAnswerMargin) {
+    retry(x, "not_sent");
+  } else if (!relay(x)) {
+    give_up(x);
+  }
+}
+
 void gateway_core::impl::whole_answer(exchange& x) {
   clear_blame(x);
   if (auto* target = target_of(x)) targets_.succeeded(*target);
@@ -152,6 +164,7 @@
   ++counts_.answered;
   log("answered", {{"request", x.facts.id},
                    {"target", x.target},
+                   {"relay", static_cast<std::int64_t>(x.relay)},
                    {"status", x.status},
                    {"framing", std::string(to_string(x.framing))},
                    {"connection", connection_of(x.carrier)},
@@ -276,9 +289,7 @@
 void gateway_core::impl::retry(exchange& x, std::string_view reason) {
   ++counts_.retries;
   log("retry", {{"request", x.facts.id}, {"reason", std::string(reason)}});
-  x.now = exchange::phase::waiting;
-  x.call = 0;
-  place(x);
+  place_again(x);
 }
 
 }  // namespace seamglade::gateway
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -43,23 +43,15 @@
   if (home != nullptr) interest_dirty_.insert(home_id);
 }
 
-void gateway_core::impl::dispatch(exchange& x, target_state& target) {
-  // All that is sent to a target comes through here.
-  // A limit binds all instances together, so each needs leave for each request.
-  // A grant is for this moment, also where it turns out not to be needed.
-  const bool is_granted = use_grant(x, target);
-  if (needs_grant(target) && !is_granted) return ask_grantor(x, target);
+void gateway_core::impl::begin_call(exchange& x) {
   if (!x.home.empty()) interest_dirty_.insert(x.home);
   x.home.clear();
   x.asked_until.reset();
   x.now = exchange::phase::calling;
   x.call = next_call_++;
-  x.target = target.entry.id;
-  x.target_life = target.entry.started_ms;
-  x.is_after_rest = target.own_word.begin_trial(now_, x.target_life);
+  x.relay = 0;
   x.called_at = now_;
   x.first_event.reset();
-  x.tried.insert(x.target);
   ++x.runs;
   x.status = 0;
   x.framing = body_framing::length;
@@ -67,7 +59,21 @@
   x.headers.clear();
   x.body.clear();
   x.answer = {};
+  x.is_no_help = false;
   calls_[x.call] = x.caller;
+}
+
+void gateway_core::impl::dispatch(exchange& x, target_state& target) {
+  // All that is sent to a target comes through here.
+  // A limit binds all instances together, so each needs leave for each request.
+  // A grant is for this moment, also where it turns out not to be needed.
+  const bool is_granted = use_grant(x, target);
+  if (needs_grant(target) && !is_granted) return ask_grantor(x, target);
+  begin_call(x);
+  x.target = target.entry.id;
+  x.target_life = target.entry.started_ms;
+  x.is_after_rest = target.own_word.begin_trial(now_, x.target_life);
+  x.tried.insert(x.target);
   work_began(x, target);
   watch_call(x, target);
   call_facts facts;
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -131,6 +131,7 @@
   const auto first_suspect = std::stable_partition(
       out.begin(), out.end(), [&](const target_state* target) {
         if (availability_of(*target) == availability::doubtful) return false;
+        if (is_out_of_reach(*target)) return false;
         return !is_suspect(*target) || is_trial(x, *target);
       });
   if (first_suspect != out.begin()) out.erase(first_suspect, out.end());
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -315,8 +315,10 @@
   // gateway_reach.cc
   /** A target was heard, or took a connection. */
   void note_reached(const target_id& target);
+  /** A new connection to a target came up. */
+  void note_connected();
   /** No connection to a target came up, or one broke. */
-  void note_unreached(const target_id& target);
+  void note_unreached(const target_id& target, call_end how);
   /** A connection to a target was tried for its own sake. */
   void note_tried(const event::target_probed& e);
   void watch_reach();
@@ -324,6 +326,20 @@
   void begin_cut();
   void end_cut(time_point since);
 
+  // gateway_relay.cc
+  /** Hands a request on; returns false where no instance can be asked. */
+  bool relay(exchange& x);
+  /** Returns the instance to hand a request on to; 0: none is left. */
+  member_address relay_for(const exchange& x);
+  /** Returns false if a request of another instance was refused. */
+  bool admit_relayed(exchange& x);
+  /** Tells the instance that handed it on to try another. */
+  void refuse_relayed(exchange& x, std::string_view reason);
+  /** An instance answered otherwise than with success. */
+  void relay_failed(exchange& x);
+  /** Finds another place for a request that did not run at the last one. */
+  void place_again(exchange& x);
+
   // gateway_words.cc
   /** Takes in what the answer under way says of its target. */
   void hear_answer(exchange& x);
@@ -434,9 +450,13 @@
   void want_copy(const exchange& x, const valued_target& best,
                  const std::vector<valued_target>& homes);
   void wait_for(exchange& x, target_state* home, std::string_view reason);
+  /** What each call begins with, to a target or to an instance. */
+  void begin_call(exchange& x);
   void dispatch(exchange& x, target_state& target);
   void place_waiting();
   void end_call(exchange& x, bool success, bool severe);
+  /** No connection came up for its call. */
+  void retry_unsent(exchange& x);
   void whole_answer(exchange& x);
   void failed_answer(exchange& x);
   void broken_call(exchange& x, call_end end);
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -208,7 +208,8 @@
     if (x.now != exchange::phase::calling) continue;
     if (now_ - x.called_at < kHungAtLeast) continue;
     const auto* target = target_of(x);
-    if (target != nullptr && is_suspect(*target)) hung.push_back(caller);
+    if (target == nullptr) continue;
+    if (is_suspect(*target) || reach_.is_all_silent()) hung.push_back(caller);
   }
   for (const auto caller : hung) {
     const auto found = exchanges_.find(caller);
@@ -222,9 +223,11 @@
   const auto targets = targets_for(x);
   const bool has_other = std::any_of(
       targets.begin(), targets.end(), [&](const target_state* target) {
-        return !is_suspect(*target) && !x.tried.contains(target->entry.id);
+        return !is_suspect(*target) && !is_out_of_reach(*target) &&
+               !x.tried.contains(target->entry.id);
       });
-  if (!has_other || !may_retry(x, true)) return;
+  const bool has_way = has_other || (reach_.is_all_silent() && !x.relayed);
+  if (!has_way || !may_retry(x, true)) return;
   ++counts_.left_calls;
   watch_.failed(now_, x.call);
   do_act(action::cancel_call{x.call});
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -183,6 +183,8 @@
   domain_watch watch_;
   doubt_table doubts_;
   target_reach reach_;
+  /** Instances that could not help with a request, and until when. */
+  std::map<member_address, time_point> no_help_until_;
   /** How long targets of a service take for their first byte. */
   std::map<std::string, wait_estimate, std::less<>> waits_;
   std::map<domain_key, std::string> domain_names_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -71,10 +71,13 @@
   auto out =
       family(name, help, type, static_cast<double>(calls.to_targets.*which));
   out.metric.front().label = {{"to", "targets"}};
-  auto fleet =
-      family(name, help, type, static_cast<double>(calls.to_fleet.*which));
-  fleet.metric.front().label = {{"to", "fleet"}};
-  out.metric.push_back(std::move(fleet.metric.front()));
+  const auto add = [&](const char* to, const call_client::counters& counts) {
+    auto more = family(name, help, type, static_cast<double>(counts.*which));
+    more.metric.front().label = {{"to", to}};
+    out.metric.push_back(std::move(more.metric.front()));
+  };
+  add("fleet", calls.to_fleet);
+  add("relays", calls.to_relays);
   return out;
 }
 
@@ -170,6 +173,10 @@
   counter("seamglade_no_allowed_region_total",
           "Refused since no target is in a region that is allowed",
           status.no_allowed_region);
+  counter("seamglade_relayed_out_total",
+          "Requests handed on to another instance", status.relayed_out);
+  counter("seamglade_relayed_in_total",
+          "Requests that another instance handed on", status.relayed_in);
   counter("seamglade_target_cuts_total",
           "Times that this instance lost its way to all targets",
           status.target_cuts);
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -34,6 +34,8 @@
   call_client::counters to_targets;
   /** To the platform's store and other instances. */
   call_client::counters to_fleet;
+  /** To other instances, with requests that are handed on. */
+  call_client::counters to_relays;
 };
 
 /** Returns the counters in Prometheus' text form. */
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -68,6 +68,10 @@
     wait_for(x, nullptr, "no_target");
     return;
   }
+  if (!is_any_in_reach(targets)) {
+    if (x.relayed) return refuse_relayed(x, "targets_out_of_reach");
+    if (relay(x)) return;
+  }
   if (x.service->engine && !x.facts.adapter.model.empty()) {
     place_on_engine(x, targets);
     return;
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -19,8 +19,18 @@
   blame_refusing_targets();
 }
 
-void gateway_core::impl::note_unreached(const target_id& target) {
-  if (!target.empty()) reach_.failed(now_, hash_of(target));
+void gateway_core::impl::note_connected() {
+  const auto since = reach_.cut_since();
+  if (reach_.connected(now_)) end_cut(*since);
+}
+
+void gateway_core::impl::note_unreached(const target_id& target, call_end how) {
+  if (target.empty()) return;
+  if (how == call_end::not_sent) {
+    reach_.not_connected(now_, hash_of(target));
+  } else {
+    reach_.failed(now_, hash_of(target));
+  }
 }
 
 void gateway_core::impl::note_tried(const event::target_probed& e) {
@@ -60,8 +70,10 @@
   ++counts_.target_cuts;
   log("targets_lost",
       {{"out_of_reach", static_cast<std::int64_t>(reach_.out_of_reach())},
+       {"silent", static_cast<std::int64_t>(reach_.is_all_silent())},
        {"members", static_cast<std::int64_t>(staying_.size())}},
       true);
+  leave_hung_calls();
   waiting_dirty_ = true;
 }
 
--- /dev/null
+++ b/src/process/gateway_relay.cc
@@ -0,0 +1,163 @@
+// seamglade - the direct path: requests handed on between instances
+//
+// An instance that reaches none of the targets that may serve a request hands
+// it on to one that does, over the peers' listener. The other instance serves
+// it as its own, and hands it on to nobody. Its refusals promise that the
+// request did not run there, as they do to callers.
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <algorithm>
+
+#include "process/gateway_impl.h"
+#include "process/status_codes.h"
+
+namespace seamglade::gateway {
+namespace {
+
+/** Requests of others that an instance has under way at most. */
+constexpr std::ptrdiff_t kMostRelayed = 256;
+/** An instance that could not help is not asked for so long. */
+constexpr duration kNoHelpFor = 1s;
+/** In requests under way there: what a farther instance is worse. */
+constexpr double kRegionPenalty = 1;
+constexpr double kFarPenalty = 16;
+
+double distance_penalty(proximity distance) {
+  switch (distance) {
+    case proximity::same_domain:
+      return 0;
+    case proximity::same_region:
+      return kRegionPenalty;
+    case proximity::other_region:
+      break;
+  }
+  return kFarPenalty;
+}
+
+}  // namespace
+
+bool gateway_view::is_any_in_reach(
+    const std::vector<target_state*>& targets) const {
+  return std::any_of(targets.begin(), targets.end(), [&](const auto* target) {
+    return !is_out_of_reach(*target);
+  });
+}
+
+member_address gateway_core::impl::relay_for(const exchange& x) {
+  std::map<member_address, double> under_way;
+  for (const auto& [caller, other] : exchanges_) {
+    if (other.relay != 0) ++under_way[other.relay];
+  }
+  std::uniform_real_distribution<> tie(0, 0.5);
+  member_address best = 0;
+  double least = 0;
+  for (const auto who : staying_) {
+    if (who == options_.self || x.relays_tried.contains(who)) continue;
+    const auto found = no_help_until_.find(who);
+    if (found != no_help_until_.end() && now_ < found->second) continue;
+    if (is_passed_over(who)) continue;
+    const double cost =
+        under_way[who] + distance_penalty(distance_to(who)) + tie(random_);
+    if (best != 0 && cost >= least) continue;
+    best = who;
+    least = cost;
+  }
+  return best;
+}
+
+bool gateway_core::impl::relay(exchange& x) {
+  if (x.relayed || x.until - now_ <= kAnswerMargin) return false;
+  const auto to = relay_for(x);
+  if (to == 0) return false;
+  release_place(x);
+  begin_call(x);
+  x.target.clear();
+  x.target_life = 0;
+  x.relay = to;
+  x.relays_tried.insert(to);
+  ++counts_.relayed_out;
+  log("relay", {{"request", x.facts.id},
+                {"to", static_cast<std::int64_t>(to)},
+                {"distance", std::string(to_string(distance_to(to)))},
+                {"cut_off", static_cast<std::int64_t>(reach_.is_cut_off())},
+                {"runs", x.runs - 1},
+                {"waited_ms", to_ms(now_ - x.started)},
+                {"left_ms", to_ms(x.until - now_)}});
+  const auto last_event = x.head_sent ? x.events.last_id() : x.facts.last_event;
+  action::call_peer call;
+  call.call = x.call;
+  call.to = to;
+  call.method = x.message.method;
+  call.target = x.message.target;
+  call.host = x.message.host;
+  call.headers =
+      platform_.relay_headers(x.message.headers, x.until - now_, last_event);
+  call.body = x.message.body;
+  call.runs = x.runs - 1;
+  do_act(std::move(call));
+  return true;
+}
+
+bool gateway_core::impl::admit_relayed(exchange& x) {
+  ++counts_.relayed_in;
+  log("relayed", {{"request", x.facts.id},
+                  {"from", static_cast<std::int64_t>(x.relayed->from)},
+                  {"runs", x.relayed->runs}});
+  const auto under_way = std::count_if(
+      exchanges_.begin(), exchanges_.end(),
+      [](const auto& pair) { return pair.second.relayed.has_value(); });
+  if (under_way <= kMostRelayed) return true;
+  refuse_relayed(x, "too_many_relayed");
+  return false;
+}
+
+void gateway_core::impl::refuse_relayed(exchange& x, std::string_view reason) {
+  // What it ran on before, the other instance knows itself.
+  const bool has_run_here = x.runs > x.relayed->runs;
+  if (x.head_sent || has_run_here) {
+    give_up(x);
+    return;
+  }
+  x.relayed->is_no_help = true;
+  refuse(x, kUnavailable, kComeBackSoon, reason);
+}
+
+void gateway_core::impl::relay_failed(exchange& x) {
+  const bool not_run = x.answer.not_run;
+  end_call(x, true, false);
+  if (not_run) --x.runs;
+  log("relay_failed", {{"request", x.facts.id},
+                       {"from", static_cast<std::int64_t>(x.relay)},
+                       {"status", x.status},
+                       {"no_help", static_cast<std::int64_t>(x.is_no_help)}});
+  if (x.is_no_help) {
+    no_help_until_[x.relay] = now_ + kNoHelpFor;
+    if (not_run) {
+      place_again(x);
+      return;
+    }
+  }
+  if (x.head_sent) {
+    ++counts_.cut;
+    do_act(action::reply_abort{x.caller});
+    finish(x.caller);
+    return;
+  }
+  if (not_run) {
+    ++counts_.refused;
+  } else {
+    ++counts_.failed;
+  }
+  pass_on(x);
+}
+
+void gateway_core::impl::place_again(exchange& x) {
+  x.now = exchange::phase::waiting;
+  x.call = 0;
+  x.relay = 0;
+  place(x);
+}
+
+}  // namespace seamglade::gateway
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -81,6 +81,7 @@
   exchange fresh;
   fresh.caller = e.caller;
   fresh.message = std::move(e.message);
+  fresh.relayed = e.relayed;
   fresh.started = now_;
   auto& x = exchanges_.emplace(e.caller, std::move(fresh)).first->second;
   if (config_ && !awaits_keys()) {
@@ -121,6 +122,10 @@
     return;
   }
   x.facts = std::move(facts.value());
+  if (x.relayed) {
+    x.runs = x.relayed->runs;
+    if (!admit_relayed(x)) return;
+  }
   if (!admit_key(x)) return;
   x.fingerprint = fingerprint_of(
       x.message, x.owner == nullptr ? std::string_view() : x.owner->name);
@@ -141,6 +146,11 @@
   budget->second.configure(options_.retry_ratio / 2,
                            options_.retry_extra / members,
                            options_.retry_window);
+  if (x.relayed) {
+    // The instance that it came to has counted it.
+    place(x);
+    return;
+  }
   budget->second.request(now_);
   meter(x);
 }
@@ -201,6 +211,7 @@
   head.caller = x.caller;
   head.status = status;
   head.length = 0;
+  head.is_no_help = x.relayed && x.relayed->is_no_help;
   if (retry_after > 0ms) {
     head.headers.push_back({"Retry-After", retry_after_text(retry_after)});
   }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -12,6 +12,7 @@
 #include <random>
 
 #include "connection/peer_paths.h"
+#include "connection/relay_headers.h"
 #include "process/gateway_metrics.h"
 #include "process/status_codes.h"
 #include "seamglade/instance_config.h"
@@ -37,6 +38,14 @@
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kStatusPath = "/status";
 
+/** The first name of a caller on the peers' listener. */
+constexpr caller_id kFirstPeerCaller = caller_id{1} << 62U;
+/** What instances add to the headers of a request, at most. */
+constexpr std::uint32_t kRelayHeaderBytes = 1024;
+/** A connection to another instance is given up that has not come up by then.
+ */
+constexpr duration kPeerConnect = 250ms;
+
 constexpr duration kFileLook = 1s;
 /** After a stop began: callers' idle connections are closed from then on. */
 constexpr duration kCloseIdle = 2500ms;
@@ -107,9 +116,16 @@
       metrics_(make_server([this](caller_id caller, const caller_message& m) {
         answer_metrics(caller, m.target);
       })),
-      peers_(make_server([this](caller_id caller, const caller_message& m) {
-        answer_peer(caller, m.target);
-      })),
+      peers_(base_.get(),
+             {[this](caller_id caller, caller_message message) {
+                answer_peer(caller, std::move(message));
+              },
+              [this](caller_id caller) {
+                if (relayed_.erase(caller) == 0) return;
+                post(event::caller_gone{caller});
+              },
+              [this](int status) { ++refused_unread_[status]; }},
+             kFirstPeerCaller),
       datagrams_(base_.get(),
                  [this](member_address from, std::string_view bytes) {
                    auto message = gateway::decode_peer_message(bytes);
@@ -118,6 +134,7 @@
                  }),
       target_client_(base_.get(), std::string(platform_->request_id_header())),
       fleet_client_(base_.get(), {}),
+      relay_client_(base_.get(), std::string(kRelayCall)),
       prober_(base_.get()) {
   if (auto text = read_file(config_file_)) config_text_ = text.value();
 }
@@ -230,7 +247,8 @@
   if (passed < kCloseIdle) return;
   callers_.close_idle();
   const bool over = passed > config_.grace - kStopMargin;
-  if (callers_.connection_count() > 0 && !over) return;
+  const bool is_busy = callers_.connection_count() > 0 || !relayed_.empty();
+  if (is_busy && !over) return;
   log_.write(boot_now(), {"stopped",
                           {{"connections", static_cast<std::int64_t>(
                                                callers_.connection_count())}},
@@ -238,21 +256,32 @@
   event_base_loopbreak(base_.get());
 }
 
+gateway_server& gateway_shell::server_of(caller_id caller) {
+  return caller < kFirstPeerCaller ? callers_ : peers_;
+}
+
 void gateway_shell::carry_out(action::reply_head&& a) {
-  callers_.begin(a.caller, {a.status, std::move(a.reason), std::move(a.headers),
-                            a.length});
+  if (const auto found = relayed_.find(a.caller); found != relayed_.end()) {
+    drop_relay_headers(a.headers);
+    a.headers.push_back({std::string(kRelayCall), found->second});
+    if (a.is_no_help) a.headers.push_back({std::string(kRelayNoHelp), "1"});
+  }
+  server_of(a.caller).begin(a.caller, {a.status, std::move(a.reason),
+                                       std::move(a.headers), a.length});
 }
 
 void gateway_shell::carry_out(action::reply_data&& a) {
-  callers_.write(a.caller, a.data);
+  server_of(a.caller).write(a.caller, a.data);
 }
 
 void gateway_shell::carry_out(action::reply_end&& a) {
-  callers_.finish(a.caller);
+  server_of(a.caller).finish(a.caller);
+  relayed_.erase(a.caller);
 }
 
 void gateway_shell::carry_out(action::reply_abort&& a) {
-  callers_.abort(a.caller);
+  server_of(a.caller).abort(a.caller);
+  relayed_.erase(a.caller);
 }
 
 void gateway_shell::carry_out(action::call_target&& a) {
@@ -265,27 +294,50 @@
   call.body = std::move(a.body);
   call.connect_timeout = kTargetConnect;
   call.name = std::move(a.request_id);
-  const auto id = a.call;
+  pass_on_answer(target_client_, a.call, std::move(call));
+}
+
+void gateway_shell::carry_out(action::call_peer&& a) {
+  outgoing_call call;
+  call.address = fmt::format("{}:{}", to_text(a.to), peer_port_);
+  call.method = std::move(a.method);
+  call.target = std::move(a.target);
+  call.host = std::move(a.host);
+  call.headers = std::move(a.headers);
+  drop_relay_headers(call.headers);
+  call.name = fmt::format("{:x}", a.call);
+  call.headers.push_back({std::string(kRelayCall), call.name});
+  call.headers.push_back({std::string(kRelayRuns), std::to_string(a.runs)});
+  call.body = std::move(a.body);
+  call.connect_timeout = kPeerConnect;
+  pass_on_answer(relay_client_, a.call, std::move(call));
+}
+
+void gateway_shell::pass_on_answer(call_client& client, call_id id,
+                                   outgoing_call call) {
   call_client::handlers on;
   on.head = [this, id](const answer_head& head, const answer_carrier& carrier) {
-    post(event::answer_head{id, head.status, head.reason, head.headers,
-                            head.framing, carrier});
+    event::answer_head answer{id,           head.status,  head.reason,
+                              head.headers, head.framing, carrier};
+    answer.is_no_help = has_header(answer.headers, kRelayNoHelp);
+    drop_relay_headers(answer.headers);
+    post(std::move(answer));
   };
   on.data = [this, id](std::shared_ptr<const std::string> data) {
     post(event::answer_data{id, std::move(data)});
   };
   on.end = [this, id](call_end end) {
-    target_calls_.erase(id);
+    open_calls_.erase(id);
     post(event::answer_end{id, end});
   };
-  target_calls_[id] = target_client_.start(std::move(call), std::move(on));
+  open_calls_[id] = {&client, client.start(std::move(call), std::move(on))};
 }
 
 void gateway_shell::carry_out(action::cancel_call&& a) {
-  const auto found = target_calls_.find(a.call);
-  if (found == target_calls_.end()) return;
-  target_client_.cancel(found->second);
-  target_calls_.erase(found);
+  const auto found = open_calls_.find(a.call);
+  if (found == open_calls_.end()) return;
+  found->second.client->cancel(found->second.token);
+  open_calls_.erase(found);
 }
 
 void gateway_shell::carry_out(action::send_datagram&& a) {
@@ -296,6 +348,11 @@
 
 void gateway_shell::carry_out(action::set_limits&& a) {
   callers_.set_limits(a.limits);
+  auto of_peers = a.limits;
+  of_peers.header_bytes += kRelayHeaderBytes;
+  of_peers.idle_timeout = gateway::caller_limits().idle_timeout;
+  of_peers.header_timeout = gateway::caller_limits().header_timeout;
+  peers_.set_limits(of_peers);
 }
 
 void gateway_shell::carry_out(action::log_line&& a) {
@@ -321,10 +378,11 @@
 void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
   const auto status = decisions_.status(boot_now());
   if (path == kMetricsPath) {
-    reply_whole(
-        metrics_, caller, kOk,
-        metrics_page(status, {target_client_.counts(), fleet_client_.counts()},
-                     log_.dropped(), datagram_bytes_));
+    reply_whole(metrics_, caller, kOk,
+                metrics_page(status,
+                             {target_client_.counts(), fleet_client_.counts(),
+                              relay_client_.counts()},
+                             log_.dropped(), datagram_bytes_));
   } else if (path == kStatusPath) {
     reply_whole(metrics_, caller, kOk, status_page(status));
   } else {
@@ -332,7 +390,17 @@
   }
 }
 
-void gateway_shell::answer_peer(caller_id caller, std::string_view target) {
+void gateway_shell::answer_peer(caller_id caller, caller_message message) {
+  auto call = take_relay_call(message.headers, message.caller_address);
+  if (!call) {
+    answer_copy(caller, message.target);
+    return;
+  }
+  relayed_.emplace(caller, std::move(call->name));
+  post(event::request{caller, std::move(message), call->told});
+}
+
+void gateway_shell::answer_copy(caller_id caller, std::string_view target) {
   const auto known = read_changes_path(target);
   if (!known) {
     reply_whole(peers_, caller, kNotFound, "");
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -63,6 +63,7 @@
   void carry_out(gateway::action::reply_end&& a);
   void carry_out(gateway::action::reply_abort&& a);
   void carry_out(gateway::action::call_target&& a);
+  void carry_out(gateway::action::call_peer&& a);
   void carry_out(gateway::action::cancel_call&& a);
   void carry_out(gateway::action::send_order&& a);
   void carry_out(gateway::action::read_report&& a);
@@ -81,7 +82,12 @@
                   std::string path, duration timeout);
   void answer_ready(caller_id caller);
   void answer_metrics(caller_id caller, std::string_view path);
-  void answer_peer(caller_id caller, std::string_view target);
+  void answer_peer(caller_id caller, gateway::caller_message message);
+  void answer_copy(caller_id caller, std::string_view target);
+  /** Makes a call whose answer is passed to the decisions as it comes. */
+  void pass_on_answer(call_client& client, call_id id, outgoing_call call);
+  /** Returns the server that a caller's connection belongs to. */
+  gateway_server& server_of(caller_id caller);
   gateway_server make_server(
       std::function<void(caller_id, gateway::caller_message)> request);
 
@@ -101,10 +107,18 @@
   call_client target_client_;
   /** For the platform's store and other instances: they answer in order. */
   call_client fleet_client_;
+  /** For requests that are handed on to other instances. */
+  call_client relay_client_;
   connect_prober prober_;
   event_handle timer_;
   std::vector<event_handle> signals_;
-  std::map<call_id, call_client::token> target_calls_;
+  struct open_call {
+    call_client* client = nullptr;
+    call_client::token token = 0;
+  };
+  std::map<call_id, open_call> open_calls_;
+  /** Requests that other instances handed on, by the names of their calls. */
+  std::map<caller_id, std::string> relayed_;
   std::deque<gateway::any_event> events_;
   bool pumping_ = false;
   bool draining_ = false;
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -143,6 +143,9 @@
   // gateway_reach.cc
   bool is_out_of_reach(const target_state& target) const;
 
+  // gateway_relay.cc
+  bool is_any_in_reach(const std::vector<target_state*>& targets) const;
+
   // gateway_words.cc
   word_row word_of(const target_state& target, target_life life) const;
   /** Returns how long after a rest others are to try a target first. */
--- a/src/process/target_reach.cc
+++ b/src/process/target_reach.cc
@@ -20,6 +20,8 @@
 /** Without a way to any target, so many are tried this often. */
 constexpr std::size_t kProbesInCut = 2;
 constexpr duration kProbePauseInCut = 200ms;
+/** That a target took no connection counts so long. */
+constexpr duration kUnconnectedLife = 2s;
 /** A doubt that nothing renewed is dropped, and when a target was heard. */
 constexpr duration kForgotten = 20s;
 
@@ -35,10 +37,24 @@
   if (is_new) at->second = {now, now + kProbeAfter, kFirstPause};
 }
 
+void target_reach::not_connected(time_point now, target_hash target) {
+  unconnected_[target] = now;
+  failed(now, target);
+}
+
+bool target_reach::connected(time_point now) {
+  unconnected_.clear();
+  return end_cut(now);
+}
+
 bool target_reach::heard(time_point now, target_hash target) {
   heard_[target] = now;
   last_heard_ = now;
   doubts_.erase(target);
+  return is_silent_ && end_cut(now);
+}
+
+bool target_reach::end_cut(time_point now) {
   if (!cut_since_) return false;
   cut_since_.reset();
   for (auto& [other, known] : doubts_) known.next_probe = now;
@@ -47,7 +63,10 @@
 
 bool target_reach::probed(time_point now, target_hash target,
                           bool is_connected) {
-  if (is_connected) return heard(now, target);
+  if (is_connected) {
+    const bool ends_cut = connected(now);
+    return heard(now, target) || ends_cut;
+  }
   auto& known =
       doubts_.try_emplace(target, doubt{now, now, kFirstPause}).first->second;
   known.is_probing = false;
@@ -93,13 +112,26 @@
 
 void target_reach::look_for_cut(time_point now, std::size_t known) {
   if (cut_since_ || known == 0) return;
+  const bool is_silent = has_lost_all(known);
+  if (!is_silent && !is_refused_by_all(now, known)) return;
+  cut_since_ = now;
+  is_silent_ = is_silent;
+  next_probe_in_cut_ = now + kProbePauseInCut;
+}
+
+bool target_reach::has_lost_all(std::size_t known) const {
   const auto lost =
       std::count_if(doubts_.begin(), doubts_.end(), [&](const auto& pair) {
         return pair.second.is_out_of_reach && pair.second.since > last_heard_;
       });
-  if (static_cast<std::size_t>(lost) < std::min(kLeastLost, known)) return;
-  cut_since_ = now;
-  next_probe_in_cut_ = now + kProbePauseInCut;
+  return static_cast<std::size_t>(lost) >= std::min(kLeastLost, known);
+}
+
+bool target_reach::is_refused_by_all(time_point now, std::size_t known) const {
+  const auto recent = std::count_if(
+      unconnected_.begin(), unconnected_.end(),
+      [now](const auto& pair) { return now - pair.second < kUnconnectedLife; });
+  return static_cast<std::size_t>(recent) >= std::min(kLeastLost, known);
 }
 
 bool target_reach::is_out_of_reach(target_hash target) const {
@@ -117,6 +149,7 @@
 void target_reach::reset() {
   calls_.clear();
   doubts_.clear();
+  unconnected_.clear();
   cut_since_.reset();
 }
 
@@ -124,6 +157,9 @@
   std::erase_if(doubts_, [now](const auto& pair) {
     return now - pair.second.since > kForgotten;
   });
+  std::erase_if(unconnected_, [now](const auto& pair) {
+    return now - pair.second > kUnconnectedLife;
+  });
   std::erase_if(heard_, [now](const auto& pair) {
     return now - pair.second > kForgotten;
   });
--- a/src/process/target_reach.h
+++ b/src/process/target_reach.h
@@ -19,9 +19,12 @@
  * A call that is overdue, or for which no connection came up, is a doubt about
  * its target unless the target was heard since. One connection is then tried:
  * a target that does not take it is out of reach until it is heard or takes
- * one. Where several are out of reach and none at all was heard since the first
- * doubt about them, the instance has lost its own way to targets, and none is
- * within reach.
+ * one.
+ *
+ * The instance has lost its own way to targets where several are out of reach
+ * and none at all was heard since the first doubt about them, or where several
+ * took no connection and none did since: connections that are kept may live on
+ * then. Any targets are then tried until one takes a connection.
  */
 class target_reach {
  public:
@@ -29,8 +32,12 @@
   void called(time_point now, target_hash target, call_id call, duration bound);
   /** Nothing more is learned from the call. */
   void ended(call_id call) { calls_.erase(call); }
-  /** No connection came up, or one broke. */
+  /** A connection broke, or it is silent. */
   void failed(time_point now, target_hash target);
+  /** No connection came up for a call. */
+  void not_connected(time_point now, target_hash target);
+  /** A new connection came up; returns whether it ends a cut. */
+  bool connected(time_point now);
   /** Takes any byte from a target; returns whether it ends a cut. */
   bool heard(time_point now, target_hash target);
   /** A connection that was tried ended so; returns whether it ends a cut. */
@@ -46,6 +53,8 @@
   bool is_out_of_reach(target_hash target) const;
   /** Returns whether this instance reaches no target at all. */
   bool is_cut_off() const { return cut_since_.has_value(); }
+  /** Returns whether kept connections are silent too. */
+  bool is_all_silent() const { return cut_since_ && is_silent_; }
   std::optional<time_point> cut_since() const { return cut_since_; }
   /** Returns how many targets were found to be out of reach. */
   std::size_t out_of_reach() const;
@@ -72,12 +81,18 @@
 
   void doubt_overdue(time_point now);
   void look_for_cut(time_point now, std::size_t known);
+  bool has_lost_all(std::size_t known) const;
+  bool is_refused_by_all(time_point now, std::size_t known) const;
+  bool end_cut(time_point now);
 
   std::map<call_id, watched_call> calls_;
   std::map<target_hash, doubt> doubts_;
   std::map<target_hash, time_point> heard_;
   time_point last_heard_{};
+  /** Targets that took no connection since one last came up. */
+  std::map<target_hash, time_point> unconnected_;
   std::optional<time_point> cut_since_;
+  bool is_silent_ = false;
   time_point next_probe_in_cut_{};
 };
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -109,6 +109,13 @@
   std::uint32_t runs = 0;
   std::uint32_t unsent_tries = 0;
 
+  /** The instance that the call under way goes through; 0: none. */
+  member_address relay = 0;
+  /** Instances that it was handed on to. */
+  std::set<member_address> relays_tried;
+  /** Another instance handed it on; none: it came from a caller. */
+  std::optional<relayed_request> relayed;
+
   /** The answer under way. */
   int status = 0;
   std::string reason;
@@ -117,6 +124,8 @@
   body_framing framing = body_framing::length;
   answer_carrier carrier;
   std::string body;
+  /** The instance that answered could not help. */
+  bool is_no_help = false;
   bool head_sent = false;
   event_stream events;
 
