Targets of an instance that is cut off from them get another holder

It now gives no orders in a cut, tells all that it is cut off, and gives its targets up once a lease has passed since its last order; the claims go past members that are cut off.

--- a/include/seamglade/peer_rows.h
+++ b/include/seamglade/peer_rows.h
@@ -42,6 +42,8 @@
   std::uint64_t beat = 0;
   bool leaving = false;
   member_standing standing = member_standing::alive;
+  /** It reaches no target, as it says itself. */
+  bool cut_off = false;
 
   friend bool operator==(const member_row&, const member_row&) = default;
 };
--- a/src/connection/gateway_wire_decode.cc
+++ b/src/connection/gateway_wire_decode.cc
@@ -38,8 +38,8 @@
   const auto worst = static_cast<std::uint8_t>(member_standing::gone);
   const auto standing =
       static_cast<member_standing>(std::min(from.standing(), worst));
-  return {from.address(), from.domain(),  from.incarnation(),
-          from.beat(),    from.leaving(), standing};
+  return {from.address(), from.domain(), from.incarnation(), from.beat(),
+          from.leaving(), standing,      from.cut_off()};
 }
 
 std::vector<target_claim> read_claims(
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -34,7 +34,7 @@
   std::vector<frames::MemberRow> out;
   for (const auto& r : from) {
     out.emplace_back(r.address, r.domain, r.incarnation, r.beat, r.leaving,
-                     static_cast<std::uint8_t>(r.standing));
+                     static_cast<std::uint8_t>(r.standing), r.cut_off);
   }
   return out;
 }
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -187,6 +187,8 @@
   void run_keeper(target_keeper& keeper, bool may_order);
   /** Claims targets that have no living holder, where it is this one's turn. */
   void claim_unheld();
+  /** Gives up what it holds where it has long reached no target. */
+  void release_in_cut();
   void claim(const target_state& target);
   /** After an unanswered order: makes sure that it can't be taken later. */
   void renew_fence(target_keeper& keeper);
@@ -325,6 +327,7 @@
   void try_connection(const target_state* target);
   void begin_cut();
   void end_cut(time_point since);
+  void tell_cut(bool is_cut_off);
 
   // gateway_relay.cc
   /** Hands a request on; returns false where no instance can be asked. */
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::string_view kDrainingReason = "draining";
+constexpr std::string_view kCutOffReason = "cut_off";
 constexpr duration kClaimCheck = 100ms;
 /** Added to the lease: clocks and messages of the last holder may lag. */
 constexpr duration kLeaseMargin = 400ms;
@@ -46,7 +47,8 @@
 }  // namespace
 
 bool gateway_view::may_give_orders() const {
-  return !draining_ && now_ >= orders_suspended_until_ && !was_isolated_;
+  return !draining_ && now_ >= orders_suspended_until_ && !was_isolated_ &&
+         !reach_.is_cut_off();
 }
 
 bool gateway_view::has_live_holder(target_hash target) const {
@@ -63,8 +65,9 @@
 
 bool gateway_view::is_my_turn(const target_state& target) const {
   return std::none_of(
-      staying_.begin(), staying_.end(),
-      [&](member_address member) { return precedes_me(member, target.hash); });
+      staying_.begin(), staying_.end(), [&](member_address member) {
+        return !roster_.is_cut_off(member) && precedes_me(member, target.hash);
+      });
 }
 
 bool gateway_view::is_handed_over(target_hash target) const {
@@ -170,9 +173,19 @@
     while (!keepers_.empty()) release(keepers_.begin()->first, kDrainingReason);
     return;
   }
+  if (reach_.is_cut_off()) {
+    release_in_cut();
+    return;
+  }
   claim_unheld();
 }
 
+void gateway_core::impl::release_in_cut() {
+  // Whoever hears of it may give orders at once: a lease after the last here.
+  if (now_ - *reach_.cut_since() < options_.lease + kLeaseMargin) return;
+  while (!keepers_.empty()) release(keepers_.begin()->first, kCutOffReason);
+}
+
 void gateway_core::impl::claim_unheld() {
   const bool may_order = may_give_orders();
   for (const auto* target : targets_.staying(now_)) {
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -73,13 +73,20 @@
        {"silent", static_cast<std::int64_t>(reach_.is_all_silent())},
        {"members", static_cast<std::int64_t>(staying_.size())}},
       true);
+  tell_cut(true);
   leave_hung_calls();
   waiting_dirty_ = true;
 }
 
 void gateway_core::impl::end_cut(time_point since) {
   log("targets_back", {{"after_ms", to_ms(now_ - since)}}, true);
+  tell_cut(false);
   waiting_dirty_ = true;
 }
 
+void gateway_core::impl::tell_cut(bool is_cut_off) {
+  roster_.set_cut_off(is_cut_off);
+  next_beat_ = now_;
+}
+
 }  // namespace seamglade::gateway
--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -57,7 +57,7 @@
     if (who == options_.self || x.relays_tried.contains(who)) continue;
     const auto found = no_help_until_.find(who);
     if (found != no_help_until_.end() && now_ < found->second) continue;
-    if (is_passed_over(who)) continue;
+    if (roster_.is_cut_off(who) || is_passed_over(who)) continue;
     const double cost =
         under_way[who] + distance_penalty(distance_to(who)) + tie(random_);
     if (best != 0 && cost >= least) continue;
--- a/src/process/roster.cc
+++ b/src/process/roster.cc
@@ -154,6 +154,16 @@
   });
 }
 
+void roster::set_cut_off(bool cut_off) {
+  if (std::exchange(cut_off_, cut_off) != cut_off) ++beat_;
+}
+
+bool roster::is_cut_off(member_address who) const {
+  if (who == options_.self) return cut_off_;
+  const auto found = members_.find(who);
+  return found != members_.end() && found->second.row.cut_off;
+}
+
 void roster::leave() {
   leaving_ = true;
   ++beat_;
@@ -312,8 +322,9 @@
 }
 
 member_row roster::own_row() const {
-  return {options_.self, options_.domain, options_.incarnation, beat_,
-          leaving_};
+  return {options_.self, options_.domain, options_.incarnation,
+          beat_,         leaving_,        member_standing::alive,
+          cut_off_};
 }
 
 duration roster::patience() const {
--- a/src/process/roster.h
+++ b/src/process/roster.h
@@ -51,6 +51,8 @@
   /** Takes the next beat of this instance and forgets the long silent. */
   void beat(time_point now);
   void leave();
+  /** Tells all whether this instance reaches no target. */
+  void set_cut_off(bool cut_off);
   /** Takes new seeds in. */
   void set_seeds(std::vector<member_address> seeds);
 
@@ -118,6 +120,8 @@
   /** Returns whether the fleet is too large for everyone to tell everyone. */
   bool is_large() const;
   bool is_leaving(member_address who) const;
+  /** Returns whether a member says that it reaches no target. */
+  bool is_cut_off(member_address who) const;
   bool is_in_my_domain(member_address who) const;
   /** Returns the hash of a member's failure domain; none: it is not known. */
   std::optional<std::uint32_t> domain_of(member_address who) const;
@@ -181,6 +185,7 @@
   probe_log probes_;
   bool must_deny_ = false;
   bool leaving_ = false;
+  bool cut_off_ = false;
   std::map<member_address, member_state> members_;
   std::mt19937_64 random_;
   std::size_t next_sample_ = 0;
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -146,6 +146,80 @@
   EXPECT_FALSE(w.status(who).is_cut_off);
 }
 
+TEST(target_cut, targets_of_a_cut_off_holder_get_another_that_loads) {
+  gateway_world w(checkout(9));
+  w.run_for(kSettled);
+  send_load(w, 14s, kGap, kAdapters);
+  const auto who = w.instances().front();
+  ASSERT_GT(w.status(who).held, 0U);
+  w.cut_targets(who, target_cut::hang);
+  w.run_for(8s);
+  std::size_t held = 0;
+  for (const auto one : w.instances()) held += w.status(one).held;
+  EXPECT_EQ(w.status(who).held, 0U);
+  EXPECT_EQ(held, w.engines().size());
+  w.cut_targets(who, target_cut::none);
+  w.run_for(8s);
+  expect_rules_kept(w);
+}
+
+TEST(target_cut, an_instance_that_hands_on_dies_or_its_helper_does) {
+  for (const std::uint64_t seed : {10, 11, 12}) {
+    gateway_world w(checkout(seed));
+    w.run_for(kSettled);
+    send_load(w, 16s, kGap, kAdapters);
+    w.run_for(2s);
+    const auto all = w.instances();
+    for (std::size_t i = 0; i < 4; ++i) {
+      w.cut_targets(all[i], target_cut::hang);
+    }
+    w.run_for(4s);
+    w.kill(all[4]);
+    w.run_for(2s);
+    w.start(all[4]);
+    w.kill(all[0]);
+    w.run_for(2s);
+    w.start(all[0]);
+    w.freeze(all[5], 2s);
+    w.run_for(12s);
+    EXPECT_GT(w.relays(), 100U);
+    expect_rules_kept(w);
+    EXPECT_EQ(count(w).open, 0U);
+  }
+}
+
+TEST(target_cut, what_is_handed_on_ends_with_its_caller) {
+  gateway_world w(checkout(13));
+  w.run_for(kSettled);
+  send_load(w, 6s, kGap, kAdapters);
+  const auto who = w.instances().front();
+  w.cut_targets(who, target_cut::hang);
+  w.run_for(3s);
+  auto& call = w.call_engine(who, "a1");
+  w.run_for(30ms);
+  w.leave(call);
+  w.run_for(10s);
+  for (const auto one : w.instances()) {
+    EXPECT_EQ(w.status(one).calling + w.status(one).waiting, 0U);
+  }
+}
+
+TEST(target_cut, a_target_that_is_silent_for_a_second_keeps_its_calls) {
+  gateway_world w(checkout(14));
+  w.run_for(kSettled);
+  send_load(w, 10s, kGap, kAdapters);
+  w.run_for(3s);
+  const auto target = w.engines().front();
+  w.slow_target(target, 1100ms);
+  w.run_for(1s);
+  w.slow_target(target, 0ms);
+  w.run_for(10s);
+  const auto got = count(w);
+  EXPECT_EQ(got.other + got.open, 0U);
+  EXPECT_EQ(w.relays(), 0U);
+  expect_rules_kept(w);
+}
+
 TEST(target_cut, a_lost_failure_domain_is_no_cut) {
   auto options = checkout(7);
   options.target_domains = {"east", "west", "north"};
