Sight: the parts of a prompt, where a call breaks

The logs told the whole content of a request whose target ended, so requests that share one part of their prompts could not be told from others. call_broken now names the parts, as hashes, but the last, which is the request's own.

--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -314,6 +314,8 @@
   std::string key;
   /** The shared part of the prompt that ends last; empty: none. */
   std::string prompt_prefix;
+  /** Parts of the prompt but the last, which is the request's own; in order. */
+  std::vector<std::string> prompt_parts;
   /** The last event that the caller has; empty: none. */
   std::string last_event;
 };
@@ -355,12 +357,16 @@
   std::string last_event;
 };
 
-/** Names a caller's request on each of its returns. */
+/**
+ * Names what may end the targets that run it, on each of its returns: a
+ * caller's request, or a part of prompts that many requests have.
+ */
 struct request_fingerprint {
   /** Hash of its workspace; 0: callers show no key, and are not told apart. */
   std::uint64_t caller = 0;
-  /** Hash of method, host, path and body, or query. */
+  /** Hash of method, host, path and body, or query; or of the part's id. */
   std::uint64_t content = 0;
+  bool is_part = false;
 
   friend auto operator<=>(const request_fingerprint&,
                           const request_fingerprint&) = default;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -44,6 +44,16 @@
   return is_other_body ? call_end::malformed : end;
 }
 
+/** Returns the hashes of parts, for the log. */
+std::string names_of(const std::vector<request_fingerprint>& parts) {
+  std::string out;
+  for (const auto& part : parts) {
+    if (!out.empty()) out += ',';
+    out += to_hex(part.content);
+  }
+  return out;
+}
+
 /** Whether an answer is one that a caller may get. */
 bool is_valid(const exchange& x) {
   return is_success(x.status) ? x.answer.is_signed : x.status >= kOk;
@@ -256,6 +266,7 @@
        {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
        {"from", static_cast<std::int64_t>(x.message.caller_address)},
        {"content", to_hex(x.fingerprint.content)},
+       {"parts", names_of(x.parts)},
        {"after_ms", to_ms(now_ - x.called_at)}},
       true);
   if (x.head_sent) {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -199,6 +199,8 @@
   void on(event::request&& e);
   /** Finds a request's route and service, and a target for it. */
   void route(exchange& x);
+  /** Names what of a request may end its targets. */
+  static void name_contents(exchange& x);
   /** The same for those that came before the first configuration. */
   void route_unrouted();
   void on(event::caller_gone&& e);
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -127,8 +127,7 @@
     if (!admit_relayed(x)) return;
   }
   if (!admit_key(x)) return;
-  x.fingerprint = fingerprint_of(
-      x.message, x.owner == nullptr ? std::string_view() : x.owner->name);
+  name_contents(x);
   if (refuse_quarantined(x)) return;
   auto allowed = x.way->timeout;
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
@@ -155,6 +154,15 @@
   meter(x);
 }
 
+void gateway_core::impl::name_contents(exchange& x) {
+  const auto workspace =
+      x.owner == nullptr ? std::string_view() : x.owner->name;
+  x.fingerprint = fingerprint_of(x.message, workspace);
+  for (const auto& part : x.facts.prompt_parts) {
+    x.parts.push_back(fingerprint_of_part(part, workspace));
+  }
+}
+
 void gateway_core::impl::on(event::caller_gone&& e) {
   const auto found = exchanges_.find(e.caller);
   if (found == exchanges_.end()) return;
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -32,6 +32,8 @@
   caller_message message;
   request_facts facts;
   request_fingerprint fingerprint;
+  /** Parts of its prompt, but the last. */
+  std::vector<request_fingerprint> parts;
   /** Keeps `way` alive when a new configuration comes into force. */
   std::shared_ptr<const configuration> config;
   const route* way = nullptr;
--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -22,6 +22,13 @@
   return has_body ? target.substr(0, target.find('?')) : target;
 }
 
+std::uint64_t caller_hash(std::string_view workspace) {
+  return workspace.empty() ? 0 : add_field(1, workspace);
+}
+
+/** Keeps hashes of parts apart from those of whole contents. */
+constexpr std::uint64_t kPartSeed = 2;
+
 }  // namespace
 
 request_fingerprint fingerprint_of(const caller_message& message,
@@ -33,8 +40,12 @@
   content = add_field(content, message.host);
   content = add_field(content, named_part(message.target, !body.empty()));
   content = add_field(content, body);
-  const auto caller = workspace.empty() ? 0 : add_field(1, workspace);
-  return {caller, content};
+  return {caller_hash(workspace), content, false};
+}
+
+request_fingerprint fingerprint_of_part(std::string_view part,
+                                        std::string_view workspace) {
+  return {caller_hash(workspace), add_field(kPartSeed, part), true};
 }
 
 std::string to_hex(std::uint64_t value) {
--- a/src/request/request_fingerprint.h
+++ b/src/request/request_fingerprint.h
@@ -26,6 +26,10 @@
 request_fingerprint fingerprint_of(const caller_message& message,
                                    std::string_view workspace);
 
+/** Returns the name of a part of prompts, by its id on the wire. */
+request_fingerprint fingerprint_of_part(std::string_view part,
+                                        std::string_view workspace);
+
 /** Returns one half of a fingerprint as the log shows it. */
 std::string to_hex(std::uint64_t value);
 
