--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -344,9 +344,13 @@
                                               const std::string& adapter,
                                               const caller_content& content,
                                               bool repeatable) {
-  return submit(entry, repeatable ? "/llm2/x" : "/llm/x",
-                {{"X-Model", fmt::format("{}/{}", kModel, adapter)},
-                 {"X-Token-Count", "100,10"}},
+  std::vector<http_header> headers{
+      {"X-Model", fmt::format("{}/{}", kModel, adapter)},
+      {"X-Token-Count", "100,10"}};
+  if (!content.parts.empty()) {
+    headers.push_back({"X-Prefix-Hash", content.parts});
+  }
+  return submit(entry, repeatable ? "/llm2/x" : "/llm/x", std::move(headers),
                 repeatable, adapter, content);
 }
 
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -119,6 +119,8 @@
    * refuses connections for `down`, and is back under another id.
    */
   void end_targets_with(const std::string& body, duration down = 3s);
+  /** The same with a part of prompts that is not the last. */
+  void end_targets_with_part(const std::string& part, duration down = 3s);
   /** From now on no body ends a target. */
   void spare_targets();
   /** A target ends by itself; back as above. */
@@ -127,6 +129,7 @@
   void reset_connections(const std::string& id);
   /** Returns what a body has done that ends targets. */
   const crash_count& crashes_of(const std::string& body) const;
+  const crash_count& crashes_of_part(const std::string& part) const;
   /** A target turns cold that goes on. */
   void make_cold(const std::string& id);
   /** Returns the most requests that came to a cold target in one second. */
@@ -311,6 +314,8 @@
   void begin_cold(target& at, duration told_within);
   /** Notes a run of a body that ends targets; the target's end is then due. */
   void judge_crash(const instance& from, target& at, const std::string& body);
+  /** The same for each part of a prompt that is not the last. */
+  void judge_parts(const instance& from, target& at, std::string_view parts);
   void end_target(const std::string& id, const std::string& body);
   void break_calls(target& at);
   void reset_calls_of(target& at, instance& of);
--- a/fakes/gateway_world_crashes.cc
+++ b/fakes/gateway_world_crashes.cc
@@ -12,15 +12,45 @@
 /** From the start of a run to the end of its target: before any answer. */
 constexpr duration kEndsAfter = 80ms;
 constexpr duration kPlainEndsAfter = 20ms;
-/** A request that has ended so many is to reach few more ... */
+/** A request or part that has ended so many is to reach few more ... */
 constexpr std::size_t kJudgedEnds = 3;
+constexpr std::size_t kJudgedEndsByPart = 5;
 /** ... of those that are sent so much later, by instances in touch. */
 constexpr duration kContact = 3s;
 constexpr std::size_t kAllowedLate = 3;
 constexpr duration kProbeGivenUp = 300ms;
 
+/** Tells parts from bodies among what ends targets. */
+constexpr std::string_view kPartMark = "part ";
+
+std::size_t judged_ends(const std::string& what) {
+  return what.starts_with(kPartMark) ? kJudgedEndsByPart : kJudgedEnds;
+}
+
 }  // namespace
 
+void gateway_world::end_targets_with_part(const std::string& part,
+                                          duration down) {
+  ending_bodies_[std::string(kPartMark) + part] = down;
+}
+
+const crash_count& gateway_world::crashes_of_part(
+    const std::string& part) const {
+  return crashes_of(std::string(kPartMark) + part);
+}
+
+void gateway_world::judge_parts(const instance& from, target& at,
+                                std::string_view parts) {
+  for (auto comma = parts.find(','); comma != std::string_view::npos;
+       comma = parts.find(',')) {
+    const auto part = parts.substr(0, comma);
+    judge_crash(
+        from, at,
+        std::string(kPartMark) + std::string(part.substr(0, part.find(':'))));
+    parts.remove_prefix(comma + 1);
+  }
+}
+
 void gateway_world::end_targets_with(const std::string& body, duration down) {
   ending_bodies_[body] = down;
 }
@@ -40,8 +70,8 @@
   const bool in_touch = !from.cut && from.side == 0 &&
                         now_ - from.disturbed > kContact &&
                         now_ >= from.frozen_until;
-  const bool late = count.ended >= kJudgedEnds &&
-                    now_ - kLinkDelay > count.third_end + kContact;
+  const bool late = count.ended >= judged_ends(body) &&
+                    now_ - kLinkDelay > count.judged_end + kContact;
   if (in_touch && late && ++count.late_arrivals == kAllowedLate + 1) {
     violation(fmt::format("a body that ended {} targets reached {} more",
                           count.ended, count.late_arrivals));
@@ -57,7 +87,7 @@
   if (!ending_bodies_.contains(body)) return;
   auto& count = crashes_[body];
   ++count.ended;
-  if (count.ended == kJudgedEnds) count.third_end = now_;
+  if (count.ended == judged_ends(body)) count.judged_end = now_;
   for (const auto& open : t.open_calls) {
     if (open.content != body) ++count.broken_others;
   }
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -100,6 +100,7 @@
   judge_region(at, *calls_by_id_.at(call.request_id));
   at.open_calls.push_back({from.address, from.life, call.call, *call.body});
   judge_crash(from, at, *call.body);
+  judge_parts(from, at, header_of(call.headers, "X-Prefix-Hash"));
   const auto life = from.life;
   const auto who = from.address;
   auto* t = &at;
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -97,6 +97,8 @@
   std::string body = "body";
   /** IPv4 number of its connection. */
   std::uint32_t address = 0;
+  /** Parts of its prompt as in the header; empty: it has none. */
+  std::string parts = {};
 };
 
 /** What a request did that ends the targets that run it. */
@@ -105,8 +107,9 @@
   std::size_t ended = 0;
   /** Requests of others that broke with them. */
   std::size_t broken_others = 0;
-  time_point third_end;
-  /** It reached targets so often later than `contact` after the third end. */
+  /** The third end by a body, the fifth by a part. */
+  time_point judged_end;
+  /** It reached targets so often later than `contact` after that end. */
   std::size_t late_arrivals = 0;
 };
 
