The end of a target is proven also where nothing else is heard

Since a refused connection proves an end only once another target is heard, a request that ended targets was quarantined seconds late where an instance had no other traffic: six plain targets ended where three may (crash-test, ends_few_plain_targets_too and another_workspaces_alike_request, failed). Two other targets are now tried; a connection that comes up proves the way.

--- a/src/process/end_watch.cc
+++ b/src/process/end_watch.cc
@@ -48,6 +48,11 @@
   return {};
 }
 
+bool end_watch::awaits_others(target_hash target) const {
+  const auto found = groups_.find(target);
+  return found != groups_.end() && found->second.is_refusing;
+}
+
 std::vector<end_watch::target_end> end_watch::others_heard(time_point now) {
   std::vector<target_end> ends;
   if (!std::exchange(has_refusing_, false)) return ends;
--- a/src/process/end_watch.h
+++ b/src/process/end_watch.h
@@ -49,6 +49,8 @@
     target_hash target = 0;
     std::vector<request_fingerprint> requests;
   };
+  /** Returns whether a target refuses, and nothing proves its end yet. */
+  bool awaits_others(target_hash target) const;
   /** Another target is heard: those that refuse connections have ended. */
   std::vector<target_end> others_heard(time_point now);
   /**
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -388,6 +388,8 @@
   /** A call broke: finds out whether its target ended. */
   void suspect_request(exchange& x);
   void on(event::target_probed&& e);
+  /** Finds out whether this instance reaches targets other than one. */
+  void try_others(const target_id& than);
   /** Another target was heard: those that refuse connections have ended. */
   void blame_refusing_targets();
   /** Without notice, a target went or started again. */
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -7,6 +7,7 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
 #include <utility>
 
 #include "process/gateway_impl.h"
@@ -22,6 +23,8 @@
  * to blame was among these at each end whose calls the logs tell whole.
  */
 constexpr duration kProvenRun = 1s;
+/** Where nothing is heard, so many show whether targets are within reach. */
+constexpr std::size_t kOthersTried = 2;
 /**
  * A quarantine is told so often, with this pause: a datagram may be lost. Other
  * blame is told once, most of it of innocents: a loss costs one more target.
@@ -67,6 +70,17 @@
   const auto requests =
       ends_.probed(now_, hash, e.outcome, reach_.last_heard());
   if (!requests.empty()) blame(requests, e.target, kRefuses);
+  if (ends_.awaits_others(hash)) try_others(e.target);
+}
+
+void gateway_core::impl::try_others(const target_id& than) {
+  auto known = targets_.staying(now_);
+  std::erase_if(known, [&](const auto* target) {
+    return target->entry.id == than || is_out_of_reach(*target);
+  });
+  std::shuffle(known.begin(), known.end(), random_);
+  known.resize(std::min(kOthersTried, known.size()));
+  for (const auto* target : known) try_connection(target);
 }
 
 void gateway_core::impl::blame_refusing_targets() {
