A part of prompts that ends targets is known, told and refused

Callers saw engines end one after the other under requests of which no two were alike: 29 in 12 s, 22 requests after the fifth end. Cause: only a request's whole content was known again. What such requests share is one part of their prompts, never the last. The quarantine now records parts beside contents, with the same ends, gossip and refusals. A part is refused after three ends over a second and a half in which no run with it wrote for 0.4 s anywhere; it is lifted by any run that does. Parts that stand before it in the prompt share its ends and are shared by all of a route, so the one furthest behind answers for them. One instance tries a refused part once, half a minute after its last end. Parts are kept apart by workspace, so nobody has another's refused.

--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -366,7 +366,10 @@
   std::uint64_t caller = 0;
   /** Hash of method, host, path and body, or query; or of the part's id. */
   std::uint64_t content = 0;
-  bool is_part = false;
+  /** Place of the part in the prompt, from 1; 0: a whole request. */
+  std::uint8_t part = 0;
+
+  constexpr bool is_part() const { return part > 0; }
 
   friend auto operator<=>(const request_fingerprint&,
                           const request_fingerprint&) = default;
--- a/src/connection/gateway_wire_decode.cc
+++ b/src/connection/gateway_wire_decode.cc
@@ -53,7 +53,7 @@
 
 blame_row read(const frames::Blame& from) {
   blame_row out;
-  out.request = {from.caller(), from.content()};
+  out.request = {from.caller(), from.content(), from.part()};
   each(from.ends(), [&](const frames::TargetEnd& end) {
     out.ends.push_back({end.target(), std::chrono::milliseconds(end.age_ms())});
   });
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -67,7 +67,7 @@
   return frames::CreateBlameDirect(
       b, from.request.caller, from.request.content, &ends,
       from.answered_age.has_value(),
-      write_age(from.answered_age.value_or(duration{})));
+      write_age(from.answered_age.value_or(duration{})), from.request.part);
 }
 
 using blame_offsets = std::vector<fb::Offset<frames::Blame>>;
--- a/src/process/end_watch.cc
+++ b/src/process/end_watch.cc
@@ -14,13 +14,14 @@
 constexpr duration kOneEnd = 600ms;
 /** The entry of a target that ended goes after three of its heartbeats. */
 constexpr duration kReplacedWithin = 6s;
-/** More requests that broke at one target at once are not told apart. */
-constexpr std::size_t kMostRequests = 64;
+/** More of what broke at one target at once is not told apart. */
+constexpr std::size_t kMostSuspects = 192;
 
 }  // namespace
 
-end_watch::verdict end_watch::call_broke(time_point now, target_hash target,
-                                         const request_fingerprint& request) {
+end_watch::verdict end_watch::call_broke(
+    time_point now, target_hash target,
+    const std::vector<request_fingerprint>& suspects) {
   const auto [found, is_new] = groups_.try_emplace(target);
   auto& broken = found->second;
   if (is_new || now - broken.since > kOneEnd) {
@@ -28,7 +29,9 @@
     broken.since = now;
   }
   if (broken.has_ended) return verdict::ended;
-  if (broken.requests.size() < kMostRequests) broken.requests.insert(request);
+  for (const auto& suspect : suspects) {
+    if (broken.requests.size() < kMostSuspects) broken.requests.insert(suspect);
+  }
   if (std::exchange(broken.is_probing, true)) return verdict::awaited;
   return verdict::to_probe;
 }
--- a/src/process/end_watch.h
+++ b/src/process/end_watch.h
@@ -34,7 +34,7 @@
     ended
   };
   verdict call_broke(time_point now, target_hash target,
-                     const request_fingerprint& request);
+                     const std::vector<request_fingerprint>& suspects);
   /**
    * Returns the requests that were there at a target's end, if it ended.
    * `others_heard`: since when another target was heard last. A target that
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -111,6 +111,8 @@
   watch_reach();
   tick_grants();
   expire_exchanges();
+  clear_proven_parts();
+  note_new_verdicts();
   ledger_.expire(now_);
   if (now_ >= next_expiry_) {
     next_expiry_ = now_ + kExpiryPeriod;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -169,6 +169,7 @@
 
 void gateway_core::impl::whole_answer(exchange& x) {
   clear_blame(x);
+  if (x.relay == 0) clear_parts(x, x.first_event.value_or(now_));
   if (auto* target = target_of(x)) targets_.succeeded(*target);
   end_call(x, true, false);
   ++counts_.answered;
@@ -253,7 +254,7 @@
   // No longer among the runs that a quarantine stops.
   x.now = exchange::phase::waiting;
   // One that came before and was at an end may have ended this target too.
-  const bool was_blamed = quarantine_.is_blamed(x.fingerprint);
+  const bool was_blamed = is_near_verdict(x);
   suspect_request(x);
   log("call_broken",
       {{"request", x.facts.id},
@@ -293,7 +294,7 @@
   if (x.until - now_ <= kAnswerMargin) return false;
   if (ran && !x.way->repeatable) return false;
   if (x.runs >= x.way->attempts) return false;
-  if (quarantine_.refused_for(now_, x.fingerprint)) return false;
+  if (refused_content(x)) return false;
   return budgets_[x.service->name].take(now_);
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -399,8 +399,27 @@
              const target_id& target, std::string_view reason);
   /** A target has run the request to an answer. */
   void clear_blame(const exchange& x);
+  void clear_blame(const exchange& x, const request_fingerprint& what,
+                   time_point at);
+  /** A run has shown by then that no part of its prompt ends targets. */
+  void clear_parts(exchange& x, time_point at);
+  /** The same for all runs that have passed events on for a while. */
+  void clear_proven_parts();
+  /** Returns all that is blamed where a run breaks with its target. */
+  static std::vector<request_fingerprint> suspects_of(const exchange& x);
+  static bool is_about(const exchange& x, const request_fingerprint& what);
+  /** Returns whether one more end may have the request refused. */
+  bool is_near_verdict(const exchange& x) const;
+  /** Returns what of a request is refused now; none: it may run. */
+  std::optional<request_fingerprint> refused_content(const exchange& x) const;
+  /** Returns whether a request may run though a part of it is refused. */
+  bool may_try(exchange& x, const request_fingerprint& part);
+  /** Returns what is still to be told, that of most ends first. */
+  std::vector<request_fingerprint> untold_by_ends() const;
   void note_quarantine(const request_fingerprint& request, bool was_refused,
                        std::string_view source);
+  /** Parts have come to be refused as time passed. */
+  void note_new_verdicts();
   /** Takes a request away from targets that may not have begun it. */
   void stop_runs_of(const request_fingerprint& request);
   /** Returns whether the request is not to run, and was given its end. */
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -25,6 +25,8 @@
 constexpr duration kProvenRun = 1s;
 /** Where nothing is heard, so many show whether targets are within reach. */
 constexpr std::size_t kOthersTried = 2;
+/** A run that wrote for so long did not end its target by beginning to. */
+constexpr duration kProvenPart = 400ms;
 /**
  * A quarantine is told so often, with this pause: a datagram may be lost. Other
  * blame is told once, most of it of innocents: a loss costs one more target.
@@ -32,6 +34,8 @@
 constexpr unsigned kToldOfQuarantine = 2;
 constexpr unsigned kToldOfBlame = 1;
 constexpr duration kToldPause = 200ms;
+/** What did not go into one message follows after this. */
+constexpr duration kNextMessage = 30ms;
 /** Rows in one message: 3.2 KB of those that were there at four ends. */
 constexpr std::size_t kMostRows = 32;
 
@@ -52,12 +56,13 @@
   if (!may_have_ended_target(x)) return;
   if (std::exchange(x.is_suspected, true)) return;
   const auto& target = *target_of(x);
-  switch (ends_.call_broke(now_, target.hash, x.fingerprint)) {
+  const auto suspects = suspects_of(x);
+  switch (ends_.call_broke(now_, target.hash, suspects)) {
     case end_watch::verdict::to_probe:
       do_act(action::probe_target{x.target, target.entry.address});
       break;
     case end_watch::verdict::ended:
-      blame({x.fingerprint}, x.target, "broken");
+      blame(suspects, x.target, "broken");
       break;
     case end_watch::verdict::awaited:
       break;
@@ -115,11 +120,44 @@
 }
 
 void gateway_core::impl::clear_blame(const exchange& x) {
-  if (!quarantine_.note_answer(now_, x.fingerprint)) return;
-  untold_blame_[x.fingerprint] = kToldOfBlame;
+  clear_blame(x, x.fingerprint, now_);
+}
+
+void gateway_core::impl::clear_parts(exchange& x, time_point at) {
+  if (std::exchange(x.is_proven, true)) return;
+  for (const auto& part : x.parts) clear_blame(x, part, at);
+}
+
+void gateway_core::impl::clear_blame(const exchange& x,
+                                     const request_fingerprint& what,
+                                     time_point at) {
+  if (!quarantine_.note_answer(at, what)) return;
+  untold_blame_[what] = kToldOfBlame;
   next_blame_ = now_;
   log("blame_cleared",
-      {{"request", x.facts.id}, {"content", to_hex(x.fingerprint.content)}});
+      {{"request", x.facts.id}, {"content", to_hex(what.content)}});
+}
+
+void gateway_core::impl::clear_proven_parts() {
+  for (auto& [caller, x] : exchanges_) {
+    if (x.is_proven || x.parts.empty() || !x.first_event) continue;
+    if (x.now != exchange::phase::calling || x.relay != 0) continue;
+    if (now_ - *x.first_event >= kProvenPart) clear_parts(x, *x.first_event);
+  }
+}
+
+std::vector<request_fingerprint> gateway_core::impl::suspects_of(
+    const exchange& x) {
+  auto out = x.parts;
+  out.push_back(x.fingerprint);
+  return out;
+}
+
+bool gateway_core::impl::is_near_verdict(const exchange& x) const {
+  const auto suspects = suspects_of(x);
+  return std::any_of(
+      suspects.begin(), suspects.end(),
+      [&](const auto& suspect) { return quarantine_.is_blamed(suspect); });
 }
 
 void gateway_core::impl::note_quarantine(const request_fingerprint& request,
@@ -136,6 +174,7 @@
   }
   log("request_quarantined",
       {{"content", to_hex(request.content)},
+       {"part", request.part},
        {"source", std::string(source)},
        {"ends", static_cast<std::int64_t>(row.ends.size())},
        {"targets", std::move(targets)},
@@ -144,11 +183,18 @@
   stop_runs_of(request);
 }
 
+void gateway_core::impl::note_new_verdicts() {
+  for (const auto& part : quarantine_.newly_refused_parts(now_)) {
+    untold_blame_[part] = kToldOfQuarantine;
+    note_quarantine(part, false, "seen");
+  }
+}
+
 void gateway_core::impl::stop_runs_of(const request_fingerprint& request) {
   std::vector<caller_id> running;
   for (const auto& [caller, x] : exchanges_) {
     const bool runs = x.now == exchange::phase::calling && !x.head_sent;
-    if (runs && x.fingerprint == request) running.push_back(caller);
+    if (runs && !x.is_trial && is_about(x, request)) running.push_back(caller);
   }
   for (const auto caller : running) {
     auto& x = exchanges_.at(caller);
@@ -160,10 +206,46 @@
   waiting_dirty_ = true;
 }
 
+bool gateway_core::impl::is_about(const exchange& x,
+                                  const request_fingerprint& what) {
+  return x.fingerprint == what ||
+         std::find(x.parts.begin(), x.parts.end(), what) != x.parts.end();
+}
+
+bool gateway_core::impl::may_try(exchange& x, const request_fingerprint& part) {
+  // One instance tries, so that all together try once.
+  const bool is_mine = std::none_of(
+      staying_.begin(), staying_.end(),
+      [&](member_address member) { return precedes_me(member, part.content); });
+  if (!is_mine || x.relayed || !quarantine_.take_trial(now_, part))
+    return false;
+  x.is_trial = true;
+  log("part_tried",
+      {{"request", x.facts.id}, {"content", to_hex(part.content)}}, true);
+  return true;
+}
+
+std::optional<request_fingerprint> gateway_core::impl::refused_content(
+    const exchange& x) const {
+  if (x.is_trial) return std::nullopt;
+  for (const auto& suspect : suspects_of(x)) {
+    if (quarantine_.refused_for(now_, suspect)) return suspect;
+  }
+  return std::nullopt;
+}
+
 bool gateway_core::impl::refuse_quarantined(exchange& x) {
-  const auto left = quarantine_.refused_for(now_, x.fingerprint);
-  if (!left) return false;
+  const auto refused = refused_content(x);
+  if (!refused) return false;
+  if (refused->is_part() && may_try(x, *refused)) return false;
+  const auto left = quarantine_.refused_for(now_, *refused);
   ++counts_.quarantine_refusals;
+  log("quarantine_refusal",
+      {{"request", x.facts.id},
+       {"content", to_hex(refused->content)},
+       {"part", refused->part},
+       {"ends", static_cast<std::int64_t>(quarantine_.ends_of(*refused))},
+       {"for_ms", to_ms(*left)}});
   constexpr std::string_view kReason = "quarantined";
   if (x.head_sent) {
     give_up(x);
@@ -176,15 +258,27 @@
   return true;
 }
 
+std::vector<request_fingerprint> gateway_core::impl::untold_by_ends() const {
+  std::vector<request_fingerprint> out;
+  for (const auto& [what, times] : untold_blame_) out.push_back(what);
+  std::stable_sort(out.begin(), out.end(), [&](const auto& a, const auto& b) {
+    return quarantine_.ends_of(a) > quarantine_.ends_of(b);
+  });
+  return out;
+}
+
 void gateway_core::impl::tell_blame() {
   if (untold_blame_.empty() || now_ < next_blame_) return;
-  next_blame_ = now_ + kToldPause;
   blame_message message;
-  for (auto at = untold_blame_.begin(); at != untold_blame_.end();) {
+  const auto untold = untold_by_ends();
+  for (const auto& what : untold) {
     if (message.rows.size() >= kMostRows) break;
-    message.rows.push_back(quarantine_.row_of(now_, at->first));
-    at = --at->second == 0 ? untold_blame_.erase(at) : std::next(at);
+    message.rows.push_back(quarantine_.row_of(now_, what));
+    const auto at = untold_blame_.find(what);
+    if (--at->second == 0) untold_blame_.erase(at);
   }
+  const bool is_all = message.rows.size() == untold.size();
+  next_blame_ = now_ + (is_all ? kToldPause : kNextMessage);
   send_to_all(message);
 }
 
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -158,8 +158,9 @@
   const auto workspace =
       x.owner == nullptr ? std::string_view() : x.owner->name;
   x.fingerprint = fingerprint_of(x.message, workspace);
+  std::uint8_t place = 0;
   for (const auto& part : x.facts.prompt_parts) {
-    x.parts.push_back(fingerprint_of_part(part, workspace));
+    x.parts.push_back(fingerprint_of_part(part, ++place, workspace));
   }
 }
 
--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -10,13 +10,33 @@
 namespace seamglade::gateway {
 namespace {
 
+/** What it takes to refuse one, and for how long. */
+struct verdict_rule {
+  /** Ends since it was last proven. */
+  std::size_t ends = 0;
+  /** Time from the first of them to the last. */
+  duration span{};
+  /** A refusal lasts so long, and twice as long after each further end. */
+  duration refusal{};
+};
+
+/**
+ * A single end has too many witnesses: an engine runs dozens of requests that
+ * all break with it.
+ */
+constexpr verdict_rule kContentRule{2, duration{}, 10min};
 /**
- * Ends after which a request is refused. A single one has too many witnesses:
- * an engine runs dozens of requests that all break with it.
+ * All requests of a route share a part: in this time some of them pass events
+ * on. A wrong verdict refuses many, so it lasts less.
  */
-constexpr std::size_t kEndsAllowed = 2;
-/** A refusal lasts so long, and twice as long after each further end. */
-constexpr duration kRefusal = 10min;
+constexpr verdict_rule kPartRule{3, 1500ms, 2min};
+/**
+ * Word of who else was at an end has come by then: a part that others share is
+ * judged after those behind it in the prompt.
+ */
+constexpr duration kTold = 100ms;
+/** After a verdict on a part, one request with it is tried. */
+constexpr duration kTrialAfter = 30s;
 /** A request that was there at one end only is remembered so long. */
 constexpr duration kRemembered = 10min;
 /** More ends of one request than these are not told apart. */
@@ -33,17 +53,26 @@
  */
 constexpr std::size_t kMostRecords = 512;
 
+constexpr const verdict_rule& rule_of(const request_fingerprint& request) {
+  return request.is_part() ? kPartRule : kContentRule;
+}
+
 }  // namespace
 
+bool quarantine::is_same(const end_of_target& one, const end_of_target& other) {
+  return one.target == other.target &&
+         std::max(one.at - other.at, other.at - one.at) < kSameEnd;
+}
+
 bool quarantine::add_end(record& to, target_hash target, time_point at) {
   if (to.answered && at <= *to.answered) return false;
   const bool is_known =
       std::any_of(to.ends.begin(), to.ends.end(), [&](const auto& known) {
-        return known.target == target &&
-               std::max(known.at - at, at - known.at) < kSameEnd;
+        return is_same(known, {target, at});
       });
   if (is_known) return false;
   // One older than all that are kept would be news each time it is told.
+  to.since = to.ends.empty() ? at : std::min(to.since, at);
   const bool is_full = to.ends.size() >= kMostEnds;
   if (is_full && at <= to.ends.front().at) return false;
   const auto place = std::upper_bound(
@@ -59,6 +88,8 @@
   to.answered = at;
   const auto before = to.ends.size();
   std::erase_if(to.ends, [at](const auto& end) { return end.at <= at; });
+  if (to.since <= at && !to.ends.empty()) to.since = to.ends.front().at;
+  to.is_told_refused = to.is_told_refused && !to.ends.empty();
   return to.ends.size() != before;
 }
 
@@ -68,10 +99,10 @@
   return add_end(records_[request], target, now);
 }
 
-bool quarantine::note_answer(time_point now,
+bool quarantine::note_answer(time_point at,
                              const request_fingerprint& request) {
   const auto found = records_.find(request);
-  return found != records_.end() && add_answer(found->second, now);
+  return found != records_.end() && add_answer(found->second, at);
 }
 
 bool quarantine::take(time_point now, const blame_row& row) {
@@ -88,16 +119,45 @@
   return is_news;
 }
 
-duration quarantine::refusal_of(const record& of) {
-  if (of.ends.size() < kEndsAllowed) return {};
-  return kRefusal * (1 << (of.ends.size() - kEndsAllowed));
+duration quarantine::refusal_of(const request_fingerprint& request,
+                                const record& of) {
+  const auto& rule = rule_of(request);
+  if (of.ends.size() < rule.ends) return {};
+  if (of.ends.back().at - of.since < rule.span) return {};
+  return rule.refusal * (1 << (of.ends.size() - rule.ends));
+}
+
+quarantine::record quarantine::unexplained(time_point now,
+                                           const request_fingerprint& part,
+                                           const record& of) const {
+  auto out = of;
+  std::erase_if(out.ends, [&](const auto& end) {
+    return now - end.at < kTold || is_explained(now, part, end);
+  });
+  const bool has_all = out.ends.size() == of.ends.size();
+  if (!has_all && !out.ends.empty()) out.since = out.ends.front().at;
+  return out;
+}
+
+bool quarantine::is_explained(time_point now, const request_fingerprint& part,
+                              const end_of_target& end) const {
+  return std::any_of(records_.begin(), records_.end(), [&](const auto& pair) {
+    const auto& [other, known] = pair;
+    if (other.part <= part.part || other.caller != part.caller) return false;
+    if (refusal_of(other, known) == duration{}) return false;
+    const bool was_there =
+        std::any_of(known.ends.begin(), known.ends.end(),
+                    [&](const auto& its) { return is_same(its, end); });
+    return was_there && refused_for(now, other);
+  });
 }
 
-time_point quarantine::forgotten_at(const record& of) {
+time_point quarantine::forgotten_at(const request_fingerprint& request,
+                                    const record& of) {
   auto last = of.answered.value_or(time_point{});
   if (!of.ends.empty()) last = std::max(last, of.ends.back().at);
   // Twice the refusal: one more end after it counts with those before.
-  return last + std::max(kRemembered, 2 * refusal_of(of));
+  return last + std::max(kRemembered, 2 * refusal_of(request, of));
 }
 
 std::optional<duration> quarantine::refused_for(
@@ -105,14 +165,48 @@
   const auto found = records_.find(request);
   if (found == records_.end()) return std::nullopt;
   const auto& known = found->second;
-  if (known.ends.size() < kEndsAllowed) return std::nullopt;
-  const auto left = known.ends.back().at + refusal_of(known) - now;
+  auto refusal = refusal_of(request, known);
+  // Few come so far, so that the rest is seldom reckoned.
+  if (refusal > duration{} && request.is_part()) {
+    refusal = refusal_of(request, unexplained(now, request, known));
+  }
+  if (refusal == duration{}) return std::nullopt;
+  const auto left = known.ends.back().at + refusal - now;
   return left > duration{} ? std::optional(left) : std::nullopt;
 }
 
+std::vector<request_fingerprint> quarantine::newly_refused_parts(
+    time_point now) {
+  std::vector<request_fingerprint> out;
+  for (auto& [request, known] : records_) {
+    if (!request.is_part() || known.is_told_refused) continue;
+    if (!refused_for(now, request)) continue;
+    known.is_told_refused = true;
+    out.push_back(request);
+  }
+  return out;
+}
+
+bool quarantine::take_trial(time_point now,
+                            const request_fingerprint& request) {
+  const auto found = records_.find(request);
+  if (found == records_.end() || !request.is_part()) return false;
+  auto& known = found->second;
+  if (known.is_tried || known.ends.empty()) return false;
+  if (now < known.ends.back().at + kTrialAfter) return false;
+  known.is_tried = true;
+  return true;
+}
+
 bool quarantine::is_blamed(const request_fingerprint& request) const {
   const auto found = records_.find(request);
-  return found != records_.end() && !found->second.ends.empty();
+  if (found == records_.end()) return false;
+  return found->second.ends.size() + 1 >= rule_of(request).ends;
+}
+
+std::size_t quarantine::ends_of(const request_fingerprint& request) const {
+  const auto found = records_.find(request);
+  return found == records_.end() ? 0 : found->second.ends.size();
 }
 
 blame_row quarantine::row_of(time_point now,
@@ -142,7 +236,7 @@
 
 void quarantine::expire(time_point now) {
   std::erase_if(records_, [now](const auto& pair) {
-    return now >= forgotten_at(pair.second);
+    return now >= forgotten_at(pair.first, pair.second);
   });
 }
 
@@ -160,8 +254,9 @@
   // free one that ended more.
   const auto least = std::min_element(
       records_.begin(), records_.end(), [](const auto& a, const auto& b) {
-        return std::pair(a.second.ends.size(), forgotten_at(a.second)) <
-               std::pair(b.second.ends.size(), forgotten_at(b.second));
+        return std::pair(a.second.ends.size(),
+                         forgotten_at(a.first, a.second)) <
+               std::pair(b.second.ends.size(), forgotten_at(b.first, b.second));
       });
   records_.erase(least);
 }
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -1,10 +1,14 @@
 // seamglade - requests that ended the targets they ran on, and are run no more
 //
 // A request may end each target that begins to run it, and return under another
-// id (a query of death). Each instance keeps which requests were running where
-// a target ended, as it saw itself or was told. One that was there at two ends,
-// with no whole answer between them, is quarantined: refused at once for a time
-// that doubles with each further end.
+// id (a query of death); or a part of prompts does, in requests of which no two
+// are alike. Each instance keeps what was running where a target ended, as it
+// saw itself or was told. A request that was there at two ends with no whole
+// answer between them is quarantined, and so is a part at three ends over a
+// second and a half in which no request with it has run. Where several parts
+// were at the same ends, the one furthest behind in the prompt answers for
+// them: those before it are shared by more requests. What is quarantined is
+// refused at once for a time that doubles with each further end.
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -32,17 +36,27 @@
   bool note_end(time_point now, const request_fingerprint& request,
                 target_hash target);
   /**
-   * A request was run and answered whole, so it does not end its targets.
-   * Returns whether it was blamed before.
+   * It was run and did not end its target, as of then: a request was answered
+   * whole, one with the part has passed events on for a while. Returns whether
+   * it was blamed before.
    */
-  bool note_answer(time_point now, const request_fingerprint& request);
+  bool note_answer(time_point at, const request_fingerprint& request);
   /** Takes the word of another instance; returns whether it is news. */
   bool take(time_point now, const blame_row& row);
   /** Returns for how long a request is not to run; none: it may. */
   std::optional<duration> refused_for(time_point now,
                                       const request_fingerprint& request) const;
-  /** Returns whether it was at an end, and not answered whole since. */
+  /** Returns whether one end more may have it refused. */
   bool is_blamed(const request_fingerprint& request) const;
+  /** Returns at how many ends it was that count. */
+  std::size_t ends_of(const request_fingerprint& request) const;
+  /** Returns parts that are refused now, each once. */
+  std::vector<request_fingerprint> newly_refused_parts(time_point now);
+  /**
+   * Returns whether a request with a refused part may run to show if the
+   * verdict holds: once, some time after the last end.
+   */
+  bool take_trial(time_point now, const request_fingerprint& request);
   /** Returns what is known of a request, for others. */
   blame_row row_of(time_point now, const request_fingerprint& request) const;
   /** Returns some of those that are refused now, others each time. */
@@ -61,14 +75,29 @@
   struct record {
     /** The newest of them, the oldest first. */
     std::vector<end_of_target> ends;
+    /** The first end that counts, also where it is no longer kept. */
+    time_point since;
     /** When it was last answered whole, if it was. */
     std::optional<time_point> answered;
+    /** It was returned by newly_refused_parts(). */
+    bool is_told_refused = false;
+    /** Its one trial was taken here. */
+    bool is_tried = false;
   };
 
+  static bool is_same(const end_of_target& one, const end_of_target& other);
+  /** Returns a part's record without what another part answers for. */
+  record unexplained(time_point now, const request_fingerprint& part,
+                     const record& of) const;
+  /** Whether a refused part further behind was there: that ended the target. */
+  bool is_explained(time_point now, const request_fingerprint& part,
+                    const end_of_target& end) const;
   bool add_end(record& to, target_hash target, time_point at);
   bool add_answer(record& to, time_point at);
-  static duration refusal_of(const record& of);
-  static time_point forgotten_at(const record& of);
+  static duration refusal_of(const request_fingerprint& request,
+                             const record& of);
+  static time_point forgotten_at(const request_fingerprint& request,
+                                 const record& of);
   /** Makes room for one more record. */
   void make_room();
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -105,6 +105,10 @@
    * where a deadly one is.
    */
   bool is_suspected = false;
+  /** Its call has shown that no part of its prompt ends targets. */
+  bool is_proven = false;
+  /** It runs to show whether a refused part still ends targets. */
+  bool is_trial = false;
   /** Targets that were given the request. */
   std::set<target_id> tried;
   /** Targets on which it may have run. */
--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -40,12 +40,13 @@
   content = add_field(content, message.host);
   content = add_field(content, named_part(message.target, !body.empty()));
   content = add_field(content, body);
-  return {caller_hash(workspace), content, false};
+  return {caller_hash(workspace), content, 0};
 }
 
 request_fingerprint fingerprint_of_part(std::string_view part,
+                                        std::uint8_t place,
                                         std::string_view workspace) {
-  return {caller_hash(workspace), add_field(kPartSeed, part), true};
+  return {caller_hash(workspace), add_field(kPartSeed, part), place};
 }
 
 std::string to_hex(std::uint64_t value) {
--- a/src/request/request_fingerprint.h
+++ b/src/request/request_fingerprint.h
@@ -26,8 +26,9 @@
 request_fingerprint fingerprint_of(const caller_message& message,
                                    std::string_view workspace);
 
-/** Returns the name of a part of prompts, by its id on the wire. */
+/** Returns the name of a part of prompts: its id on the wire and its place. */
 request_fingerprint fingerprint_of_part(std::string_view part,
+                                        std::uint8_t place,
                                         std::string_view workspace);
 
 /** Returns one half of a fingerprint as the log shows it. */
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -157,18 +157,18 @@
 
 TEST(end_watch, blames_all_that_broke_where_connections_are_refused) {
   end_watch w;
-  EXPECT_EQ(w.call_broke(kStart, kTarget, kRequest), verdict::to_probe);
-  EXPECT_EQ(w.call_broke(kStart, kTarget, kOther), verdict::awaited);
+  EXPECT_EQ(w.call_broke(kStart, kTarget, {kRequest}), verdict::to_probe);
+  EXPECT_EQ(w.call_broke(kStart, kTarget, {kOther}), verdict::awaited);
   const auto there = w.probed(kStart + 3ms, kTarget, how::refused, kHeard);
   EXPECT_EQ(there.size(), 2U);
   // The rest of the calls there break a moment later.
-  EXPECT_EQ(w.call_broke(kStart + 5ms, kTarget, {4, 4}), verdict::ended);
-  EXPECT_EQ(w.call_broke(kStart + 2s, kTarget, {4, 4}), verdict::to_probe);
+  EXPECT_EQ(w.call_broke(kStart + 5ms, kTarget, {{4, 4}}), verdict::ended);
+  EXPECT_EQ(w.call_broke(kStart + 2s, kTarget, {{4, 4}}), verdict::to_probe);
 }
 
 TEST(end_watch, blames_nobody_for_a_refusal_until_another_target_is_heard) {
   end_watch w;
-  w.call_broke(kStart, kTarget, kRequest);
+  w.call_broke(kStart, kTarget, {kRequest});
   const auto before = kStart - 1ms;
   EXPECT_TRUE(w.probed(kStart + 3ms, kTarget, how::refused, before).empty());
   const auto ends = w.others_heard(kStart + 20ms);
@@ -177,7 +177,7 @@
   EXPECT_EQ(ends.front().requests.size(), 1U);
   EXPECT_TRUE(w.others_heard(kStart + 21ms).empty());
   // What is heard much later tells nothing of that moment.
-  w.call_broke(kStart + 5s, kTarget, kRequest);
+  w.call_broke(kStart + 5s, kTarget, {kRequest});
   w.probed(kStart + 5s, kTarget, how::refused, before);
   EXPECT_TRUE(w.others_heard(kStart + 7s).empty());
 }
@@ -185,26 +185,26 @@
 TEST(end_watch, blames_nobody_where_a_connection_comes_up_or_hangs) {
   for (const auto outcome : {how::connected, how::silent}) {
     end_watch w;
-    w.call_broke(kStart, kTarget, kRequest);
+    w.call_broke(kStart, kTarget, {kRequest});
     EXPECT_TRUE(w.probed(kStart + 3ms, kTarget, outcome, kHeard).empty());
-    EXPECT_EQ(w.call_broke(kStart + 9ms, kTarget, kOther), verdict::to_probe);
+    EXPECT_EQ(w.call_broke(kStart + 9ms, kTarget, {kOther}), verdict::to_probe);
   }
 }
 
 TEST(end_watch, blames_them_yet_where_the_target_is_replaced) {
   end_watch w;
-  w.call_broke(kStart, kTarget, kRequest);
+  w.call_broke(kStart, kTarget, {kRequest});
   w.probed(kStart + 3ms, kTarget, how::connected, kHeard);
   EXPECT_EQ(w.replaced(kStart + 4s, kTarget).size(), 1U);
   EXPECT_TRUE(w.replaced(kStart + 4s, kTarget).empty());
-  w.call_broke(kStart + 10s, kTarget, kRequest);
+  w.call_broke(kStart + 10s, kTarget, {kRequest});
   EXPECT_TRUE(w.replaced(kStart + 20s, kTarget).empty());
   EXPECT_TRUE(w.replaced(kStart, kTarget + 1).empty());
 }
 
 TEST(end_watch, forgets_all_after_a_pause_of_the_process) {
   end_watch w;
-  w.call_broke(kStart, kTarget, kRequest);
+  w.call_broke(kStart, kTarget, {kRequest});
   w.reset();
   EXPECT_TRUE(w.probed(kStart + 3ms, kTarget, how::refused, kHeard).empty());
 }
