--- a/test/deadly_part-test.cc
+++ b/test/deadly_part-test.cc
@@ -19,8 +19,6 @@
 /** Sound requests of the route. */
 constexpr duration kSoundGap = 25ms;
 constexpr std::size_t kSubjects = 40;
-/** Ends from which on few more requests may reach targets, and how many. */
-constexpr std::size_t kJudgedEnds = 5;
 constexpr duration kContact = 3s;
 
 gateway_world_options checkout(std::uint64_t seed) {
