A part that ends targets in quick succession is refused too

Where targets ended more than some five times a second under one part of prompts, it was never refused. Cause: a part is judged over 1.5 s from its first end, and that was forgotten whenever one end was too young to count; the eight ends that are kept span less. Seen in a review of the code; the new unit test failed at 50, 100 and 150 ms between ends, and passes now. Unit tests of what else a verdict on a part rests on come with it.

--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -131,11 +131,12 @@
                                            const request_fingerprint& part,
                                            const record& of) const {
   auto out = of;
-  std::erase_if(out.ends, [&](const auto& end) {
-    return now - end.at < kTold || is_explained(now, part, end);
-  });
-  const bool has_all = out.ends.size() == of.ends.size();
-  if (!has_all && !out.ends.empty()) out.since = out.ends.front().at;
+  const auto explained = std::erase_if(
+      out.ends, [&](const auto& end) { return is_explained(now, part, end); });
+  if (explained > 0 && !out.ends.empty()) out.since = out.ends.front().at;
+  // The first end stands, also where it is no longer kept.
+  std::erase_if(out.ends,
+                [&](const auto& end) { return now - end.at < kTold; });
   return out;
 }
 
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -25,6 +25,11 @@
 constexpr request_fingerprint kRequest{1, 2};
 constexpr request_fingerprint kOther{1, 3};
 constexpr target_hash kTarget = 7;
+/** A part that all requests of a route have, and one behind it. */
+constexpr request_fingerprint kFirstPart{1, 4, 1};
+constexpr request_fingerprint kPart{1, 5, 2};
+/** Word of who else was at an end has come by then. */
+constexpr duration kSettled = 150ms;
 
 TEST(quarantine, refuses_what_was_there_at_two_ends) {
   quarantine q;
@@ -79,6 +84,67 @@
   EXPECT_FALSE(q.note_answer(kStart + 3s, kOther));
 }
 
+/** Notes ends of targets under a part, so far apart; returns the last's time.
+ */
+time_point end_targets(quarantine& q, const request_fingerprint& part,
+                       std::size_t count, duration gap) {
+  auto at = kStart;
+  for (std::size_t i = 0; i < count; ++i) {
+    if (i > 0) at += gap;
+    q.note_end(at, part, i + 1);
+  }
+  return at;
+}
+
+TEST(quarantine, refuses_a_part_at_three_ends_without_a_proof_between) {
+  quarantine q;
+  const auto last = end_targets(q, kPart, 3, 800ms);
+  EXPECT_FALSE(q.refused_for(last, kPart));
+  EXPECT_TRUE(q.refused_for(last + kSettled, kPart));
+  EXPECT_EQ(q.newly_refused_parts(last + kSettled).size(), 1U);
+  EXPECT_TRUE(q.newly_refused_parts(last + kSettled).empty());
+}
+
+TEST(quarantine, refuses_no_part_whose_ends_come_together) {
+  quarantine q;
+  const auto last = end_targets(q, kPart, 6, 200ms);
+  EXPECT_FALSE(q.refused_for(last + kSettled, kPart));
+}
+
+TEST(quarantine, a_run_with_a_part_ends_its_blame_up_to_then) {
+  quarantine q;
+  const auto last = end_targets(q, kPart, 3, 800ms);
+  EXPECT_TRUE(q.note_answer(last - 100ms, kPart));
+  EXPECT_FALSE(q.refused_for(last + kSettled, kPart));
+  EXPECT_EQ(q.ends_of(kPart), 1U);
+}
+
+TEST(quarantine, refuses_a_part_that_ends_targets_in_quick_succession) {
+  for (const duration gap : {50ms, 100ms, 150ms, 250ms}) {
+    quarantine q;
+    const auto count = static_cast<std::size_t>(3s / gap);
+    const auto last = end_targets(q, kPart, count, gap);
+    EXPECT_TRUE(q.refused_for(last, kPart)) << gap / 1ms;
+  }
+}
+
+TEST(quarantine, the_part_furthest_behind_answers_for_the_ends_of_both) {
+  quarantine q;
+  end_targets(q, kFirstPart, 4, 800ms);
+  const auto last = end_targets(q, kPart, 4, 800ms);
+  EXPECT_TRUE(q.refused_for(last + kSettled, kPart));
+  EXPECT_FALSE(q.refused_for(last + kSettled, kFirstPart));
+}
+
+TEST(quarantine, tries_a_refused_part_once) {
+  quarantine q;
+  const auto last = end_targets(q, kPart, 3, 800ms);
+  EXPECT_FALSE(q.take_trial(last + 1s, kPart));
+  EXPECT_TRUE(q.take_trial(last + 31s, kPart));
+  EXPECT_FALSE(q.take_trial(last + 32s, kPart));
+  EXPECT_FALSE(q.take_trial(last + 31s, kRequest));
+}
+
 TEST(quarantine, forgets_what_is_long_over) {
   quarantine q;
   q.note_end(kStart, kRequest, 1);
