A request is handed on to three instances at most

Where all targets of a service are down, each instance asked every other one before it refused: a request took as many inner calls as there are instances, and refusals came late. Cause: the tries of other instances had no bound; it is needed only past instances that are cut off, and these say so. Evidence: target_cut-test, four plain targets down, 12 instances, 24 requests: 190 inner calls before, within 72 now. The other checks of target_cut-test pass, with five of six instances cut too.

--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -18,6 +18,11 @@
 
 /** Requests of others that an instance has under way at most. */
 constexpr std::ptrdiff_t kMostRelayed = 256;
+/**
+ * Instances that one request is handed on to at most: those that reach no
+ * target say so themselves, and where all targets are down nobody can help.
+ */
+constexpr std::size_t kMostRelays = 3;
 /** An instance that could not help is not asked for so long. */
 constexpr duration kNoHelpFor = 1s;
 /** In requests under way there: what a farther instance is worse. */
@@ -69,6 +74,7 @@
 
 bool gateway_core::impl::relay(exchange& x) {
   if (x.relayed || x.until - now_ <= kAnswerMargin) return false;
+  if (x.relays_tried.size() >= kMostRelays) return false;
   const auto to = relay_for(x);
   if (to == 0) return false;
   release_place(x);
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -19,6 +19,8 @@
 /** Between two requests of the whole fleet. */
 constexpr duration kGap = 15ms;
 constexpr int kAdapters = 12;
+/** Instances that one request may be handed on to. */
+constexpr std::size_t kMostRelays = 3;
 
 gateway_world_options checkout(std::uint64_t seed) {
   gateway_world_options options;
@@ -188,6 +190,25 @@
   }
 }
 
+TEST(target_cut, a_service_that_is_down_costs_few_inner_calls_a_request) {
+  auto options = checkout(15);
+  options.instances = 12;
+  gateway_world w(options);
+  w.run_for(kSettled);
+  for (int i = 0; i < 4; ++i) {
+    w.crash_target(fmt::format("plain-{}", i), 20s);
+  }
+  const auto entries = w.instances();
+  constexpr std::size_t kCalls = 24;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    w.at(w.now() + i * 500ms,
+         [&w, who = entries[i % entries.size()]] { w.call_plain(who, false); });
+  }
+  w.run_for(16s);
+  EXPECT_LE(w.relays(), kMostRelays * kCalls);
+  expect_rules_kept(w);
+}
+
 TEST(target_cut, what_is_handed_on_ends_with_its_caller) {
   gateway_world w(checkout(13));
   w.run_for(kSettled);
