Unit tests of reach, relay headers, parts of prompts and their wire form

What decides that an instance is cut off was tested in whole fleets alone, and the headers of an inner call and the parts that a prompt names not at all.

--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -174,7 +174,7 @@
 TEST(peer_messages, survive_the_wire) {
   heartbeat beat;
   beat.rows = {{1, 2, 3, 4, true},
-               {5, 6, 7, 8, false, member_standing::suspect}};
+               {5, 6, 7, 8, false, member_standing::suspect, true}};
   beat.members = 195;
   beat.store_revision = 9;
   beat.epoch = 3;
@@ -228,7 +228,8 @@
         peer_message(grant_answer{4, 6, false, 400ms}),
         peer_message(
             blame_message{{{{5, 6}, {{7, 20ms}, {8, 1s}}, std::nullopt},
-                           {{1, 2}, {}, 3s}}})}) {
+                           {{1, 2}, {}, 3s},
+                           {{1, 4, 2}, {{9, 5ms}}, std::nullopt}}})}) {
     const auto decoded = decode_peer_message(encode_peer_message(message));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded.value(), message);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -37,9 +37,40 @@
   EXPECT_EQ(facts.value().prompt_tokens, 1460U);
   EXPECT_EQ(facts.value().answer_tokens, 80U);
   EXPECT_EQ(facts.value().prompt_prefix, "91");
+  EXPECT_EQ(facts.value().prompt_parts, (std::vector<std::string>{"5c", "91"}));
   EXPECT_EQ(facts.value().deadline, 15s);
 }
 
+TEST_F(platform, tells_no_part_of_a_prompt_that_is_the_requests_own) {
+  const auto parts = [&](const std::string& text) {
+    return d_->read_request({{"X-Request-Id", "1"}, {"X-Prefix-Hash", text}})
+        .value()
+        .prompt_parts.size();
+  };
+  EXPECT_EQ(parts(""), 0U);
+  EXPECT_EQ(parts("5c:800"), 0U);
+  std::string many;
+  for (int i = 0; i < 40; ++i) many += std::to_string(i) + ":1,";
+  EXPECT_EQ(parts(many + "own:1"), 16U);
+}
+
+TEST_F(platform, hands_a_request_on_with_all_but_the_time_that_is_left) {
+  const std::vector<http_header> from_caller{{"X-Request-Id", "1"},
+                                             {"Authorization", "Bearer k"},
+                                             {"x-deadline-ms", "9000"},
+                                             {"last-event-id", "3"},
+                                             {"X-Model", "m/a"}};
+  const auto first = d_->relay_headers(from_caller, 1500ms, "");
+  EXPECT_EQ(first.size(), from_caller.size());
+  ASSERT_TRUE(find(first, "Authorization"));
+  EXPECT_EQ(*find(first, "X-Deadline-Ms"), "1500");
+  EXPECT_EQ(*find(first, "last-event-id"), "3");
+  EXPECT_FALSE(find(first, "x-deadline-ms"));
+  const auto resumed = d_->relay_headers(from_caller, 1500ms, "7");
+  EXPECT_EQ(*find(resumed, "Last-Event-Id"), "7");
+  EXPECT_FALSE(find(resumed, "last-event-id"));
+}
+
 TEST_F(platform, an_epoch_of_the_store_that_is_no_whole_number_is_none) {
   const auto epoch = [](const char* text) {
     return make_platform_dialect()->read_store_epoch({{"store-era", text}});
