--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -24,6 +24,21 @@
 
 std::string_view to_string(proximity distance);
 
+/** Returns what goes with a distance; with the own failure domain nothing. */
+template <typename Value>
+constexpr Value by_distance(proximity distance, Value same_region,
+                            Value other_region) {
+  switch (distance) {
+    case proximity::same_domain:
+      return Value{};
+    case proximity::same_region:
+      return same_region;
+    case proximity::other_region:
+      break;
+  }
+  return other_region;
+}
+
 /** A service and its part of a route's requests. */
 struct service_share {
   std::string service;
--- a/src/process/engine_choice.cc
+++ b/src/process/engine_choice.cc
@@ -50,18 +50,6 @@
 /** What a change of the home has to gain. */
 constexpr duration kHomeGain = 80ms;
 
-duration distance_cost(proximity distance) {
-  switch (distance) {
-    case proximity::same_domain:
-      return {};
-    case proximity::same_region:
-      return kFarCost;
-    case proximity::other_region:
-      break;
-  }
-  return kOtherRegionCost;
-}
-
 duration reading_time(const engine_option& option, double tokens) {
   return duration(static_cast<std::int64_t>(tokens * option.us_per_token));
 }
@@ -114,7 +102,7 @@
   auto cost = expected_start(option, facts);
   if (!cost) return cost;
   *cost += kFullCost * option.work.running / option.slots;
-  *cost += distance_cost(option.distance);
+  *cost += by_distance(option.distance, kFarCost, kOtherRegionCost);
   if (option.is_home) *cost -= kHomeGain;
   if (option.is_cold) *cost += kColdCost;
   *cost += option.grant_wait;
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -33,18 +33,6 @@
 constexpr duration kLeastComeBack = 200ms;
 constexpr std::int64_t kComeBackSpreadMs = 600;
 
-duration way_to(proximity distance) {
-  switch (distance) {
-    case proximity::same_domain:
-      return {};
-    case proximity::same_region:
-      return kRegionWay;
-    case proximity::other_region:
-      break;
-  }
-  return kOtherRegionWay;
-}
-
 }  // namespace
 
 void gateway_core::impl::place_on_plain(
@@ -110,8 +98,9 @@
         is_word_fresh(*target) ? target->admission_expected : unknown;
     const auto expected = is_cold(*target) ? told + kColdCost : told;
     // Unknown ones and equals are taken by chance, so that instances spread.
-    const std::tuple cost{expected + way_to(distance), distance,
-                          mix(target->hash ^ hash_of(x.facts.id))};
+    const std::tuple cost{
+        expected + by_distance(distance, kRegionWay, kOtherRegionWay), distance,
+        mix(target->hash ^ hash_of(x.facts.id))};
     if (best != nullptr && least <= cost) continue;
     best = target;
     least = cost;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -230,12 +230,7 @@
     retry(x, not_run ? "not_run" : "failed");
     return;
   }
-  if (x.head_sent) {
-    ++counts_.cut;
-    do_act(action::reply_abort{x.caller});
-    finish(x.caller);
-    return;
-  }
+  if (x.head_sent) return abort_answer(x);
   if (not_run && x.runs == 0) {
     refuse(x, kUnavailable, kComeBackSoon, "target_refused");
     return;
@@ -249,6 +244,12 @@
   pass_on(x);
 }
 
+void gateway_core::impl::abort_answer(exchange& x) {
+  ++counts_.cut;
+  do_act(action::reply_abort{x.caller});
+  finish(x.caller);
+}
+
 void gateway_core::impl::broken_call(exchange& x, call_end end) {
   end_call(x, false, false);
   // No longer among the runs that a quarantine stops.
@@ -277,9 +278,7 @@
       retry(x, "resume");
       return;
     }
-    ++counts_.cut;
-    do_act(action::reply_abort{x.caller});
-    finish(x.caller);
+    abort_answer(x);
     return;
   }
   x.events.restart();
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -334,6 +334,7 @@
   // gateway_relay.cc
   /** Hands a request on; returns false where no instance can be asked. */
   bool relay(exchange& x);
+  action::call_peer relay_call_of(const exchange& x);
   /** Returns the instance to hand a request on to; 0: none is left. */
   member_address relay_for(const exchange& x);
   /** Returns false if a request of another instance was refused. */
@@ -485,6 +486,8 @@
   void retry_unsent(exchange& x);
   void whole_answer(exchange& x);
   void failed_answer(exchange& x);
+  /** Ends an answer that has begun, so that it is seen to be incomplete. */
+  void abort_answer(exchange& x);
   void broken_call(exchange& x, call_end end);
   bool may_retry(exchange& x, bool ran);
   void retry(exchange& x, std::string_view reason);
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -181,7 +181,7 @@
 }
 
 void gateway_core::impl::release_in_cut() {
-  // Whoever hears of it may give orders at once: a lease after the last here.
+  // The next holder may give orders as soon as it hears of the release.
   if (now_ - *reach_.cut_since() < options_.lease + kLeaseMargin) return;
   while (!keepers_.empty()) release(keepers_.begin()->first, kCutOffReason);
 }
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -43,18 +43,6 @@
 /** A request waits for such word this long at most. */
 constexpr duration kAskWait = 15ms;
 
-double distance_penalty(proximity distance) {
-  switch (distance) {
-    case proximity::same_domain:
-      return 0;
-    case proximity::same_region:
-      return kFarPenalty;
-    case proximity::other_region:
-      break;
-  }
-  return kOtherRegionPenalty;
-}
-
 }  // namespace
 
 void gateway_core::impl::place(exchange& x) {
@@ -99,7 +87,7 @@
   for (auto* target : targets) {
     if (x.tried.contains(target->entry.id) || is_spent(*target)) continue;
     double load = target->work(now_).running;
-    load += distance_penalty(distance_to(*target));
+    load += by_distance(distance_to(*target), kFarPenalty, kOtherRegionPenalty);
     if (is_cold(*target)) load += kColdPenalty;
     // Equal ones are told apart by the request, so that instances spread.
     const auto tie = hash_of(x.facts.id + target->entry.id) % 1000;
--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -25,21 +25,10 @@
 constexpr std::size_t kMostRelays = 3;
 /** An instance that could not help is not asked for so long. */
 constexpr duration kNoHelpFor = 1s;
-/** In requests under way there: what a farther instance is worse. */
+/** In requests under way: what an instance in another failure domain ... */
 constexpr double kRegionPenalty = 1;
-constexpr double kFarPenalty = 16;
-
-double distance_penalty(proximity distance) {
-  switch (distance) {
-    case proximity::same_domain:
-      return 0;
-    case proximity::same_region:
-      return kRegionPenalty;
-    case proximity::other_region:
-      break;
-  }
-  return kFarPenalty;
-}
+/** ... and in another region is worse. */
+constexpr double kOtherRegionPenalty = 16;
 
 }  // namespace
 
@@ -64,7 +53,9 @@
     if (found != no_help_until_.end() && now_ < found->second) continue;
     if (roster_.is_cut_off(who) || is_passed_over(who)) continue;
     const double cost =
-        under_way[who] + distance_penalty(distance_to(who)) + tie(random_);
+        under_way[who] +
+        by_distance(distance_to(who), kRegionPenalty, kOtherRegionPenalty) +
+        tie(random_);
     if (best != 0 && cost >= least) continue;
     best = who;
     least = cost;
@@ -91,19 +82,24 @@
                 {"runs", x.runs - 1},
                 {"waited_ms", to_ms(now_ - x.started)},
                 {"left_ms", to_ms(x.until - now_)}});
+  do_act(relay_call_of(x));
+  return true;
+}
+
+action::call_peer gateway_core::impl::relay_call_of(const exchange& x) {
   const auto last_event = x.head_sent ? x.events.last_id() : x.facts.last_event;
   action::call_peer call;
   call.call = x.call;
-  call.to = to;
+  call.to = x.relay;
   call.method = x.message.method;
   call.target = x.message.target;
   call.host = x.message.host;
   call.headers =
       platform_.relay_headers(x.message.headers, x.until - now_, last_event);
   call.body = x.message.body;
+  // This call is counted already.
   call.runs = x.runs - 1;
-  do_act(std::move(call));
-  return true;
+  return call;
 }
 
 bool gateway_core::impl::admit_relayed(exchange& x) {
@@ -122,10 +118,7 @@
 void gateway_core::impl::refuse_relayed(exchange& x, std::string_view reason) {
   // What it ran on before, the other instance knows itself.
   const bool has_run_here = x.runs > x.relayed->runs;
-  if (x.head_sent || has_run_here) {
-    give_up(x);
-    return;
-  }
+  if (x.head_sent || has_run_here) return give_up(x);
   x.relayed->is_no_help = true;
   refuse(x, kUnavailable, kComeBackSoon, reason);
 }
@@ -140,22 +133,10 @@
                        {"no_help", static_cast<std::int64_t>(x.is_no_help)}});
   if (x.is_no_help) {
     no_help_until_[x.relay] = now_ + kNoHelpFor;
-    if (not_run) {
-      place_again(x);
-      return;
-    }
-  }
-  if (x.head_sent) {
-    ++counts_.cut;
-    do_act(action::reply_abort{x.caller});
-    finish(x.caller);
-    return;
-  }
-  if (not_run) {
-    ++counts_.refused;
-  } else {
-    ++counts_.failed;
+    if (not_run) return place_again(x);
   }
+  if (x.head_sent) return abort_answer(x);
+  ++(not_run ? counts_.refused : counts_.failed);
   pass_on(x);
 }
 
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -191,10 +191,8 @@
     end_call(x, false, false);
   }
   if (x.head_sent) {
-    ++counts_.cut;
     log("cut", {{"request", x.facts.id}, {"target", x.target}}, true);
-    do_act(action::reply_abort{x.caller});
-    finish(x.caller);
+    abort_answer(x);
     return;
   }
   if (x.way == nullptr) {
--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -167,7 +167,7 @@
   if (found == records_.end()) return std::nullopt;
   const auto& known = found->second;
   auto refusal = refusal_of(request, known);
-  // Few come so far, so that the rest is seldom reckoned.
+  // Costly, so only for parts that would be refused otherwise.
   if (refusal > duration{} && request.is_part()) {
     refusal = refusal_of(request, unexplained(now, request, known));
   }
--- a/src/process/target_reach.cc
+++ b/src/process/target_reach.cc
@@ -12,7 +12,7 @@
 
 /** Targets that must be out of reach before the instance itself is. */
 constexpr std::size_t kLeastLost = 3;
-/** A broken call may have had its target tried for another reason. */
+/** Leaves time for the probe that a broken call causes in end_watch. */
 constexpr duration kProbeAfter = 50ms;
 /** A target that is out of reach is tried again after this, then later. */
 constexpr duration kFirstPause = 250ms;
--- a/src/process/target_reach.h
+++ b/src/process/target_reach.h
@@ -14,17 +14,18 @@
 namespace seamglade::gateway {
 
 /**
- * Which targets this instance reaches, free of I/O.
+ * Which targets this instance reaches; free of I/O.
  *
- * A call that is overdue, or for which no connection came up, is a doubt about
- * its target unless the target was heard since. One connection is then tried:
- * a target that does not take it is out of reach until it is heard or takes
- * one.
+ * A target is doubtful when a call to it is overdue, breaks or gets no
+ * connection, unless it was heard since. A connection to a doubtful target is
+ * tried; if it fails, the target is out of reach until it is heard or accepts a
+ * connection.
  *
- * The instance has lost its own way to targets where several are out of reach
- * and none at all was heard since the first doubt about them, or where several
- * took no connection and none did since: connections that are kept may live on
- * then. Any targets are then tried until one takes a connection.
+ * The instance is cut off from all targets when several are out of reach and
+ * none was heard since the first of them became doubtful. It is also cut off
+ * when several refused a connection for a call and none accepted one since;
+ * calls on kept connections may go on then. A cut ends with the first
+ * connection that is accepted, to any target.
  */
 class target_reach {
  public:
@@ -32,7 +33,7 @@
   void called(time_point now, target_hash target, call_id call, duration bound);
   /** Nothing more is learned from the call. */
   void ended(call_id call) { calls_.erase(call); }
-  /** A connection broke, or it is silent. */
+  /** A call broke before its answer, or is overdue. */
   void failed(time_point now, target_hash target);
   /** No connection came up for a call. */
   void not_connected(time_point now, target_hash target);
--- a/test/crash-test.cc
+++ b/test/crash-test.cc
@@ -57,16 +57,6 @@
   return options;
 }
 
-/** Returns how many requests any instance refuses now since they end targets.
- */
-std::size_t quarantined(gateway_world& w) {
-  std::size_t most = 0;
-  for (const auto who : w.instances()) {
-    most = std::max(most, w.status(who).quarantined);
-  }
-  return most;
-}
-
 TEST(crash, a_request_that_ends_its_targets_ends_few_over_all_its_returns) {
   gateway_world w(checkout());
   w.run_for(kSettled);
--- a/test/deadly_part-test.cc
+++ b/test/deadly_part-test.cc
@@ -47,6 +47,13 @@
   }
 }
 
+/** Lets a fleet settle, and sends it a busy and a quiet route. */
+void settle_under_load(gateway_world& w) {
+  w.run_for(kSettled);
+  send(w, 26s, kSoundGap, "r1", kSubjects);
+  send(w, 26s, kSoundGap * 6, "r2", kSubjects);
+}
+
 void send_deadly(gateway_world& w, duration time) {
   const auto entries = w.instances();
   for (int i = 0; i * kGap < time; ++i) {
@@ -74,20 +81,10 @@
          static_cast<double>(std::max<std::size_t>(1, sent));
 }
 
-std::size_t quarantined(gateway_world& w) {
-  std::size_t most = 0;
-  for (const auto who : w.instances()) {
-    most = std::max(most, w.status(who).quarantined);
-  }
-  return most;
-}
-
 TEST(deadly_part, ends_few_targets_and_spares_its_neighbours) {
   for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
     gateway_world w(checkout(seed));
-    w.run_for(kSettled);
-    send(w, 26s, kSoundGap, "r1", kSubjects);
-    send(w, 26s, kSoundGap * 6, "r2", kSubjects);
+    settle_under_load(w);
     w.run_for(4s);
     w.end_targets_with_part(kDeadly);
     const auto began = w.now();
@@ -105,9 +102,7 @@
 TEST(deadly_part, ends_of_other_causes_have_no_part_refused) {
   for (const std::uint64_t seed : {6, 7, 8}) {
     gateway_world w(checkout(seed));
-    w.run_for(kSettled);
-    send(w, 26s, kSoundGap, "r1", kSubjects);
-    send(w, 26s, kSoundGap * 6, "r2", kSubjects);
+    settle_under_load(w);
     w.run_for(2s);
     std::mt19937_64 random(seed);
     for (int i = 0; i < 20; ++i) {
--- a/test/gateway_checks.h
+++ b/test/gateway_checks.h
@@ -72,6 +72,15 @@
   }
 }
 
+/** Returns how much any instance refuses now since it ends targets. */
+inline std::size_t quarantined(gateway_world& w) {
+  std::size_t most = 0;
+  for (const auto who : w.instances()) {
+    most = std::max(most, w.status(who).quarantined);
+  }
+  return most;
+}
+
 struct tally {
   std::size_t served = 0;
   std::size_t refused = 0;
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -62,11 +62,16 @@
   return out;
 }
 
-/** Cuts the first `count` instances off for a time, under a steady load. */
-comparison play_cut(gateway_world& w, std::size_t count, target_cut how) {
+/** Lets a fleet settle, and sends it a steady load from then on. */
+void settle_under_load(gateway_world& w, duration time) {
   w.run_for(kSettled);
-  send_load(w, kCutTime + 6s, kGap, kAdapters);
+  send_load(w, time, kGap, kAdapters);
   w.run_for(3s);
+}
+
+/** Cuts the first `count` instances off for a time, under a steady load. */
+comparison play_cut(gateway_world& w, std::size_t count, target_cut how) {
+  settle_under_load(w, kCutTime + 6s);
   auto cut = w.instances();
   cut.resize(count);
   const auto began = w.now();
@@ -136,9 +141,7 @@
 
 TEST(target_cut, an_instance_knows_within_two_seconds_that_it_is_cut_off) {
   gateway_world w(checkout(6));
-  w.run_for(kSettled);
-  send_load(w, 12s, kGap, kAdapters);
-  w.run_for(3s);
+  settle_under_load(w, 12s);
   const auto who = w.instances().front();
   w.cut_targets(who, target_cut::hang);
   w.run_for(2s);
@@ -227,9 +230,7 @@
 
 TEST(target_cut, a_target_that_is_silent_for_a_second_keeps_its_calls) {
   gateway_world w(checkout(14));
-  w.run_for(kSettled);
-  send_load(w, 10s, kGap, kAdapters);
-  w.run_for(3s);
+  settle_under_load(w, 10s);
   const auto target = w.engines().front();
   w.slow_target(target, 1100ms);
   w.run_for(1s);
@@ -246,9 +247,7 @@
   options.target_domains = {"east", "west", "north"};
   options.instance_domains = {"west", "east", "north"};
   gateway_world w(options);
-  w.run_for(kSettled);
-  send_load(w, 12s, kGap, kAdapters);
-  w.run_for(3s);
+  settle_under_load(w, 12s);
   w.lose_domain("east");
   w.run_for(6s);
   for (const auto who : w.instances()) {
