What the files of the decisions share stands apart from the class

Targets whose connections are tried are drawn in one place. No decision changes: crash-test, deadly_part-test and target_cut-test pass as before.

--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -6,50 +6,15 @@
 #ifndef SEAMGLADE_SRC_PROCESS_GATEWAY_IMPL_H_
 #define SEAMGLADE_SRC_PROCESS_GATEWAY_IMPL_H_
 
-#include <algorithm>
-#include <cmath>
-#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
+#include "process/gateway_common.h"
 #include "process/gateway_view.h"
 #include "seamglade/gateway.h"
 
 namespace seamglade::gateway {
 
-/** Where changes came from, for the log. */
-inline constexpr std::string_view kFromStore = "store";
-/** After a failure a watch is held this long: silence is to be seen soon. */
-inline constexpr duration kProbeWait = 50ms;
-/** A copy so fresh says that the store answers somebody. */
-inline constexpr duration kStoreBack = 1500ms;
-
-/** An answer is given this long before the time is up. */
-inline constexpr duration kAnswerMargin = 30ms;
-/** When a request that was not run is worth another try. */
-inline constexpr duration kComeBackSoon = 300ms;
-
-/** Returns whole milliseconds, for the log. */
-inline std::int64_t to_ms(duration time) { return time / 1ms; }
-
-/** Returns thousandths, for the log. */
-inline std::int64_t to_milli(double value) {
-  constexpr double most = 1e12;
-  return std::llround(std::min(value, most) * 1000);
-}
-
-/** Where a change of the store's copy came from. */
-struct change_origin {
-  std::string_view source;
-  /** Entries that went may have lapsed with the store. */
-  bool is_lapse = false;
-  /** The store is of a later epoch and may hold older items than are known. */
-  bool is_restored = false;
-  /** A peer has it of a former epoch; the store holds an older one. */
-  bool is_kept = false;
-};
-
 /** Members are grouped by the file that works on them. */
 class gateway_core::impl : private gateway_view {
  public:
@@ -327,6 +292,8 @@
   void note_tried(const event::target_probed& e);
   void watch_reach();
   void try_connection(const target_state* target);
+  /** Tries connections to some of the targets, drawn anew each time. */
+  void try_some(std::vector<target_state*> targets, std::size_t count);
   void begin_cut();
   void end_cut(time_point since);
   void tell_cut(bool is_cut_off);
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -83,9 +83,7 @@
   std::erase_if(known, [&](const auto* target) {
     return target->entry.id == than || is_out_of_reach(*target);
   });
-  std::shuffle(known.begin(), known.end(), random_);
-  known.resize(std::min(kOthersTried, known.size()));
-  for (const auto* target : known) try_connection(target);
+  try_some(std::move(known), kOthersTried);
 }
 
 void gateway_core::impl::blame_refusing_targets() {
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -54,11 +54,14 @@
   }
   if (reach_.is_cut_off() && !was_cut_off) begin_cut();
   const auto count = reach_.probes_due_in_cut(now_);
-  if (count == 0) return;
-  auto known = targets_.staying(now_);
-  std::shuffle(known.begin(), known.end(), random_);
-  known.resize(std::min(count, known.size()));
-  for (const auto* target : known) try_connection(target);
+  if (count > 0) try_some(targets_.staying(now_), count);
+}
+
+void gateway_core::impl::try_some(std::vector<target_state*> targets,
+                                  std::size_t count) {
+  std::shuffle(targets.begin(), targets.end(), random_);
+  targets.resize(std::min(count, targets.size()));
+  for (const auto* target : targets) try_connection(target);
 }
 
 void gateway_core::impl::try_connection(const target_state* target) {
