Sight: the software version of a target, and which stream a request takes up

Cause: nothing read the version that a target's entry names, nor the header by which a caller names the earlier try that began its stream; the log could not tell a stream resumed at another version inside its answer from one taken up by its caller. dispatch, first_event and target_listed now name the version, dispatch which request is resumed and behind which event. No decision goes by it yet; an entry whose version is no text is another writer's and names no target.

--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -204,6 +204,8 @@
   /** IP:port. */
   std::string address;
   std::string failure_domain;
+  /** Version of the target's own software; empty: not told. */
+  std::string software;
   bool draining = false;
   std::uint32_t slots = 0;
   /** How much longer it was cold when this was written. */
@@ -333,6 +335,11 @@
   std::vector<std::string> prompt_parts;
   /** The last event that the caller has; empty: none. */
   std::string last_event;
+  /** The earlier request that brought the stream's first event; empty: none. */
+  std::string resumes;
+
+  /** Whether the caller goes on with a stream of an earlier request. */
+  bool takes_up() const { return !resumes.empty() || !last_event.empty(); }
 };
 
 /** What a target says of itself beside its answer to one request. */
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -118,6 +118,7 @@
                             std::nullopt});
   log("first_event", {{"request", x.facts.id},
                       {"target", x.target},
+                      {"software", x.software},
                       {"after_ms", to_ms(now_ - x.started)}});
 }
 
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -73,6 +73,7 @@
   begin_call(x);
   x.target = target.entry.id;
   x.target_life = target.entry.started_ms;
+  x.software = target.entry.software;
   x.is_after_rest = target.own_word.begin_trial(now_, x.target_life);
   x.tried.insert(x.target);
   work_began(x, target);
@@ -100,6 +101,9 @@
   log("dispatch",
       {{"request", x.facts.id},
        {"target", x.target},
+       {"software", x.software},
+       {"resumes", x.facts.resumes},
+       {"last_event", facts.last_event},
        {"distance", std::string(to_string(distance_to(target)))},
        {"adapter", x.facts.adapter.str()},
        {"version", static_cast<std::int64_t>(version)},
--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -72,6 +72,7 @@
   begin_call(x);
   x.target.clear();
   x.target_life = 0;
+  x.software.clear();
   x.relay = to;
   x.relays_tried.insert(to);
   ++counts_.relayed_out;
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -414,6 +414,7 @@
     log("target_listed",
         {{"target", entry.id},
          {"service", entry.service},
+         {"software", entry.software},
          {"draining", static_cast<std::int64_t>(entry.draining)},
          {"cold_left_ms", to_ms(entry.cold_left)}});
   }
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -91,6 +91,8 @@
   target_id target;
   /** When the target had started that it was sent to, in Unix ms; 0: untold. */
   std::uint64_t target_life = 0;
+  /** The target's software version when it was sent there; empty: untold. */
+  std::string software;
   /** The first to be sent there after a rest. */
   bool is_after_rest = false;
   time_point called_at;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -83,6 +83,20 @@
   EXPECT_EQ(make_platform_dialect()->read_store_epoch({}), 0U);
 }
 
+TEST_F(platform, reads_which_stream_a_request_takes_up) {
+  const std::vector<http_header> from_caller{
+      {"X-Request-Id", "2"}, {"resumes", "1"}, {"Last-Event-Id", "7"}};
+  const auto facts = d_->read_request(from_caller);
+  ASSERT_TRUE(facts);
+  EXPECT_EQ(facts.value().resumes, "1");
+  EXPECT_TRUE(facts.value().takes_up());
+  // A target is told, as of other headers.
+  const auto told = d_->call_headers(from_caller, {});
+  ASSERT_TRUE(find(told, "resumes"));
+  EXPECT_EQ(*find(told, "resumes"), "1");
+  EXPECT_FALSE(d_->read_request({{"X-Request-Id", "2"}}).value().takes_up());
+}
+
 TEST_F(platform, refuses_headers_that_contradict_themselves) {
   EXPECT_FALSE(d_->read_request({{"X-Deadline-Ms", "15"}}));
   EXPECT_FALSE(
@@ -91,6 +105,8 @@
       d_->read_request({{"X-Request-Id", "1"}, {"X-Deadline-Ms", "-5"}}));
   EXPECT_FALSE(
       d_->read_request({{"X-Request-Id", "1"}, {"X-Token-Count", "many"}}));
+  EXPECT_FALSE(d_->read_request(
+      {{"X-Request-Id", "1"}, {"Resumes", "a"}, {"resumes", "b"}}));
 }
 
 TEST_F(platform, hands_a_request_on_with_what_the_gateway_sets) {
@@ -284,6 +300,19 @@
   EXPECT_EQ(config.limits.body_bytes, 100U);
 }
 
+TEST_F(platform, reads_the_software_version_of_a_target) {
+  const auto software = [&](const std::string& field) {
+    return d_->read_item(
+        {"servers/i", 1, R"({"svc":"s","addr":"10.1.0.9:80")" + field + "}"});
+  };
+  const auto told = software(R"(,"cfg_ver":"v1.2")");
+  ASSERT_TRUE(told);
+  EXPECT_EQ(std::get<target_entry>(told.value()).software, "v1.2");
+  EXPECT_EQ(std::get<target_entry>(software("").value()).software, "");
+  // An entry of another writer.
+  EXPECT_FALSE(software(R"(,"cfg_ver":2)"));
+}
+
 TEST_F(platform, reads_targets_versions_and_reports) {
   const auto read =
       d_->read_item({"servers/i-7f", 9,
