--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -6,6 +6,18 @@
 #include "gateway_world_impl.h"
 
 namespace seamglade::fakes {
+namespace {
+
+/** Returns the id of the last event in a text; empty: there is none. */
+std::string last_event_of(const std::string& body) {
+  constexpr std::string_view kId = "id: ";
+  const auto at = body.rfind(kId);
+  if (at == std::string::npos) return {};
+  const auto from = at + kId.size();
+  return body.substr(from, body.find_first_of("\r\n", from) - from);
+}
+
+}  // namespace
 
 gateway_world::gateway_world(gateway_world_options options)
     : options_(std::move(options)),
@@ -21,6 +33,7 @@
     made->domain =
         options_.target_domains[index % options_.target_domains.size()];
     made->engine = engine;
+    made->software = options_.software[index % options_.software.size()];
     made->born_ms = kFirstStartMs;
     auto& ref = *made;
     targets_[made->id] = std::move(made);
@@ -354,6 +367,24 @@
                 repeatable, adapter, content);
 }
 
+gateway_call& gateway_world::take_up(member_address entry,
+                                     const gateway_call& earlier) {
+  std::string last_event;
+  for (const auto* call = &earlier; call != nullptr && last_event.empty();
+       call = call->earlier) {
+    last_event = last_event_of(call->body);
+  }
+  auto& made =
+      submit(entry, "/llm2/x",
+             {{"X-Model", fmt::format("{}/{}", kModel, earlier.adapter)},
+              {"X-Token-Count", "100,10"},
+              {"Resumes", earlier.begun_by().id},
+              {"Last-Event-Id", last_event}},
+             true, earlier.adapter);
+  made.earlier = &earlier;
+  return made;
+}
+
 gateway_call& gateway_world::call_plain(member_address entry, bool repeatable) {
   return call_plain_with(entry, {}, repeatable);
 }
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -60,6 +60,9 @@
                                   bool is_public = false,
                                   const std::string& body = "body");
   void leave(gateway_call& call);
+  /** Takes a stream up behind the last event that an earlier call brought. */
+  gateway_call& take_up(gateway::member_address entry,
+                        const gateway_call& earlier);
 
   std::vector<gateway::member_address> instances() const;
   void kill(gateway::member_address who);
@@ -114,6 +117,12 @@
   std::vector<std::string> holders_of(const std::string& adapter) const;
   /** It comes back under another id, cold if any is. Returns the id. */
   std::string restart_engine(const std::string& id);
+  /**
+   * It ends, and after `down` it is back under its id and address with another
+   * software version, holding nothing; its entry follows `entry_late` later.
+   */
+  void upgrade_in_place(const std::string& id, const std::string& software,
+                        duration down = 1s, duration entry_late = 0ms);
   /**
    * From now on a target ends soon after it has begun to run this body. It
    * refuses connections for `down`, and is back under another id.
@@ -278,6 +287,8 @@
   bool cuts_stream(const instance& from, const target& at,
                    const gateway::action::call_target& call);
   struct stream_run;
+  /** A target that starts holds and knows nothing of before. */
+  void begin_life(target& which);
   std::shared_ptr<stream_run> make_run(
       const instance& from, target& at,
       const gateway::action::call_target& call);
--- a/fakes/gateway_world_faults.cc
+++ b/fakes/gateway_world_faults.cc
@@ -7,30 +7,52 @@
 
 namespace seamglade::fakes {
 
+void gateway_world::begin_life(target& which) {
+  which.adapters.clear();
+  which.pending.clear();
+  which.running.clear();
+  which.has_model = false;
+  which.busy = false;
+  which.sequence = 0;
+  which.beats = 0;
+  which.born_ms =
+      kFirstStartMs + static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
+  which.highest_fence = 0;
+  which.last_holder.clear();
+  which.fence_holders.clear();
+  which.history.clear();
+  which.told.clear();
+  which.says_leaving = false;
+  which.limit = {};
+  which.limits.clear();
+  which.arrivals.clear();
+  which.turns_away_until = {};
+}
+
+void gateway_world::upgrade_in_place(const std::string& id,
+                                     const std::string& software, duration down,
+                                     duration entry_late) {
+  auto& t = *targets_.at(id);
+  if (t.down) return;
+  t.down = true;
+  ++t.blackouts;
+  break_calls(t);
+  later(down, [this, t = &t, software, entry_late] {
+    begin_life(*t);
+    // Its model is on its disk still, so that it serves at once.
+    t->has_model = true;
+    t->software = software;
+    t->down = false;
+    later(entry_late, [this, t] { publish_target(*t); });
+  });
+}
+
 std::string gateway_world::restart_engine(const std::string& id) {
   auto node = targets_.extract(id);
   auto& old = *node.mapped();
   put("servers/" + id, std::nullopt);
   old.id = id + "'";
-  old.adapters.clear();
-  old.pending.clear();
-  old.running.clear();
-  old.has_model = false;
-  old.busy = false;
-  old.sequence = 0;
-  old.beats = 0;
-  old.born_ms =
-      kFirstStartMs + static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
-  old.highest_fence = 0;
-  old.last_holder.clear();
-  old.fence_holders.clear();
-  old.history.clear();
-  old.told.clear();
-  old.says_leaving = false;
-  old.limit = {};
-  old.limits.clear();
-  old.arrivals.clear();
-  old.turns_away_until = {};
+  begin_life(old);
   node.key() = old.id;
   auto* t = &old;
   targets_.insert(std::move(node));
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -92,6 +92,7 @@
   std::string address;
   std::string domain;
   bool engine = false;
+  std::string software;
   /** Its start in Unix ms, and how often it has written its entry since. */
   std::uint64_t born_ms = 0;
   std::uint64_t beats = 0;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -139,9 +139,9 @@
                                       std::max<std::int64_t>(0, left))
                         : std::string();
   return fmt::format(
-      R"({{"svc":"{}","addr":"{}","zone":"{}","slots":{},"state":"{}",)"
-      R"("born":{},"seq":{},"models":{}{}}})",
-      which.service, which.address, which.domain, slots,
+      R"({{"svc":"{}","addr":"{}","zone":"{}","cfg_ver":"{}","slots":{},)"
+      R"("state":"{}","born":{},"seq":{},"models":{}{}}})",
+      which.service, which.address, which.domain, which.software, slots,
       which.draining ? "draining" : "ready", which.born_ms, which.beats, models,
       cold);
 }
--- a/fakes/gateway_world_streams.cc
+++ b/fakes/gateway_world_streams.cc
@@ -16,8 +16,10 @@
 
 /** Returns the lines of an event, the empty one that ends it included. */
 std::vector<std::string> event_lines(const std::string& request,
-                                     std::size_t number) {
+                                     std::size_t number,
+                                     const std::string& software) {
   std::vector<std::string> lines{fmt::format("id: {}", number)};
+  if (!software.empty()) lines.push_back("data: software " + software);
   if (number % 3 == 0) lines.emplace_back(": comment");
   lines.push_back(fmt::format("data: {} {}", request, number));
   if (number % 2 == 0) lines.emplace_back("data: second line");
@@ -31,11 +33,11 @@
 };
 
 stream_body make_body(const std::string& request, const fake_stream& how,
-                      std::size_t skipped) {
+                      std::size_t skipped, const std::string& software = {}) {
   stream_body out;
   std::size_t line_number = 0;
   for (auto number = skipped + 1; number <= how.events; ++number) {
-    for (const auto& line : event_lines(request, number)) {
+    for (const auto& line : event_lines(request, number, software)) {
       auto end = how.line_ends[line_number % how.line_ends.size()];
       // Behind a carriage return a line feed would end the same line.
       if (line.empty() && out.text.ends_with('\r')) end = "\r\n";
@@ -91,8 +93,9 @@
   run->blackouts = at.blackouts;
   run->how = *at.streams;
   const auto last = header_of(call.headers, "Last-Event-Id");
-  auto body =
-      make_body(run->request, run->how, last.empty() ? 0 : std::stoul(last));
+  const auto software = run->how.tells_software ? at.software : std::string();
+  auto body = make_body(run->request, run->how,
+                        last.empty() ? 0 : std::stoul(last), software);
   run->text = run->how.other_body.value_or(std::move(body.text));
   run->event_ends = std::move(body.event_ends);
   const bool is_cut =
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -51,6 +51,8 @@
   std::uint64_t seed = 1;
   /** Failure domains of the targets, dealt in turn. */
   std::vector<std::string> target_domains = {"east"};
+  /** Software versions of the engines, dealt in turn. */
+  std::vector<std::string> software = {"v1"};
   /** Those of the instances, dealt in turn. */
   std::vector<std::string> instance_domains = {"west", "east"};
   /** The region of each failure domain; one that is not named is its own. */
@@ -88,8 +90,15 @@
   duration retry_after{};
   /** What it sent. */
   std::string content;
+  /** The call that this one takes up, which may have taken one up itself. */
+  const gateway_call* earlier = nullptr;
   time_point sent;
   time_point ended;
+
+  /** Returns the first call of the stream. */
+  const gateway_call& begun_by() const {
+    return earlier == nullptr ? *this : earlier->begun_by();
+  }
 };
 
 /** What a caller sends beside the usual, and where it comes from. */
@@ -148,6 +157,8 @@
 struct fake_stream {
   gateway::body_framing framing = gateway::body_framing::chunked;
   std::size_t events = 4;
+  /** Each event names the software version that wrote it. */
+  bool tells_software = false;
   /** Taken in turn, line by line. */
   std::vector<std::string> line_ends = {"\n"};
   /** Sent in place of events, with its media type. */
--- /dev/null
+++ b/test/version_play.h
@@ -0,0 +1,167 @@
+// seamglade - streams before targets of several software versions, and callers
+// that take broken ones up again
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#ifndef SEAMGLADE_TEST_VERSION_PLAY_H_
+#define SEAMGLADE_TEST_VERSION_PLAY_H_
+
+#include <map>
+#include <set>
+
+#include "stream_checks.h"
+
+namespace seamglade {
+
+/** Returns the software versions that wrote the events of a text. */
+inline std::set<std::string> versions_in(const std::string& text) {
+  constexpr std::string_view kMark = "data: software ";
+  std::set<std::string> out;
+  for (auto at = text.find(kMark); at != std::string::npos;
+       at = text.find(kMark, at + 1)) {
+    const auto from = at + kMark.size();
+    out.insert(text.substr(from, text.find('\n', from) - from));
+  }
+  return out;
+}
+
+/** What became of streams, from their first calls to the last. */
+struct version_counts {
+  /** Streams with events of more than one version. */
+  std::size_t joined = 0;
+  std::size_t begun = 0;
+  std::size_t sent = 0;
+  /** Calls that take a stream up, and those that got events. */
+  std::size_t taken_up = 0;
+  std::size_t went_on = 0;
+  /** Streams that their callers have whole. */
+  std::size_t whole = 0;
+
+  double begun_share() const { return share(begun, sent); }
+  double went_on_share() const { return share(went_on, taken_up); }
+
+ private:
+  static double share(std::size_t part, std::size_t all) {
+    return all == 0 ? 1 : static_cast<double>(part) / static_cast<double>(all);
+  }
+};
+
+/** A fleet under a load of resumable streams, whose callers do not give up. */
+class version_play {
+ public:
+  static constexpr std::size_t kEvents = 40;
+  static constexpr duration kGap = 25ms;
+  static constexpr int kAdapters = 12;
+
+  static gateway_world_options options(std::uint64_t seed) {
+    gateway_world_options out;
+    out.instances = 6;
+    out.engines = 12;
+    out.plain_targets = 1;
+    out.adapter_slots = 12;
+    out.software = {"v1", "v2"};
+    out.seed = seed;
+    return out;
+  }
+
+  explicit version_play(const gateway_world_options& options)
+      : random_(options.seed), world_(options) {
+    const bool is_large = options.instances > 13;
+    world_.run_for(is_large ? kLargeSettled : kSettled);
+    send_streams();
+  }
+
+  gateway_world& world() { return world_; }
+
+  /** Has engines that start from now on send streams as all do. */
+  void send_streams() {
+    fakes::fake_stream how;
+    how.events = kEvents;
+    how.tells_software = true;
+    how.gap = 15ms;
+    for (const auto& id : world_.engines()) world_.send_streams(id, how);
+  }
+
+  /** Begins streams for a time, and takes up those that break. */
+  void load(duration time) {
+    const auto entries = world_.instances();
+    for (int i = 0; i * kGap < time; ++i) {
+      world_.at(world_.now() + i * kGap, [this, entries, i] {
+        const auto entry = entries[random_() % entries.size()];
+        world_.call_engine(entry, fmt::format("a{}", i % kAdapters), true);
+      });
+    }
+    // Callers notice soon, and go on for as long as a stream may take.
+    for (auto t = 0ms; t < time + 8s; t += 5ms) {
+      world_.at(world_.now() + t, [this] { take_up_broken(); });
+    }
+  }
+
+  /** Breaks the connections of callers that have events, of one instance. */
+  void reset_callers(gateway::member_address entry) {
+    for (const auto& call : world_.calls()) {
+      const bool is_open = call->ended == time_point{};
+      if (!is_open || call->entry != entry || call->body.empty()) continue;
+      world_.leave(*call);
+      call->aborted = true;
+    }
+  }
+
+  version_counts counts(time_point from = {}) {
+    version_counts out;
+    std::map<const gateway_call*, std::set<std::string>> versions;
+    for (const auto& call : world_.calls()) {
+      const auto& first = call->begun_by();
+      if (first.sent < from || call->adapter.empty()) continue;
+      const bool has_events = call->status == kOk && !call->body.empty();
+      versions[&first].merge(versions_in(call->body));
+      const bool is_first = call->earlier == nullptr;
+      if (is_unread(*call)) continue;
+      ++(is_first ? out.sent : out.taken_up);
+      if (has_events) ++(is_first ? out.begun : out.went_on);
+      if (has_events && call->complete) ++out.whole;
+    }
+    for (const auto& [first, seen] : versions) {
+      if (seen.size() > 1) ++out.joined;
+    }
+    return out;
+  }
+
+ private:
+  /** Whether a call took a stream up at an instance that was down. */
+  static bool is_unread(const gateway_call& call) {
+    return call.earlier != nullptr && call.aborted && call.status == 0;
+  }
+
+  void take_up_broken() {
+    std::vector<gateway_call*> broken;
+    for (auto i = first_open_; i < world_.calls().size(); ++i) {
+      auto* call = world_.calls()[i].get();
+      const bool is_over = call->ended != time_point{};
+      if (!is_over || !handled_.insert(call).second) continue;
+      const bool has_time = world_.now() - call->begun_by().sent < 7s;
+      const bool is_broken = call->aborted && !call->body.empty();
+      if ((is_broken || is_unread(*call)) && has_time) broken.push_back(call);
+    }
+    while (first_open_ < world_.calls().size() &&
+           handled_.contains(world_.calls()[first_open_].get())) {
+      ++first_open_;
+    }
+    const auto entries = world_.instances();
+    for (const auto* call : broken) {
+      auto entry = entries[random_() % entries.size()];
+      if (entry == call->entry) entry = entries.front();
+      world_.take_up(entry, *call);
+    }
+  }
+
+  std::mt19937_64 random_;
+  gateway_world world_;
+  std::size_t first_open_ = 0;
+  std::set<const gateway_call*> handled_;
+};
+
+}  // namespace seamglade
+
+#endif  // SEAMGLADE_TEST_VERSION_PLAY_H_
