A stream goes on only at the software version that began it

What callers saw: streams with events of two versions of one service's targets; inside one answer when it was resumed, and over their own tries. Cause: all targets of a service were taken to be alike. Nothing read the version, and an instance knew only the streams that it had served itself.

The instance that passes the first event on keeps the version, and tells others before the event leaves: all in a small fleet, the first four by rendezvous of the stream's key in a large one, and only while a service has several versions. Who is asked to take a stream up asks them; what nobody knows goes on only where one version alone serves, and is refused at once elsewhere. One place, may_run_at, decides which targets a stream may go to, so it holds for each way on: broken and hung calls, leaving targets, lost domains, calls handed on. A version is certain only while the target cannot have started again unseen (restart_doubt.h).

--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -300,7 +300,7 @@
   void send_head(const stream_run& run);
   /** `how`: by what the target truncates it; none: it is whole. */
   void end_stream(stream_run& run, std::optional<fake_stream::ending> how);
-  void judge_pace(const stream_run& run);
+  void judge_pace(const std::shared_ptr<stream_run>& run);
   /** Judges a run by the regions of its service and its workspace. */
   void judge_region(const target& at, const gateway_call& call);
   std::string region_of(const std::string& domain) const;
--- a/fakes/gateway_world_relays.cc
+++ b/fakes/gateway_world_relays.cc
@@ -37,7 +37,8 @@
     }
     const auto caller = next_caller_++;
     open_relays_[caller] = {who, life, call.call, call.to};
-    event::request request{caller, {}, relayed_request{who, call.runs}};
+    event::request request{
+        caller, {}, relayed_request{who, call.runs, false, call.origin}};
     request.message.method = call.method;
     request.message.target = call.target;
     request.message.host = call.host;
@@ -63,6 +64,7 @@
                               head->headers};
     if (!head->length) answer.framing = body_framing::chunked;
     answer.is_no_help = head->is_no_help;
+    answer.origin = head->origin;
     give(std::move(answer));
     return;
   }
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -47,6 +47,8 @@
   answer_carrier carrier = {};
   /** From an instance that can't help with the request, and did not run it. */
   bool is_no_help = false;
+  /** From an instance: where the stream began; none: not told. */
+  std::optional<stream_origin> origin = {};
 };
 struct answer_data {
   call_id call = 0;
@@ -133,6 +135,8 @@
   std::optional<std::uint64_t> length;
   /** Tells the instance that handed the request on to try another. */
   bool is_no_help = false;
+  /** Tells that instance where the stream began. */
+  std::optional<stream_origin> origin = {};
 };
 struct reply_data {
   caller_id caller = 0;
@@ -167,6 +171,8 @@
   std::shared_ptr<const std::string> body;
   /** Targets on which it may have run. */
   std::uint32_t runs = 0;
+  /** Where the stream began that it goes on with; none: it begins one. */
+  std::optional<stream_origin> origin = {};
 };
 struct cancel_call {
   call_id call = 0;
@@ -360,6 +366,23 @@
   std::uint64_t all_evacuated = 0;
   /** Requests refused since no target is in a region where they may run. */
   std::uint64_t no_allowed_region = 0;
+  /** Requests that take an earlier stream up, by what became of them. */
+  std::uint64_t taken_up = 0;
+  /** Of these: nobody knew the stream, and one version alone serves. */
+  std::uint64_t taken_up_unknown = 0;
+  /** Refused since nobody can tell at which version the stream began. */
+  std::uint64_t origin_unknown = 0;
+  /** Refused, or broken off, since no target of that version is left. */
+  std::uint64_t origin_gone = 0;
+  /** Streams that others were told of, and questions asked of others. */
+  std::uint64_t origins_told = 0;
+  std::uint64_t origin_questions = 0;
+  /** Streams whose version is known here. */
+  std::size_t origins = 0;
+  /** Services whose targets were of several versions lately. */
+  std::size_t mixed_services = 0;
+  /** First events by the version that wrote them. */
+  std::map<std::string, std::uint64_t> begun_streams;
   /** Given and refused here, as the grantor of targets that bear few. */
   std::uint64_t grants_given = 0;
   std::uint64_t grants_refused = 0;
--- a/include/seamglade/gateway_peers.h
+++ b/include/seamglade/gateway_peers.h
@@ -235,13 +235,20 @@
   friend bool operator==(const word_message&, const word_message&) = default;
 };
 
-using peer_message =
-    std::variant<heartbeat, interest_message, residency_message, news_message,
-                 loads_message, probe_request, probe_answer,
-                 confirmation_request, confirmation_answer, quota_request,
-                 quota_answer, admission_request, admission_answer,
-                 admission_end, domain_alarm, grant_request, grant_answer,
-                 blame_message, word_message>;
+/** Streams that began at the sender, for those that keep word of them. */
+struct origin_message {
+  std::vector<origin_row> rows;
+
+  friend bool operator==(const origin_message&,
+                         const origin_message&) = default;
+};
+
+using peer_message = std::variant<
+    heartbeat, interest_message, residency_message, news_message, loads_message,
+    probe_request, probe_answer, confirmation_request, confirmation_answer,
+    quota_request, quota_answer, admission_request, admission_answer,
+    admission_end, domain_alarm, grant_request, grant_answer, blame_message,
+    word_message, origin_message, origin_request, origin_answer>;
 
 /** Encodes a message; never above a datagram's size for sane contents. */
 std::string encode_peer_message(const peer_message& message);
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -397,6 +397,29 @@
                           const request_fingerprint&) = default;
 };
 
+/**
+ * Names a stream over a caller's tries: hash of its workspace and of the id of
+ * the request that brought its first event.
+ */
+using stream_key = std::uint64_t;
+
+/** Hash of a service's name, and of a version of its targets' software. */
+using service_hash = std::uint64_t;
+using software_hash = std::uint64_t;
+
+/** Where a stream began: it may go on only at this service and version. */
+struct stream_origin {
+  service_hash service = 0;
+  /** 0: nobody can tell which version it was. */
+  software_hash software = 0;
+
+  bool is_certain() const { return software != 0; }
+  friend bool operator==(const stream_origin&, const stream_origin&) = default;
+};
+
+/** Returns the hash of a version, never 0; none that is told is a version. */
+software_hash hash_of_software(std::string_view version);
+
 /** What an instance tells of a request that it hands on to another. */
 struct relayed_request {
   /** IPv4 number of the instance that handed it on, in host order. */
@@ -405,6 +428,8 @@
   std::uint32_t runs = 0;
   /** This instance can't help with it: another may. */
   bool is_no_help = false;
+  /** Where the stream began that it goes on with; none: not told. */
+  std::optional<stream_origin> origin = {};
 };
 
 /** A caller's request as it was read; passed on unchanged. */
--- a/include/seamglade/peer_questions.h
+++ b/include/seamglade/peer_questions.h
@@ -7,6 +7,7 @@
 #define SEAMGLADE_PEER_QUESTIONS_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "seamglade/peer_rows.h"
 
@@ -135,6 +136,28 @@
   friend bool operator==(const grant_answer&, const grant_answer&) = default;
 };
 
+/** Asks where a stream began that a caller takes up. */
+struct origin_request {
+  /** Names the question at the sender. */
+  std::uint64_t request = 0;
+  stream_key stream = 0;
+  /** Where it would go if nobody knows. */
+  service_hash service = 0;
+
+  friend bool operator==(const origin_request&,
+                         const origin_request&) = default;
+};
+
+struct origin_answer {
+  std::uint64_t request = 0;
+  /** None: the sender does not know the stream. */
+  std::optional<stream_origin> origin;
+  /** The sender has seen targets of one version only in the service lately. */
+  bool is_single_version = false;
+
+  friend bool operator==(const origin_answer&, const origin_answer&) = default;
+};
+
 }  // namespace seamglade::gateway
 
 #endif  // SEAMGLADE_PEER_QUESTIONS_H_
--- a/include/seamglade/peer_rows.h
+++ b/include/seamglade/peer_rows.h
@@ -92,6 +92,14 @@
   friend bool operator==(const target_end&, const target_end&) = default;
 };
 
+/** Where a stream began. */
+struct origin_row {
+  stream_key stream = 0;
+  stream_origin origin;
+
+  friend bool operator==(const origin_row&, const origin_row&) = default;
+};
+
 /** The ends of targets at which one request was running. */
 struct blame_row {
   request_fingerprint request;
--- a/src/connection/gateway_wire_decode.cc
+++ b/src/connection/gateway_wire_decode.cc
@@ -278,6 +278,29 @@
                       duration(from.spent_for_us())};
 }
 
+origin_row read(const frames::StreamOrigin& from) {
+  return {from.stream(), {from.service(), from.software()}};
+}
+
+peer_message read(const frames::Origins& from) {
+  origin_message out;
+  each(from.rows(),
+       [&](const frames::StreamOrigin& row) { out.rows.push_back(read(row)); });
+  return out;
+}
+
+peer_message read(const frames::OriginRequest& from) {
+  return origin_request{from.request(), from.stream(), from.service()};
+}
+
+peer_message read(const frames::OriginAnswer& from) {
+  origin_answer out;
+  out.request = from.request();
+  if (from.origin() != nullptr) out.origin = read(*from.origin()).origin;
+  out.is_single_version = from.is_single_version();
+  return out;
+}
+
 }  // namespace
 
 result<peer_message> decode_peer_message(std::string_view bytes) {
@@ -306,6 +329,9 @@
   if (const auto* word = frame->body_as_GrantAnswer()) return read(*word);
   if (const auto* blames = frame->body_as_Blames()) return read(*blames);
   if (const auto* words = frame->body_as_TargetWords()) return read(*words);
+  if (const auto* rows = frame->body_as_Origins()) return read(*rows);
+  if (const auto* ask = frame->body_as_OriginRequest()) return read(*ask);
+  if (const auto* word = frame->body_as_OriginAnswer()) return read(*word);
   return bad_frame("datagram of an unknown kind");
 }
 
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -309,6 +309,31 @@
                                    from.is_granted, from.spent_for.count());
 }
 
+frames::StreamOrigin write(const origin_row& from) {
+  return {from.stream, from.origin.service, from.origin.software};
+}
+
+fb::Offset<frames::Origins> write(fb::FlatBufferBuilder& b,
+                                  const origin_message& from) {
+  std::vector<frames::StreamOrigin> rows;
+  for (const auto& row : from.rows) rows.push_back(write(row));
+  return frames::CreateOriginsDirect(b, &rows);
+}
+
+fb::Offset<frames::OriginRequest> write(fb::FlatBufferBuilder& b,
+                                        const origin_request& from) {
+  return frames::CreateOriginRequest(b, from.request, from.stream,
+                                     from.service);
+}
+
+fb::Offset<frames::OriginAnswer> write(fb::FlatBufferBuilder& b,
+                                       const origin_answer& from) {
+  const auto origin =
+      write(origin_row{0, from.origin.value_or(stream_origin())});
+  return frames::CreateOriginAnswer(
+      b, from.request, from.origin ? &origin : nullptr, from.is_single_version);
+}
+
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
 frames::Body kind_of(const interest_message&) { return frames::Body::Interest; }
 frames::Body kind_of(const residency_message&) {
@@ -346,6 +371,13 @@
 frames::Body kind_of(const grant_answer&) { return frames::Body::GrantAnswer; }
 frames::Body kind_of(const blame_message&) { return frames::Body::Blames; }
 frames::Body kind_of(const word_message&) { return frames::Body::TargetWords; }
+frames::Body kind_of(const origin_message&) { return frames::Body::Origins; }
+frames::Body kind_of(const origin_request&) {
+  return frames::Body::OriginRequest;
+}
+frames::Body kind_of(const origin_answer&) {
+  return frames::Body::OriginAnswer;
+}
 
 }  // namespace
 
--- a/src/connection/relay_headers.h
+++ b/src/connection/relay_headers.h
@@ -22,6 +22,12 @@
 /** In an answer: the instance can't help with the request; it did not run. */
 inline constexpr std::string_view kRelayNoHelp = "Seamglade-Relay-No-Help";
 
+/**
+ * Where a stream began, in a request that goes on with it and in an answer:
+ * SERVICE/SOFTWARE, the hashes in hex.
+ */
+inline constexpr std::string_view kRelayOrigin = "Seamglade-Relay-Origin";
+
 /** How the call was named that handed a request on, and what it told. */
 struct relay_call {
   std::string name;
@@ -34,6 +40,11 @@
  */
 std::optional<relay_call> take_relay_call(std::vector<http_header>& headers,
                                           std::uint32_t from);
+/** Returns the header that tells an origin. */
+http_header origin_header(const gateway::stream_origin& origin);
+/** Returns the origin that headers tell; none: none is told, or unreadable. */
+std::optional<gateway::stream_origin> read_origin(
+    const std::vector<http_header>& headers);
 bool has_header(const std::vector<http_header>& headers, std::string_view name);
 /** Removes all headers above, which callers and targets may have sent. */
 void drop_relay_headers(std::vector<http_header>& headers);
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -60,6 +60,7 @@
           next_beat_ = now_;
           close_accounts();
           close_grants();
+          hand_origins_over();
           log("drain_started",
               {{"requests", static_cast<std::int64_t>(exchanges_.size())}},
               true);
@@ -107,6 +108,7 @@
   settle_contradictions();
   if (now_ >= next_claim_check_) tick_claims();
   tick_workspaces();
+  tick_tracing();
   watch_domains();
   watch_reach();
   tick_grants();
@@ -119,6 +121,7 @@
     targets_.expire(now_);
     ends_.expire(now_);
     reach_.expire(now_);
+    expire_origins();
     quarantine_.expire(now_);
   }
   waiting_dirty_ = true;
@@ -130,6 +133,10 @@
     if (x.now == exchange::phase::metered && x.way != nullptr) {
       next = std::min(next, std::max(x.quota.answer_until, now_ + kLeastPause));
     }
+    if (x.now == exchange::phase::tracing) {
+      const auto due = x.tracing.again_at.value_or(x.tracing.until);
+      next = std::min(next, std::max(due, now_ + 1ms));
+    }
     if (x.now != exchange::phase::waiting) continue;
     if (waiting_dirty_) next = std::min(next, now_ + kLeastPause);
     const bool asks = x.asked_until.has_value();
@@ -180,6 +187,8 @@
   out.evacuated_domains = domains_.evacuated();
   out.quarantined = quarantine_.refused(now);
   out.blamed = quarantine_.size();
+  out.origins = origins_.size();
+  out.mixed_services = history_.mixed_services();
   for (const auto* target : targets_.listed()) {
     const auto life = target->entry.started_ms;
     out.said_leaving += target->own_word.is_leaving(life) ? 1 : 0;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -94,6 +94,7 @@
     // An instance promises what it promises to callers.
     x->answer.not_run = promises_not_run(x->status);
     x->is_no_help = e.is_no_help;
+    x->told_origin = e.origin;
   }
   note_answer(*x);
   hear_answer(*x);
@@ -114,8 +115,10 @@
 void gateway_core::impl::send_stream_head(exchange& x) {
   if (x.head_sent) return;
   x.head_sent = true;
-  do_act(action::reply_head{x.caller, x.status, x.reason, x.headers,
-                            std::nullopt});
+  action::reply_head head{x.caller, x.status, x.reason, x.headers,
+                          std::nullopt};
+  head.origin = x.origin;
+  do_act(std::move(head));
   log("first_event", {{"request", x.facts.id},
                       {"target", x.target},
                       {"software", x.software},
@@ -126,12 +129,33 @@
   auto events = x.events.take_events();
   if (events.empty()) return;
   reading_ended(x);
+  if (!x.first_event && !is_of_origin(x)) return leave_doubtful_call(x);
   if (!x.first_event) x.first_event = now_;
+  note_origin(x);
   send_stream_head(x);
   do_act(action::reply_data{
       x.caller, std::make_shared<const std::string>(std::move(events))});
 }
 
+bool gateway_core::impl::is_of_origin(const exchange& x) {
+  if (!x.origin || x.relay != 0) return true;
+  const auto* target = target_of(x);
+  return target != nullptr && is_version_certain(x, *target);
+}
+
+void gateway_core::impl::leave_doubtful_call(exchange& x) {
+  log("stream_left",
+      {{"request", x.facts.id}, {"target", x.target}, {"software", x.software}},
+      true);
+  do_act(action::cancel_call{x.call});
+  end_call(x, true, false);
+  x.status = 0;
+  x.events.restart();
+  if (may_retry(x, true)) return retry(x, "other_version");
+  if (x.head_sent) return abort_answer(x);
+  refuse(x, kBadGateway, {}, "stream_version_unknown");
+}
+
 void gateway_core::impl::on(event::answer_end&& e) {
   auto* x = by_call(e.call);
   if (x == nullptr) return;
@@ -139,6 +163,7 @@
   const bool whole = end == call_end::complete;
   note_end(*x, whole);
   if (!whole && x->status == 0) note_unreached(x->target, end);
+  if (!whole) doubt_life(*x, end);
   if (x->status != 0) ++counts_.answer_ends[{x->framing, end}];
   if (end == call_end::not_sent) {
     end_call(*x, false, true);
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -60,6 +60,7 @@
   x.body.clear();
   x.answer = {};
   x.is_no_help = false;
+  x.told_origin.reset();
   x.is_proven = false;
   calls_[x.call] = x.caller;
 }
--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -27,6 +27,7 @@
 constexpr std::size_t kToldNext = 4;
 constexpr std::string_view kAllEvacuated = "domains_evacuated";
 constexpr std::string_view kNoRegion = "no_allowed_region";
+constexpr std::string_view kVersionGone = "stream_version_gone";
 
 }  // namespace
 
@@ -118,7 +119,7 @@
                               const target_state& target) const {
   if (target.has_left(now_)) return false;
   if (domains_.is_evacuated(target.entry.failure_domain)) return false;
-  return is_in_allowed_region(x, target);
+  return is_in_allowed_region(x, target) && may_go_on_at(x, target);
 }
 
 std::vector<target_state*> gateway_core::impl::targets_for(const exchange& x) {
@@ -141,26 +142,34 @@
 std::optional<std::string_view> gateway_core::impl::why_unservable(
     const exchange& x) {
   bool has_target = false;
+  bool has_version = false;
   bool is_allowed = false;
   for (const auto* target : targets_.staying(now_)) {
     if (target->entry.service != x.service->name) continue;
     if (may_run_at(x, *target)) return std::nullopt;
     has_target = true;
+    has_version = has_version || may_go_on_at(x, *target);
     is_allowed = is_allowed || is_in_allowed_region(x, *target);
   }
   if (!has_target) return std::nullopt;
+  if (!has_version) return kVersionGone;
   return is_allowed ? kAllEvacuated : kNoRegion;
 }
 
 bool gateway_core::impl::refuse_unservable(exchange& x) {
   const auto reason = why_unservable(x);
-  if (!reason || x.head_sent) return false;
-  ++(*reason == kNoRegion ? counts_.no_allowed_region : counts_.all_evacuated);
+  if (!reason) return false;
+  if (*reason == kVersionGone) ++counts_.origin_gone;
+  if (x.head_sent) return false;
+  if (*reason == kNoRegion) ++counts_.no_allowed_region;
+  if (*reason == kAllEvacuated) ++counts_.all_evacuated;
   if (x.runs > 0) {
     // It may have run where it was first sent: nothing is promised.
     refuse(x, kBadGateway, {}, *reason);
   } else {
-    refuse(x, kUnavailable, kComeBackLater, *reason);
+    // A version that has gone does not come back.
+    const auto later = *reason == kVersionGone ? duration{} : kComeBackLater;
+    refuse(x, kUnavailable, later, *reason);
   }
   return true;
 }
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -164,6 +164,8 @@
   void on(event::request&& e);
   /** Finds a request's route and service, and a target for it. */
   void route(exchange& x);
+  /** Counts a request of a known service, and has it placed. */
+  void admit(exchange& x);
   /** Names what of a request may end its targets. */
   static void name_contents(exchange& x);
   /** The same for those that came before the first configuration. */
@@ -231,6 +233,12 @@
   void take(member_address from, const grant_request& message);
   void take(member_address from, const grant_answer& message);
 
+  // gateway_answers.cc
+  /** Returns whether its target surely runs the version that it goes on at. */
+  bool is_of_origin(const exchange& x);
+  /** Ends a call whose target may run another version. */
+  void leave_doubtful_call(exchange& x);
+
   // gateway_work.cc
   /** A request of this instance goes to a target. */
   void work_began(exchange& x, target_state& target);
@@ -262,6 +270,8 @@
   /** A call ended; `is_whole`: with an answer. */
   void note_end(const exchange& x, bool is_whole);
   void note_life_of(const target_id& target);
+  /** A call broke, or was not sent: its target may have started again. */
+  void doubt_life(const exchange& x, call_end how);
   void note_life_in(domain_key domain, bool is_member);
   /** Takes any datagram as a sign of life. */
   void heard_from(member_address who);
@@ -298,6 +308,32 @@
   void end_cut(time_point since);
   void tell_cut(bool is_cut_off);
 
+  // gateway_origins.cc
+  /** Finds where the stream began that a request takes up, if it does. */
+  void follow_stream(exchange& x);
+  /** Asks who may know; returns false where nobody is. */
+  bool ask_origin(exchange& x);
+  void send_origin_requests(const exchange& x);
+  /** Nobody knows: it goes on only where one version alone serves. */
+  void end_tracing(exchange& x);
+  void refuse_unknown(exchange& x, duration retry_after);
+  /** `source`: who knew, for the log. */
+  void go_on(exchange& x, const stream_origin& origin, std::string_view source);
+  /** The first event of a stream is about to be passed on. */
+  void note_origin(exchange& x);
+  void keep_origin(const exchange& x);
+  void tell_origins(const std::vector<origin_row>& rows);
+  /** In a planned stop, for those that began to listen after a stream did. */
+  void hand_origins_over();
+  void note_software(const target_entry& entry);
+  /** The target has started again: what runs there may be of either life. */
+  void doubt_streams_at(const target_id& target);
+  void expire_origins();
+  void tick_tracing();
+  void take(member_address from, const origin_message& message);
+  void take(member_address from, const origin_request& message);
+  void take(member_address from, const origin_answer& message);
+
   // gateway_relay.cc
   /** Hands a request on; returns false where no instance can be asked. */
   bool relay(exchange& x);
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -48,6 +48,17 @@
   if (took && !x.answer.not_run) waits_[x.service->name].learn(*took);
   reach_.ended(x.call);
   note_life_of(x.target);
+  if (auto* target = target_of(x)) target->doubt.heard(now_, x.called_at);
+}
+
+void gateway_core::impl::doubt_life(const exchange& x, call_end how) {
+  auto* target = target_of(x);
+  if (target == nullptr) return;
+  if (how == call_end::not_sent) {
+    target->doubt.refused(now_, copy_confirmed_);
+  } else {
+    target->doubt.broke(now_, copy_confirmed_);
+  }
 }
 
 void gateway_core::impl::note_end(const exchange& x, bool is_whole) {
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -22,6 +22,7 @@
 #include "process/failure_domains.h"
 #include "process/gateway_state.h"
 #include "process/grant_ledger.h"
+#include "process/origin_table.h"
 #include "process/quarantine.h"
 #include "process/quota_accounts.h"
 #include "process/region_map.h"
@@ -31,6 +32,7 @@
 #include "process/target_keeper.h"
 #include "process/target_reach.h"
 #include "process/target_table.h"
+#include "process/version_history.h"
 #include "request/exchange.h"
 #include "seamglade/gateway.h"
 #include "version/store_mirror.h"
@@ -202,6 +204,12 @@
   /** The limits in force are told in turn. */
   std::size_t next_limit_ = 0;
 
+  // Where streams began.
+  origin_table origins_;
+  version_history history_;
+  std::uint64_t next_origin_request_ = 1;
+  std::map<std::uint64_t, caller_id> origin_asks_;
+
   // Requests that end targets.
   end_watch ends_;
   quarantine quarantine_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -61,6 +61,21 @@
   return out;
 }
 
+prometheus::MetricFamily begun_streams_family(
+    const std::map<std::string, std::uint64_t>& counts) {
+  prometheus::MetricFamily out;
+  out.name = "seamglade_streams_begun_total";
+  out.help = "First events of resumable streams, by the target's software";
+  out.type = prometheus::MetricType::Counter;
+  for (const auto& [software, count] : counts) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"software", software}};
+    metric.counter.value = static_cast<double>(count);
+    out.metric.push_back(std::move(metric));
+  }
+  return out;
+}
+
 using client_counter = std::uint64_t call_client::counters::*;
 
 /** Returns a family with a metric for each client. */
@@ -205,6 +220,23 @@
   counter("seamglade_all_at_rest_total",
           "Refused since all targets of the service wanted rest",
           status.all_at_rest);
+  counter("seamglade_streams_taken_up_total",
+          "Requests that go on with an earlier one's stream", status.taken_up);
+  counter("seamglade_streams_taken_up_unknown_total",
+          "Of these: nobody knew the stream, and one version alone serves",
+          status.taken_up_unknown);
+  counter("seamglade_stream_version_unknown_total",
+          "Refused since nobody can tell at which version the stream began",
+          status.origin_unknown);
+  counter("seamglade_stream_version_gone_total",
+          "Not gone on with since no target of the stream's version is left",
+          status.origin_gone);
+  counter("seamglade_stream_versions_told_total",
+          "Streams that other instances were told the version of",
+          status.origins_told);
+  counter("seamglade_stream_version_questions_total",
+          "Questions to other instances for a stream's version",
+          status.origin_questions);
   counter("seamglade_grants_given_total",
           "Requests that were granted to targets that bear few",
           status.grants_given);
@@ -217,6 +249,7 @@
           log_lines_dropped);
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
+  out.push_back(begun_streams_family(status.begun_streams));
   for (auto& each : client_families(calls)) out.push_back(std::move(each));
   gauge("seamglade_ready", "Whether new connections are taken",
         status.ready ? 1 : 0);
@@ -232,6 +265,12 @@
         static_cast<double>(status.key_age.count()) / 1e6);
   gauge("seamglade_quota_accounts", "Workspaces that this instance accounts",
         static_cast<double>(status.accounts));
+  gauge("seamglade_stream_versions_known",
+        "Streams of which the version is known here",
+        static_cast<double>(status.origins));
+  gauge("seamglade_mixed_services",
+        "Services whose targets ran several versions lately",
+        static_cast<double>(status.mixed_services));
   gauge("seamglade_quarantined", "Requests that are refused now",
         static_cast<double>(status.quarantined));
   gauge("seamglade_blamed", "Requests that ran where a target ended lately",
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -39,6 +39,10 @@
   const auto hash = hash_of(e.target);
   const bool was_out = reach_.is_out_of_reach(hash);
   if (reach_.probed(now_, hash, e.outcome == how::connected)) end_cut(*since);
+  auto* target = targets_.find(e.target);
+  if (target != nullptr && e.outcome != how::connected) {
+    target->doubt.refused(now_, copy_confirmed_);
+  }
   const bool is_out = reach_.is_out_of_reach(hash);
   if (is_out == was_out) return;
   log(is_out ? "target_out_of_reach" : "target_in_reach",
--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -100,6 +100,7 @@
   call.body = x.message.body;
   // This call is counted already.
   call.runs = x.runs - 1;
+  call.origin = x.origin;
   return call;
 }
 
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -133,12 +133,22 @@
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
   x.until = x.started + allowed;
   x.refuse_at = x.started + longest_wait(*x.way, allowed);
-  const auto& share = pick_share(*x.way, x.facts.id);
-  x.service = config_->find_service(share.service);
+  x.service = usual_service(x);
   if (x.service == nullptr) {
     refuse(x, kUnavailable, kComeBackLater, "no_service");
     return;
   }
+  if (x.way->stream && x.way->resumable) return follow_stream(x);
+  admit(x);
+}
+
+const service_profile* gateway_view::usual_service(const exchange& x) const {
+  // A stream that is taken up goes where its first request went.
+  const auto& id = x.facts.resumes.empty() ? x.facts.id : x.facts.resumes;
+  return x.config->find_service(pick_share(*x.way, id).service);
+}
+
+void gateway_core::impl::admit(exchange& x) {
   auto [budget, is_new] = budgets_.try_emplace(x.service->name);
   const auto members =
       static_cast<double>(std::max<std::size_t>(roster_.size(), 1));
@@ -181,6 +191,7 @@
   if (found == exchanges_.end()) return;
   if (!found->second.home.empty()) interest_dirty_.insert(found->second.home);
   quota_requests_.erase(found->second.quota.request);
+  origin_asks_.erase(found->second.tracing.request);
   admissions_.erase(found->second.admission.request);
   exchanges_.erase(found);
 }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -265,6 +265,7 @@
     drop_relay_headers(a.headers);
     a.headers.push_back({std::string(kRelayCall), found->second});
     if (a.is_no_help) a.headers.push_back({std::string(kRelayNoHelp), "1"});
+    if (a.origin) a.headers.push_back(origin_header(*a.origin));
   }
   server_of(a.caller).begin(a.caller, {a.status, std::move(a.reason),
                                        std::move(a.headers), a.length});
@@ -308,6 +309,7 @@
   call.name = fmt::format("{:x}", a.call);
   call.headers.push_back({std::string(kRelayCall), call.name});
   call.headers.push_back({std::string(kRelayRuns), std::to_string(a.runs)});
+  if (a.origin) call.headers.push_back(origin_header(*a.origin));
   call.body = std::move(a.body);
   call.connect_timeout = kPeerConnect;
   pass_on_answer(relay_client_, a.call, std::move(call));
@@ -320,6 +322,7 @@
     event::answer_head answer{id,           head.status,  head.reason,
                               head.headers, head.framing, carrier};
     answer.is_no_help = has_header(answer.headers, kRelayNoHelp);
+    answer.origin = read_origin(answer.headers);
     drop_relay_headers(answer.headers);
     post(std::move(answer));
   };
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -61,6 +61,7 @@
  */
 bool is_same_but_for_adapters(const target_entry& a, const target_entry& b) {
   return a.service == b.service && a.address == b.address &&
+         a.software == b.software && a.started_ms == b.started_ms &&
          a.failure_domain == b.failure_domain && a.draining == b.draining &&
          a.slots == b.slots && a.models == b.models && !is_colder(a, b);
 }
@@ -407,9 +408,9 @@
     targets_.list_again(now_, entry.id);
     return false;
   }
-  const bool is_news = known == nullptr ||
-                       known->entry.draining != entry.draining ||
-                       is_colder(known->entry, entry);
+  const bool is_news =
+      known == nullptr || known->entry.draining != entry.draining ||
+      known->entry.software != entry.software || is_colder(known->entry, entry);
   if (is_news) {
     log("target_listed",
         {{"target", entry.id},
@@ -421,6 +422,10 @@
   const bool is_restart = known != nullptr && known->entry.started_ms > 0 &&
                           entry.started_ms > known->entry.started_ms;
   if (is_restart) note_replaced(entry.id, "started_again");
+  const bool has_other_software =
+      known != nullptr && known->entry.software != entry.software;
+  if (has_other_software) doubt_streams_at(entry.id);
+  note_software(entry);
   targets_.list(now_, std::move(entry));
   return is_news;
 }
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -159,6 +159,27 @@
   std::optional<double> limit_of(const target_state& target) const;
   limit_row limit_row_of(const target_state& target) const;
 
+  // gateway_origins.cc
+  /** Returns how long callers may come back to a stream. */
+  duration longest_stream() const;
+  /** Returns whether a target surely is in the life that its entry tells. */
+  bool is_life_certain(const target_state& target) const;
+  /** Returns whether its call surely runs at the version it was sent to. */
+  bool is_version_certain(const exchange& x, const target_state& target) const;
+  /** Returns whether a stream that has begun may go on there. */
+  bool may_go_on_at(const exchange& x, const target_state& target) const;
+  static stream_key stream_key_of(const exchange& x, std::string_view id);
+  /** Returns the service of its route where a stream began; null: none is. */
+  const service_profile* service_at(const exchange& x,
+                                    const stream_origin& origin) const;
+  /** Returns the version's name, or its hash where no target has it; for logs.
+   */
+  std::string software_name(const stream_origin& origin) const;
+
+  // gateway_requests.cc
+  /** Returns the service that a request's id picks; null: there is none. */
+  const service_profile* usual_service(const exchange& x) const;
+
   // gateway_placement.cc
   std::uint32_t version_of(const adapter_name& name) const;
 };
--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -108,6 +108,7 @@
   state.gone = false;
   state.doubted_until = {};
   state.entry_heard = now;
+  state.doubt.told();
   // Counted from now, not from when it was written: later is safer.
   if (entry.cold_left > duration{}) {
     state.cold_until = std::max(state.cold_until, now + entry.cold_left);
--- a/src/process/target_table.h
+++ b/src/process/target_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "process/read_pace.h"
+#include "process/restart_doubt.h"
 #include "process/target_availability.h"
 #include "process/target_limit.h"
 #include "seamglade/gateway_peers.h"
@@ -69,6 +70,8 @@
   target_availability own_word;
   /** How many requests it takes of all instances together. */
   target_limit limit;
+  /** Whether it may have started again since its entry came. */
+  restart_doubt doubt;
 
   std::uint32_t failures_in_a_row = 0;
   time_point ejected_until;
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -22,6 +22,8 @@
 /** The state of one exchange with a caller. */
 struct exchange {
   enum class phase : std::uint8_t {
+    /** For word of where the stream began that it takes up. */
+    tracing,
     /** For a grant of its workspace's quota. */
     metered,
     waiting,
@@ -60,6 +62,23 @@
     std::optional<duration> empty_for;
   };
   quota_wait quota;
+  /** The stream that it begins or takes up; 0: it is none that goes on. */
+  stream_key stream = 0;
+  /** Where that began; none: not known, or it has not begun. */
+  std::optional<stream_origin> origin;
+  /** What it asks of others about that. */
+  struct origin_wait {
+    std::uint64_t request = 0;
+    /** Those that have not answered. */
+    std::set<member_address> awaited;
+    std::size_t asked = 0;
+    /** Who is silent is asked once more then. */
+    std::optional<time_point> again_at;
+    time_point until;
+    /** Someone has seen several versions in the service lately. */
+    bool has_several = false;
+  };
+  origin_wait tracing;
   /** The place at a plain target that it asks for or holds. */
   struct admission_state {
     std::uint64_t request = 0;
@@ -134,6 +153,8 @@
   std::string body;
   /** The instance that answered could not help. */
   bool is_no_help = false;
+  /** Where the stream began, as that instance says. */
+  std::optional<stream_origin> told_origin;
   bool head_sent = false;
   event_stream events;
 
--- a/src/version/gateway_types.cc
+++ b/src/version/gateway_types.cc
@@ -100,4 +100,9 @@
   return "";
 }
 
+software_hash hash_of_software(std::string_view version) {
+  // 0 means that nobody can tell.
+  return std::max<software_hash>(1, stable_hash(version));
+}
+
 }  // namespace seamglade::gateway
