A request that was handed on runs on as few targets as its route allows

What callers saw: a stream ran on three targets where its route allows two attempts. Cause: an instance that reaches no target hands a request on and counts one run; the other instance may use up all attempts, and when that one dies the first begins with the second attempt again. A call that breaks at another instance now counts as all attempts: its caller takes the stream up.

--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -3,6 +3,7 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 
 #include "process/gateway_impl.h"
@@ -278,6 +279,8 @@
 
 void gateway_core::impl::broken_call(exchange& x, call_end end) {
   end_call(x, false, false);
+  // How many targets the other instance sent it to is not told.
+  if (x.relay != 0) x.runs = std::max(x.runs, x.way->attempts);
   // No longer among the runs that a quarantine stops.
   x.now = exchange::phase::waiting;
   // One that came before and was at an end may have ended this target too.
