A stream that is taken up in a large fleet is not refused while it waits

What callers saw: in a fleet of 20, what others had told the version of was refused 90 ms later as unknown. Cause: a request that waits for word of how busy its targets are kept the phase in which it asks for its stream's version, and that ended by its time-out.

--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -182,6 +182,7 @@
   }
   x.service = service;
   x.origin = origin;
+  x.now = exchange::phase::waiting;
   admit(x);
 }
 
--- a/test/stream_version-test.cc
+++ b/test/stream_version-test.cc
@@ -253,6 +253,7 @@
   const auto got = play.counts();
   EXPECT_GE(got.taken_up, 40U);
   expect_versions_kept(play);
+  expect_goes_on(got);
 }
 
 }  // namespace
