A target that others saw end may have started again with other software

What callers saw: a stream resumed at a target that had been upgraded under its id and address while the store was silent. Cause: an instance doubted a target's entry only by what it saw itself; in a fleet of 20 it had no connection there. The ends of targets are told to all already, with the requests blamed for them; each now opens the doubt.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -101,6 +101,10 @@
   return out;
 }
 
+const std::string& gateway_world::software_of(const std::string& id) const {
+  return targets_.at(id)->software;
+}
+
 void gateway_world::start(member_address who) {
   auto& i = *instances_.at(who);
   gateway_options options;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -106,6 +106,7 @@
   gateway::gateway_status status(gateway::member_address who);
 
   std::vector<std::string> engines() const;
+  const std::string& software_of(const std::string& id) const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
   std::string domain_of(const std::string& id) const;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -308,6 +308,9 @@
   void end_cut(time_point since);
   void tell_cut(bool is_cut_off);
 
+  /** Others saw a target end: it may have started again since. */
+  void note_told_end(const target_end& end);
+
   // gateway_origins.cc
   /** Finds where the stream began that a request takes up, if it does. */
   void follow_stream(exchange& x);
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -280,12 +280,20 @@
   send_to_all(message);
 }
 
+void gateway_core::impl::note_told_end(const target_end& end) {
+  auto* target = targets_.find(end.target);
+  const auto ended = now_ - end.age;
+  if (target == nullptr || ended <= target->entry_heard) return;
+  target->doubt.refused(ended, copy_confirmed_);
+}
+
 void gateway_core::impl::take(member_address, const blame_message& message) {
   take_blame(message.rows);
 }
 
 void gateway_core::impl::take_blame(const std::vector<blame_row>& rows) {
   for (const auto& row : rows) {
+    for (const auto& end : row.ends) note_told_end(end);
     const bool was_refused =
         quarantine_.refused_for(now_, row.request).has_value();
     if (!quarantine_.take(now_, row)) continue;
--- a/src/process/restart_doubt.h
+++ b/src/process/restart_doubt.h
@@ -55,7 +55,7 @@
             std::optional<time_point> confirmed) {
     if (from_ && is_settled(confirmed)) from_.reset();
     from_ = from_ ? std::min(*from_, from) : from;
-    last_ = now;
+    last_ = std::max(last_, now);
   }
 
   /** None: there is no doubt. */
