Bytes that are no answer end a call at a bound, in bytes and in time

What callers saw, or would: a target (or the store, or another instance) whose bytes never end held a call to its time-out and filled this process's memory: 560 MB of one chunk's size, its extension or trailers in 5 s; interim answers and answers to others without end were read as long as they came; bodies and single events were kept whole, whatever their size. Cause: only heads had a bound. Now: 64 KB of bytes that the parser cannot use yet, 1 MB and 256 answers before a call's own, 1 MB of one event, 8 MB of a body and 32 MB of all bodies together; reports 1 MB, orders' answers 64 KB, the store's 16 MB, copies 32 MB, each with its time as before. Streams may go on as long as their whole events do, at the callers' pace (as before). The call ends as malformed or too_large, counts against the target like any broken call, and its caller gets 502, a cut stream, or a repeat where the route allows.

--- a/fakes/gateway_world_streams.cc
+++ b/fakes/gateway_world_streams.cc
@@ -12,8 +12,6 @@
 using gateway::body_framing;
 using gateway::call_end;
 
-constexpr std::size_t kMostPiece = 24;
-
 /** Returns the lines of an event, the empty one that ends it included. */
 std::vector<std::string> event_lines(const std::string& request,
                                      std::size_t number,
@@ -121,8 +119,7 @@
 bool gateway_world::is_heard(const stream_run& run) {
   const auto& i = *instances_.at(run.who);
   return i.life == run.life && !i.cancelled.contains(run.call) &&
-         i.targets_cut != target_cut::hang &&
-         run.at->blackouts == run.blackouts;
+         !holds_up(i) && run.at->blackouts == run.blackouts;
 }
 
 void gateway_world::send_head(const stream_run& run) {
@@ -148,7 +145,8 @@
         *run, run->how.cut_at ? std::optional(run->how.ends_by) : std::nullopt);
     return;
   }
-  const auto size = std::min(1 + random_() % kMostPiece, stop - run->sent);
+  const auto size =
+      std::min(1 + random_() % run->how.most_piece, stop - run->sent);
   auto piece =
       std::make_shared<const std::string>(run->text.substr(run->sent, size));
   run->sent += size;
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -150,7 +150,10 @@
   /** Calls under way are reset, new connections are refused. */
   reset,
   /** Kept connections live on, new ones are refused. */
-  refuse_new
+  refuse_new,
+  /** Something between accepts connections, and resets or keeps them. */
+  accept_and_reset,
+  accept_and_hang
 };
 
 /** How an engine sends its streams, and where it truncates them. */
@@ -164,6 +167,8 @@
   /** Sent in place of events, with its media type. */
   std::optional<std::string> other_body = {};
   std::string media_type = "text/event-stream";
+  /** Bytes of a piece, at most. */
+  std::size_t most_piece = 24;
   /** Time between two pieces, which end anywhere. */
   duration gap = 2ms;
   /** Bytes of the body behind which it truncates; none: it does not. */
--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -29,6 +29,7 @@
   closed,       // the connection was closed before the answer's end
   reset,        // the connection failed before the answer's end
   malformed,    // what came is no answer, or belongs to no call
+  too_large,    // more came than an answer may hold
   within_event  // the answer was read up to its end, and its last event wasn't
 };
 
--- /dev/null
+++ b/src/connection/answer_collector.cc
@@ -0,0 +1,65 @@
+// seamglade - calls whose answer is wanted whole, bounded in time and bytes
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include "connection/answer_collector.h"
+
+#include <utility>
+
+namespace seamglade::detail {
+namespace {
+
+/** One call; its handlers own it. */
+struct pending_answer {
+  call_client* client = nullptr;
+  call_client::token token = 0;
+  event_handle timer;
+  collected_answer answer;
+  std::function<void(collected_answer)> done;
+
+  /** Ends the call, which frees this. */
+  void give_up() {
+    const auto finished = std::exchange(done, {});
+    timer.reset();
+    client->cancel(token);
+    finished({});
+  }
+};
+
+}  // namespace
+
+void collect_answer(event_base* base, call_client& client, outgoing_call call,
+                    const answer_bounds& bounds,
+                    std::function<void(collected_answer)> done) {
+  auto pending = std::make_shared<pending_answer>();
+  pending->client = &client;
+  pending->done = std::move(done);
+  call_client::handlers on;
+  on.head = [pending](const answer_head& head, const answer_carrier& carrier) {
+    pending->answer.status = head.status;
+    pending->answer.headers = head.headers;
+    pending->answer.carrier = carrier;
+  };
+  on.data = [pending, most = bounds.bytes](
+                const std::shared_ptr<const std::string>& data) {
+    const auto held = pending;
+    held->answer.body += *data;
+    if (held->answer.body.size() > most) held->give_up();
+  };
+  on.end = [pending](call_end end) {
+    pending->timer.reset();
+    const auto finished = std::exchange(pending->done, {});
+    const bool is_whole = end == call_end::complete;
+    finished(is_whole ? std::move(pending->answer) : collected_answer());
+  };
+  const auto late = [](evutil_socket_t, short, void* arg) {
+    static_cast<pending_answer*>(arg)->give_up();
+  };
+  pending->timer.reset(event_new(base, -1, 0, late, pending.get()));
+  const auto wait = to_timeval(bounds.time);
+  event_add(pending->timer.get(), &wait);
+  pending->token = client.start(std::move(call), std::move(on));
+}
+
+}  // namespace seamglade::detail
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -24,8 +24,10 @@
 /** Taken off a named time: a call must not meet the other side's close. */
 constexpr duration kIdleMargin = 1s;
 constexpr duration kDeadPeer = 10s;
-/** A body that is read and not passed on may be this long. */
-constexpr std::size_t kMaxSkipped = 1024UL * 1024UL;
+/** What comes before a call's own answer may hold so many bytes ... */
+constexpr std::size_t kMostSkippedBytes = 1024UL * 1024UL;
+/** ... in so many answers, interim ones included. */
+constexpr std::size_t kMostSkippedAnswers = 256;
 /** Bounds the names that a connection has to remember. */
 constexpr std::uint32_t kMostCalls = 256;
 /**
@@ -191,6 +193,8 @@
 
 void call_client::write_request(connection& c) {
   begin_answer(c);
+  c.skipped_answers = 0;
+  c.skipped_bytes = 0;
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
   auto* out = bufferevent_get_output(c.io.get());
   const auto head = request_head(c.request);
@@ -305,7 +309,9 @@
       c.ends_after_call = true;
       ++counts_.skipped_during_call;
     }
-    if (c.reader->head().framing == body_framing::close_delimited) {
+    const bool has_no_end =
+        c.reader->head().framing == body_framing::close_delimited;
+    if (has_no_end || ++c.skipped_answers > kMostSkippedAnswers) {
       end_call(c, call_end::malformed);
       return false;
     }
@@ -326,7 +332,8 @@
   auto bytes = c.reader->take_body();
   if (bytes.empty()) return true;
   if (c.skipping || !c.head_given) {
-    if (bytes.size() <= kMaxSkipped) return true;
+    c.skipped_bytes += bytes.size();
+    if (c.skipped_bytes <= kMostSkippedBytes) return true;
     end_call(c, call_end::malformed);
     return false;
   }
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -126,6 +126,9 @@
     std::optional<std::uint64_t> nameless_series;
     bool head_given = false;
     bool skipping = false;
+    /** Answers before the call's own, and their bodies' bytes. */
+    std::size_t skipped_answers = 0;
+    std::size_t skipped_bytes = 0;
     /** An answer came on it that a later one might be mistaken for. */
     bool ends_after_call = false;
   };
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -5,6 +5,7 @@
 
 #include "connection/http_parser.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -19,11 +20,16 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kAnswerHeaderBytes = 65536;
+/** A line between chunks, or all trailers, may be this long at least. */
+constexpr std::uint32_t kLeastUnparsed = 4096;
 
-/** Feeds a parser until the buffer is empty, or it is done or fails. */
+/**
+ * Feeds a parser until the buffer is empty, or it is done or fails. Bytes that
+ * it cannot use yet, of a head, a chunk's size or trailers, may be so many.
+ */
 template <bool IsRequest>
 boost::beast::error_code feed(http::basic_parser<IsRequest>& parser,
-                              evbuffer* from) {
+                              evbuffer* from, std::uint32_t most_unparsed) {
   boost::beast::error_code ec;
   while (!parser.is_done()) {
     const auto size = evbuffer_get_length(from);
@@ -38,6 +44,10 @@
     }
     if (ec) break;
   }
+  const bool is_overfull =
+      !parser.is_done() &&
+      evbuffer_get_length(from) > std::max(most_unparsed, kLeastUnparsed);
+  if (!ec && is_overfull) ec = http::error::buffer_overflow;
   return ec;
 }
 
@@ -89,7 +99,8 @@
 }  // namespace
 
 request_reader::request_reader(std::uint32_t header_bytes,
-                               std::uint64_t body_bytes) {
+                               std::uint64_t body_bytes)
+    : header_bytes_(header_bytes) {
   eager(true);
   header_limit(header_bytes);
   body_limit(body_bytes);
@@ -97,7 +108,7 @@
 
 parse_progress request_reader::read(evbuffer* from) {
   if (fault_ != parse_fault::none) return parse_progress::failed;
-  const auto ec = feed<true>(*this, from);
+  const auto ec = feed<true>(*this, from, header_bytes_);
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     fault_ = parse_fault::headers_too_large;
   } else if (ec == http::error::body_limit) {
@@ -178,7 +189,9 @@
 }
 
 parse_progress answer_reader::read(evbuffer* from) {
-  if (feed<false>(*this, from)) return parse_progress::failed;
+  if (feed<false>(*this, from, kAnswerHeaderBytes)) {
+    return parse_progress::failed;
+  }
   return is_done() ? parse_progress::complete : parse_progress::need_more;
 }
 
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -69,6 +69,7 @@
                                  error_code& ec) override;
   void on_finish_impl(error_code& ec) override;
 
+  std::uint32_t header_bytes_;
   gateway::caller_message message_;
   std::string body_;
   std::vector<std::string> connection_names_;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -15,6 +15,12 @@
 
 /** Targets that are tried where no connection comes up. */
 constexpr std::uint32_t kUnsentTries = 3;
+/** An event, and a body that is passed on whole, may be this large. */
+constexpr std::size_t kMostEvent = 1UL << 20U;
+constexpr std::size_t kMostBody = 8UL << 20U;
+/** All bodies that are not whole yet, once one of them is not small. */
+constexpr std::size_t kMostBodies = 32UL << 20U;
+constexpr std::size_t kSmallBody = 1UL << 20U;
 
 bool promises_not_run(int status) {
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
@@ -107,10 +113,26 @@
   note_answer(*x);
   if (is_event_stream(*x)) {
     x->events.add(*e.data);
+    if (x->events.unfinished() > kMostEvent) return end_too_large(*x);
     send_events(*x);
     return;
   }
   x->body += *e.data;
+  if (is_too_large(*x)) end_too_large(*x);
+}
+
+bool gateway_core::impl::is_too_large(const exchange& x) const {
+  if (x.body.size() <= kSmallBody) return false;
+  if (x.body.size() > kMostBody) return true;
+  std::size_t total = 0;
+  for (const auto& [caller, other] : exchanges_) total += other.body.size();
+  return total > kMostBodies;
+}
+
+void gateway_core::impl::end_too_large(exchange& x) {
+  do_act(action::cancel_call{x.call});
+  x.body = {};
+  call_ended(x, call_end::too_large);
 }
 
 void gateway_core::impl::send_stream_head(exchange& x) {
@@ -159,30 +181,33 @@
 
 void gateway_core::impl::on(event::answer_end&& e) {
   auto* x = by_call(e.call);
-  if (x == nullptr) return;
-  const auto end = end_of_answer(*x, e.end);
+  if (x != nullptr) call_ended(*x, e.end);
+}
+
+void gateway_core::impl::call_ended(exchange& x, call_end how) {
+  const auto end = end_of_answer(x, how);
   const bool whole = end == call_end::complete;
-  note_end(*x, whole);
-  if (!whole && x->status == 0) note_unreached(x->target, end);
-  if (!whole) doubt_life(*x, end);
-  if (x->status != 0) ++counts_.answer_ends[{x->framing, end}];
+  note_end(x, whole);
+  if (!whole && x.status == 0) note_unreached(x.target, end);
+  if (!whole) doubt_life(x, end);
+  if (x.status != 0) ++counts_.answer_ends[{x.framing, end}];
   if (end == call_end::not_sent) {
-    end_call(*x, false, true);
-    --x->runs;
-    ++x->unsent_tries;
-    retry_unsent(*x);
+    end_call(x, false, true);
+    --x.runs;
+    ++x.unsent_tries;
+    retry_unsent(x);
     return;
   }
-  if (!whole || !is_valid(*x)) {
-    broken_call(*x, end);
+  if (!whole || !is_valid(x)) {
+    broken_call(x, end);
     return;
   }
-  if (is_success(x->status)) {
-    whole_answer(*x);
-  } else if (x->relay != 0) {
-    relay_failed(*x);
+  if (is_success(x.status)) {
+    whole_answer(x);
+  } else if (x.relay != 0) {
+    relay_failed(x);
   } else {
-    failed_answer(*x);
+    failed_answer(x);
   }
 }
 
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -234,6 +234,10 @@
   void take(member_address from, const grant_answer& message);
 
   // gateway_answers.cc
+  void call_ended(exchange& x, call_end how);
+  /** Whether more has come of a body than may be held. */
+  bool is_too_large(const exchange& x) const;
+  void end_too_large(exchange& x);
   /** Returns whether its target surely runs the version that it goes on at. */
   bool is_of_origin(const exchange& x);
   /** Ends a call whose target may run another version. */
@@ -290,6 +294,7 @@
   /** Tries elsewhere what hangs in a suspect domain and may be repeated. */
   void leave_hung_calls();
   void leave_hung_call(exchange& x);
+  void leave_way_trials();
 
   // gateway_reach.cc
   /** A target was heard, or took a connection. */
@@ -337,6 +342,10 @@
   void take(member_address from, const origin_request& message);
   void take(member_address from, const origin_answer& message);
 
+  // gateway_placement.cc
+  /** Returns whether a request is to show if targets answer again. */
+  bool tries_way(exchange& x);
+
   // gateway_relay.cc
   /** Hands a request on; returns false where no instance can be asked. */
   bool relay(exchange& x);
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "connection/answer_collector.h"
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
 #include "connection/datagram_socket.h"
@@ -26,15 +27,6 @@
 /** A connection to a target is given up that has not come up by then. */
 inline constexpr duration kTargetConnect = 450ms;
 
-/** An answer that was read to its end. */
-struct collected_answer {
-  /** None: there was none, or not whole. */
-  std::optional<int> status;
-  std::vector<http_header> headers;
-  std::string body;
-  answer_carrier carrier;
-};
-
 /** One instance of the direct path, on one loop. */
 class gateway_shell {
  public:
@@ -76,7 +68,7 @@
   void carry_out(gateway::action::log_line&& a);
 
   /** Makes a call whose answer is wanted whole. */
-  void ask(call_client& client, outgoing_call call, duration timeout,
+  void ask(call_client& client, outgoing_call call, const answer_bounds& bounds,
            std::function<void(collected_answer)> done);
   void read_store(gateway::store_call_id id, gateway::store_scope scope,
                   std::string path, duration timeout);
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -18,57 +18,20 @@
 using gateway::kGone;
 using gateway::kOk;
 
-constexpr duration kOrderTimeout = 900ms;
-constexpr duration kReportTimeout = 600ms;
+constexpr answer_bounds kOrderBounds{900ms, 64UL << 10U};
+constexpr answer_bounds kReportBounds{600ms, 1UL << 20U};
 constexpr duration kStoreTimeout = 1500ms;
-constexpr duration kPeerTimeout = 1000ms;
-
-}  // namespace
-
-namespace {
-
-/** Collects one answer; ends its call when the time is up. */
-struct pending_answer {
-  call_client* client = nullptr;
-  call_client::token token = 0;
-  event_handle timer;
-  collected_answer answer;
-  std::function<void(collected_answer)> done;
-};
+/** Pages of the store hold 1 MB or one item of that size, in base64. */
+constexpr std::size_t kMostStoreBytes = 16UL << 20U;
+/** A copy of the store may hold many such pages. */
+constexpr answer_bounds kCopyBounds{1000ms, 32UL << 20U};
 
 }  // namespace
 
 void gateway_shell::ask(call_client& client, outgoing_call call,
-                        duration timeout,
+                        const answer_bounds& bounds,
                         std::function<void(collected_answer)> done) {
-  auto pending = std::make_shared<pending_answer>();
-  pending->client = &client;
-  pending->done = std::move(done);
-  call_client::handlers on;
-  on.head = [pending](const answer_head& head, const answer_carrier& carrier) {
-    pending->answer.status = head.status;
-    pending->answer.headers = head.headers;
-    pending->answer.carrier = carrier;
-  };
-  on.data = [pending](const std::shared_ptr<const std::string>& data) {
-    pending->answer.body += *data;
-  };
-  on.end = [pending](call_end end) {
-    pending->timer.reset();
-    const auto finished = std::exchange(pending->done, {});
-    const bool is_whole = end == call_end::complete;
-    finished(is_whole ? std::move(pending->answer) : collected_answer());
-  };
-  const auto late = [](evutil_socket_t, short, void* arg) {
-    auto* self = static_cast<pending_answer*>(arg);
-    const auto finished = std::exchange(self->done, {});
-    self->client->cancel(self->token);  // frees self
-    finished({});
-  };
-  pending->timer.reset(event_new(base_.get(), -1, 0, late, pending.get()));
-  const auto wait = to_timeval(timeout);
-  event_add(pending->timer.get(), &wait);
-  pending->token = client.start(std::move(call), std::move(on));
+  collect_answer(base_.get(), client, std::move(call), bounds, std::move(done));
 }
 
 void gateway_shell::carry_out(action::send_order&& a) {
@@ -81,7 +44,7 @@
       std::make_shared<const std::string>(platform_->order_body(a.order));
   call.series = a.series;
   call.connect_timeout = kTargetConnect;
-  ask(target_client_, std::move(call), kOrderTimeout,
+  ask(target_client_, std::move(call), kOrderBounds,
       [this, id = a.call](const collected_answer& got) {
         event::order_answer answer{id};
         if (got.status) {
@@ -100,7 +63,7 @@
   call.target = platform_->report_path();
   call.headers = platform_->report_headers(a.target);
   call.connect_timeout = kTargetConnect;
-  ask(target_client_, std::move(call), kReportTimeout,
+  ask(target_client_, std::move(call), kReportBounds,
       [this, id = a.call](const collected_answer& got) {
         event::report_answer answer{id, std::nullopt};
         if (got.status) {
@@ -132,7 +95,7 @@
   call.address = config_.store_address;
   call.method = "GET";
   call.target = std::move(path);
-  ask(fleet_client_, std::move(call), timeout,
+  ask(fleet_client_, std::move(call), {timeout, kMostStoreBytes},
       [this, id, scope](const collected_answer& got) {
         using outcome = event::store_read::outcome;
         event::store_read read;
@@ -166,7 +129,7 @@
   call.address = fmt::format("{}:{}", to_text(a.from), peer_port_);
   call.method = "GET";
   call.target = changes_path(a.known);
-  ask(fleet_client_, std::move(call), kPeerTimeout,
+  ask(fleet_client_, std::move(call), kCopyBounds,
       [this, from = a.from](const collected_answer& got) {
         event::peer_changes answer{from, std::nullopt};
         if (got.status == kOk) {
--- a/src/request/answer_end.cc
+++ b/src/request/answer_end.cc
@@ -31,6 +31,8 @@
       return "reset";
     case call_end::malformed:
       return "malformed";
+    case call_end::too_large:
+      return "too_large";
     case call_end::within_event:
       break;
   }
--- a/test/stream_end-test.cc
+++ b/test/stream_end-test.cc
@@ -142,6 +142,57 @@
   }
 }
 
+/** Bytes that are not whole events, or no events at all. */
+fake_stream large(std::string text, std::string media_type) {
+  fake_stream how;
+  how.other_body = std::move(text);
+  how.media_type = std::move(media_type);
+  how.most_piece = 1UL << 17U;
+  return how;
+}
+
+TEST_F(stream_end, a_body_without_end_is_broken_off) {
+  send_streams(large(std::string(9UL << 20U, 'x'), "application/json"));
+  const auto& got = call();
+  EXPECT_TRUE(got.complete);
+  EXPECT_EQ(got.status, 502);
+  EXPECT_TRUE(got.body.empty());
+}
+
+TEST_F(stream_end, a_first_event_without_end_is_broken_off) {
+  send_streams(
+      large("data: " + std::string(2UL << 20U, 'x'), "text/event-stream"));
+  const auto& got = call();
+  EXPECT_TRUE(got.complete);
+  EXPECT_EQ(got.status, 502);
+}
+
+TEST_F(stream_end, a_later_event_without_end_is_no_end_of_the_stream) {
+  const std::string first = "id: 1\ndata: a\n\n";
+  send_streams(large(first + "data: " + std::string(2UL << 20U, 'x'),
+                     "text/event-stream"));
+  const auto& got = call();
+  EXPECT_TRUE(got.aborted);
+  EXPECT_EQ(got.body, first);
+}
+
+TEST_F(stream_end, many_bodies_without_end_take_bounded_memory) {
+  send_streams(large(std::string(4UL << 20U, 'x'), "application/json"));
+  const auto who = world_.instances().front();
+  constexpr std::size_t kCalls = 20;
+  constexpr std::size_t kHeldAtOnce = (32UL << 20U) / (4UL << 20U);
+  std::vector<const gateway_call*> calls;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    calls.push_back(&world_.call_engine(who, "a1"));
+  }
+  world_.run_for(2s);
+  const auto whole =
+      std::count_if(calls.begin(), calls.end(),
+                    [](const auto* c) { return c->status == kOk; });
+  EXPECT_LE(static_cast<std::size_t>(whole), kHeldAtOnce + 1);
+  EXPECT_GT(whole, 0);
+}
+
 class two_engines : public stream_end {
  protected:
   two_engines() : stream_end(2) {}
