A way to targets that accepts connections and gives nothing back is a cut

Cause: a connection that comes up was taken for proof of a way, so each doubt was dropped at once. Only a byte proves it now: where three targets that accept connections owe one for 0.5 s and none came from any, the instance hands requests on, as in other cuts. A byte ends that; one request a second that may be repeated is tried for it. What may not be repeated and was written on such a connection may have run: 502 or 504, as before. Crashed targets refuse connections and count for nothing here (crash-test).

--- a/fakes/gateway_world_crashes.cc
+++ b/fakes/gateway_world_crashes.cc
@@ -117,8 +117,20 @@
   auto outcome = how::connected;
   if (t == nullptr || t->down) outcome = how::refused;
   if (t != nullptr && t->dark) outcome = how::silent;
-  if (from.targets_cut != target_cut::none) {
-    outcome = holds_up(from) ? how::silent : how::refused;
+  switch (from.targets_cut) {
+    case target_cut::none:
+      break;
+    case target_cut::hang:
+      outcome = how::silent;
+      break;
+    case target_cut::reset:
+    case target_cut::refuse_new:
+      outcome = how::refused;
+      break;
+    case target_cut::accept_and_reset:
+    case target_cut::accept_and_hang:
+      outcome = how::connected;
+      break;
   }
   const auto wait = outcome == how::silent ? kProbeGivenUp : 2 * kLinkDelay;
   later(wait, [this, who = from.address, life = from.life, id = probe.target,
--- a/fakes/gateway_world_reach.cc
+++ b/fakes/gateway_world_reach.cc
@@ -18,7 +18,9 @@
 void gateway_world::cut_targets(member_address who, target_cut how) {
   auto& i = *instances_.at(who);
   i.targets_cut = how;
-  if (how != target_cut::reset) return;
+  const bool is_reset =
+      how == target_cut::reset || how == target_cut::accept_and_reset;
+  if (!is_reset) return;
   for (auto& [id, t] : targets_) reset_calls_of(*t, i);
 }
 
@@ -42,12 +44,13 @@
   if (from.targets_cut == target_cut::none) return false;
   // Some calls find a kept connection, others open one.
   const bool is_new = random_() % 2 == 0;
-  const auto fail = [&](duration after) {
-    later(after, [this, who = from.address, life = from.life, id = call.call] {
-      auto& i = *instances_.at(who);
-      if (i.life != life || i.cancelled.contains(id)) return;
-      post(i, event::answer_end{id, call_end::not_sent});
-    });
+  const auto fail = [&](duration after, call_end how = call_end::not_sent) {
+    later(after,
+          [this, who = from.address, life = from.life, id = call.call, how] {
+            auto& i = *instances_.at(who);
+            if (i.life != life || i.cancelled.contains(id)) return;
+            post(i, event::answer_end{id, how});
+          });
   };
   switch (from.targets_cut) {
     case target_cut::none:
@@ -61,18 +64,26 @@
     case target_cut::refuse_new:
       if (is_new) fail(kLinkDelay);
       return is_new;
+    case target_cut::accept_and_reset:
+      fail(kLinkDelay, call_end::reset);
+      return true;
+    case target_cut::accept_and_hang:
+      return true;
   }
   return false;
 }
 
 bool gateway_world::holds_up(const instance& to) {
-  return to.targets_cut == target_cut::hang;
+  return to.targets_cut == target_cut::hang ||
+         to.targets_cut == target_cut::accept_and_hang;
 }
 
 void gateway_world::deliver(member_address to, std::uint64_t life,
                             std::function<void()> bytes) {
   const auto& i = *instances_.at(to);
-  if (i.life != life || i.targets_cut == target_cut::reset) return;
+  const bool is_reset = i.targets_cut == target_cut::reset ||
+                        i.targets_cut == target_cut::accept_and_reset;
+  if (i.life != life || is_reset) return;
   if (!holds_up(i)) {
     bytes();
     return;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -73,7 +73,10 @@
   /** What the answer says of the target beside. */
   target_word word = {};
 };
-/** How a connection to a target fared that was tried to see if it ended. */
+/**
+ * How a connection to a target fared that was tried to see if it ended. That it
+ * came up shows no way to the target: something between may have taken it.
+ */
 struct target_probed {
   target_id target;
   /** `refused`: no process listens there. `silent`: no word in time. */
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -28,6 +28,8 @@
 constexpr duration kSuspicionStep = 150ms;
 /** A call that is younger may yet be answered. */
 constexpr duration kHungAtLeast = 100ms;
+/** A call that shows whether targets answer again is given up after this. */
+constexpr duration kTrialPatience = 300ms;
 
 }  // namespace
 
@@ -228,6 +230,20 @@
   }
 }
 
+void gateway_core::impl::leave_way_trials() {
+  if (!reach_.is_all_silent()) return;
+  std::vector<caller_id> hung;
+  for (const auto& [caller, x] : exchanges_) {
+    const bool is_trial = x.is_way_trial && x.relay == 0;
+    if (!is_trial || x.now != exchange::phase::calling) continue;
+    if (now_ - x.called_at >= kTrialPatience) hung.push_back(caller);
+  }
+  for (const auto caller : hung) {
+    const auto found = exchanges_.find(caller);
+    if (found != exchanges_.end()) leave_hung_call(found->second);
+  }
+}
+
 void gateway_core::impl::leave_hung_call(exchange& x) {
   const bool resumes = x.way->resumable && !x.events.last_id().empty();
   if (x.head_sent && !resumes) return;
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -56,7 +56,7 @@
     wait_for(x, nullptr, "no_target");
     return;
   }
-  if (!is_any_in_reach(targets)) {
+  if (!is_any_in_reach(targets) && !tries_way(x)) {
     if (x.relayed) return refuse_relayed(x, "targets_out_of_reach");
     if (relay(x)) return;
   }
@@ -71,6 +71,13 @@
   }
 }
 
+bool gateway_core::impl::tries_way(exchange& x) {
+  const bool may_fail =
+      x.way->repeatable && x.way->attempts > 1 && x.runs == 0 && !x.relayed;
+  if (may_fail && reach_.take_trial(now_)) x.is_way_trial = true;
+  return x.is_way_trial && x.runs == 0;
+}
+
 void gateway_core::impl::place_on_least_busy(
     exchange& x, const std::vector<target_state*>& targets) {
   auto* target = least_busy(candidates(targets, x), x);
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -57,6 +57,7 @@
     try_connection(targets_.find(hash));
   }
   if (reach_.is_cut_off() && !was_cut_off) begin_cut();
+  leave_way_trials();
   const auto count = reach_.probes_due_in_cut(now_);
   if (count > 0) try_some(targets_.staying(now_), count);
 }
--- a/src/process/target_reach.cc
+++ b/src/process/target_reach.cc
@@ -20,6 +20,10 @@
 /** Without a way to any target, so many are tried this often. */
 constexpr std::size_t kProbesInCut = 2;
 constexpr duration kProbePauseInCut = 200ms;
+/** No byte came for so long from any target, though several owe one. */
+constexpr duration kUnanswered = 500ms;
+/** A request is tried this often where connections are accepted. */
+constexpr duration kTrialPause = 1s;
 /** That a target took no connection counts so long. */
 constexpr duration kUnconnectedLife = 2s;
 /** A doubt that nothing renewed is dropped, and when a target was heard. */
@@ -33,6 +37,7 @@
 }
 
 void target_reach::failed(time_point now, target_hash target) {
+  unanswered_.try_emplace(target, owed_byte{now});
   const auto [at, is_new] = doubts_.try_emplace(target);
   if (is_new) at->second = {now, now + kProbeAfter, kFirstPause};
 }
@@ -40,33 +45,45 @@
 void target_reach::not_connected(time_point now, target_hash target) {
   unconnected_[target] = now;
   failed(now, target);
+  unanswered_.erase(target);
 }
 
 bool target_reach::connected(time_point now) {
   unconnected_.clear();
-  return end_cut(now);
+  return !is_unanswered_ && end_cut(now);
 }
 
 bool target_reach::heard(time_point now, target_hash target) {
+  unanswered_.clear();
+  is_unanswered_ = false;
+  return reached(now, target);
+}
+
+bool target_reach::reached(time_point now, target_hash target) {
   heard_[target] = now;
   last_heard_ = now;
   doubts_.erase(target);
-  return is_silent_ && end_cut(now);
+  return is_silent_ && !is_unanswered_ && end_cut(now);
 }
 
 bool target_reach::end_cut(time_point now) {
   if (!cut_since_) return false;
   cut_since_.reset();
+  is_unanswered_ = false;
   for (auto& [other, known] : doubts_) known.next_probe = now;
   return true;
 }
 
 bool target_reach::probed(time_point now, target_hash target,
                           bool is_connected) {
+  const auto owed = unanswered_.find(target);
   if (is_connected) {
+    if (owed != unanswered_.end()) owed->second.is_accepting = true;
     const bool ends_cut = connected(now);
-    return heard(now, target) || ends_cut;
+    return reached(now, target) || ends_cut;
   }
+  // It has ended, or its way is lost as a whole.
+  if (owed != unanswered_.end()) unanswered_.erase(owed);
   auto& known =
       doubts_.try_emplace(target, doubt{now, now, kFirstPause}).first->second;
   known.is_probing = false;
@@ -112,10 +129,14 @@
 
 void target_reach::look_for_cut(time_point now, std::size_t known) {
   if (cut_since_ || known == 0) return;
-  const bool is_silent = has_lost_all(known);
+  const bool is_lost = has_lost_all(known);
+  const bool is_unanswered = !is_lost && is_unanswered_by_all(now, known);
+  const bool is_silent = is_lost || is_unanswered;
   if (!is_silent && !is_refused_by_all(now, known)) return;
   cut_since_ = now;
   is_silent_ = is_silent;
+  is_unanswered_ = is_unanswered;
+  next_trial_ = now + kTrialPause;
   next_probe_in_cut_ = now + kProbePauseInCut;
 }
 
@@ -134,6 +155,22 @@
   return static_cast<std::size_t>(recent) >= std::min(kLeastLost, known);
 }
 
+bool target_reach::is_unanswered_by_all(time_point now,
+                                        std::size_t known) const {
+  const auto owing = std::count_if(
+      unanswered_.begin(), unanswered_.end(), [now](const auto& pair) {
+        const auto& owed = pair.second;
+        return owed.is_accepting && now - owed.since >= kUnanswered;
+      });
+  return static_cast<std::size_t>(owing) >= std::min(kLeastLost, known);
+}
+
+bool target_reach::take_trial(time_point now) {
+  if (!cut_since_ || !is_unanswered_ || now < next_trial_) return false;
+  next_trial_ = now + kTrialPause;
+  return true;
+}
+
 bool target_reach::is_out_of_reach(target_hash target) const {
   if (cut_since_) return true;
   const auto found = doubts_.find(target);
@@ -150,7 +187,9 @@
   calls_.clear();
   doubts_.clear();
   unconnected_.clear();
+  unanswered_.clear();
   cut_since_.reset();
+  is_unanswered_ = false;
 }
 
 void target_reach::expire(time_point now) {
--- a/src/process/target_reach.h
+++ b/src/process/target_reach.h
@@ -24,8 +24,13 @@
  * The instance is cut off from all targets when several are out of reach and
  * none was heard since the first of them became doubtful. It is also cut off
  * when several refused a connection for a call and none accepted one since;
- * calls on kept connections may go on then. A cut ends with the first
+ * calls on kept connections may go on then. Such cuts end with the first
  * connection that is accepted, to any target.
+ *
+ * What stands between may accept connections and give nothing back: the
+ * instance is cut off, too, when calls to several targets have had no byte for
+ * a while in which no byte came from any. Only a byte ends such a cut; now and
+ * then a request is tried for it.
  */
 class target_reach {
  public:
@@ -48,6 +53,11 @@
    * in a cut. `known`: how many targets there are.
    */
   std::vector<target_hash> due_probes(time_point now, std::size_t known);
+  /**
+   * Returns whether a request is to be sent to see if a byte comes back; then
+   * it is taken, and the next is due later.
+   */
+  bool take_trial(time_point now);
   /** Returns how many targets, any of them, are to be tried now in a cut. */
   std::size_t probes_due_in_cut(time_point now);
 
@@ -59,7 +69,7 @@
   std::optional<time_point> cut_since() const { return cut_since_; }
   /** Returns how many targets were found to be out of reach. */
   std::size_t out_of_reach() const;
-  /** Returns when any target was last heard. */
+  /** Returns when any target last gave a byte or accepted a connection. */
   time_point last_heard() const { return last_heard_; }
   /** Drops all evidence: this process stood still. */
   void reset();
@@ -80,10 +90,13 @@
     bool is_out_of_reach = false;
   };
 
+  /** The target gave a byte, or accepted a connection. */
+  bool reached(time_point now, target_hash target);
   void doubt_overdue(time_point now);
   void look_for_cut(time_point now, std::size_t known);
   bool has_lost_all(std::size_t known) const;
   bool is_refused_by_all(time_point now, std::size_t known) const;
+  bool is_unanswered_by_all(time_point now, std::size_t known) const;
   bool end_cut(time_point now);
 
   std::map<call_id, watched_call> calls_;
@@ -92,8 +105,18 @@
   time_point last_heard_{};
   /** Targets that took no connection since one last came up. */
   std::map<target_hash, time_point> unconnected_;
+  /** What a target owes a byte for since one last came from any. */
+  struct owed_byte {
+    time_point since;
+    /** It has accepted a connection since. */
+    bool is_accepting = false;
+  };
+  std::map<target_hash, owed_byte> unanswered_;
   std::optional<time_point> cut_since_;
   bool is_silent_ = false;
+  /** Connections are accepted in this cut. */
+  bool is_unanswered_ = false;
+  time_point next_trial_{};
   time_point next_probe_in_cut_{};
 };
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -130,6 +130,8 @@
   bool is_proven = false;
   /** It runs to show whether a refused part still ends targets. */
   bool is_trial = false;
+  /** It shows whether targets answer again that gave nothing back. */
+  bool is_way_trial = false;
   /** Targets that were given the request. */
   std::set<target_id> tried;
   /** Targets on which it may have run. */
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -130,13 +130,19 @@
       return "reset";
     case target_cut::refuse_new:
       return "refuse_new";
+    case target_cut::accept_and_reset:
+      return "accept_and_reset";
+    case target_cut::accept_and_hang:
+      return "accept_and_hang";
   }
   return "none";
 }
 
 INSTANTIATE_TEST_SUITE_P(, target_cut_play,
                          testing::Values(target_cut::hang, target_cut::reset,
-                                         target_cut::refuse_new),
+                                         target_cut::refuse_new,
+                                         target_cut::accept_and_reset,
+                                         target_cut::accept_and_hang),
                          name_of);
 
 TEST(target_cut, an_instance_knows_within_two_seconds_that_it_is_cut_off) {
