--- a/src/connection/answer_collector.cc
+++ b/src/connection/answer_collector.cc
@@ -43,9 +43,9 @@
   };
   on.data = [pending, most = bounds.bytes](
                 const std::shared_ptr<const std::string>& data) {
-    const auto held = pending;
-    held->answer.body += *data;
-    if (held->answer.body.size() > most) held->give_up();
+    pending->answer.body += *data;
+    // The client keeps the handlers of a call until they return.
+    if (pending->answer.body.size() > most) pending->give_up();
   };
   on.end = [pending](call_end end) {
     pending->timer.reset();
