A close-delimited answer whose target ends is not passed as whole

Callers of streams without a length or chunks got 200 and an orderly end though their target had been killed between two events; bodies of other types were cut at any byte.

Cause: an orderly close was believed wherever the events did not show a cut. A process that is killed closes its connections as one that is done. Ruled out: resets (told from an orderly end in all plays), ends within an event (none passes).

A target that is known to leave is believed, and an instance cut off from its targets proves nothing. No event is held back; only the end of the answer waits.

--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -295,6 +295,8 @@
       const gateway::action::call_target& call);
   void begin_stream(const instance& from, target& at,
                     const gateway::action::call_target& call, duration after);
+  /** Returns how many bytes a stream sends next. */
+  std::size_t next_piece(const stream_run& run);
   void send_piece(const std::shared_ptr<stream_run>& run);
   /** Whether the instance still waits for it, and the target still sends. */
   bool is_heard(const stream_run& run);
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -169,6 +169,8 @@
   std::string media_type = "text/event-stream";
   /** Bytes of a piece, at most. */
   std::size_t most_piece = 24;
+  /** Each piece is one event. */
+  bool sends_whole_events = false;
   /** Time between two pieces, which end anywhere. */
   duration gap = 2ms;
   /** Bytes of the body behind which it truncates; none: it does not. */
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -81,6 +81,8 @@
   target_id target;
   /** `refused`: no process listens there. `silent`: no word in time. */
   enum class how : std::uint8_t { refused, connected, silent } outcome;
+  /** When the connection was begun. */
+  time_point begun;
 };
 /** An answer of the platform's store. */
 struct store_read {
@@ -335,6 +337,8 @@
   std::size_t out_of_reach = 0;
   /** Targets that ended while a request of this instance ran there. */
   std::uint64_t target_ends = 0;
+  /** Answers that ended with their connections, of targets that may end. */
+  std::uint64_t ends_in_doubt = 0;
   /** Requests that came to be refused, as seen here or told by others. */
   std::uint64_t quarantines = 0;
   /** Refused, not run, since their request had ended targets. */
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -111,6 +111,7 @@
   tick_tracing();
   watch_domains();
   watch_reach();
+  check_lives();
   tick_grants();
   expire_exchanges();
   clear_proven_parts();
@@ -129,6 +130,7 @@
 
 time_point gateway_core::impl::next_wakeup() const {
   auto next = now_ + kTick;
+  if (const auto due = lives_.next_due()) next = std::min(next, *due);
   for (const auto& [caller, x] : exchanges_) {
     if (x.now == exchange::phase::metered && x.way != nullptr) {
       next = std::min(next, std::max(x.quota.answer_until, now_ + kLeastPause));
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -187,6 +187,11 @@
 
 void gateway_core::impl::call_ended(exchange& x, call_end how) {
   const auto end = end_of_answer(x, how);
+  if (is_end_in_doubt(x, end)) return doubt_end(x);
+  settle_call(x, end);
+}
+
+void gateway_core::impl::settle_call(exchange& x, call_end end) {
   const bool whole = end == call_end::complete;
   note_end(x, whole);
   if (!whole && x.status == 0) note_unreached(x.target, end);
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -51,6 +51,7 @@
   x.call = next_call_++;
   x.relay = 0;
   x.called_at = now_;
+  x.closed_at.reset();
   x.first_event.reset();
   ++x.runs;
   x.status = 0;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -235,6 +235,8 @@
 
   // gateway_answers.cc
   void call_ended(exchange& x, call_end how);
+  /** Does what follows from a call's end, once it is known. */
+  void settle_call(exchange& x, call_end end);
   /** Whether more has come of a body than may be held. */
   bool is_too_large(const exchange& x) const;
   void end_too_large(exchange& x);
@@ -296,6 +298,19 @@
   void leave_hung_call(exchange& x);
   void leave_way_trials();
 
+  // gateway_lives.cc
+  /** Returns whether a call that looks whole may have been cut. */
+  bool is_end_in_doubt(const exchange& x, call_end end);
+  /** Has its target tried before the answer counts as whole. */
+  void doubt_end(exchange& x);
+  void check_lives();
+  void settle_ends(const event::target_probed& e);
+  /**
+   * Settles the ends of answers that are in doubt: all, if their target has
+   * ended, else those before it was tried.
+   */
+  void settle_ends(target_hash target, time_point tried, call_end end);
+
   // gateway_reach.cc
   /** A target was heard, or took a connection. */
   void note_reached(const target_id& target);
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -22,6 +22,7 @@
 #include "process/failure_domains.h"
 #include "process/gateway_state.h"
 #include "process/grant_ledger.h"
+#include "process/life_checks.h"
 #include "process/origin_table.h"
 #include "process/quarantine.h"
 #include "process/quota_accounts.h"
@@ -210,6 +211,8 @@
   std::uint64_t next_origin_request_ = 1;
   std::map<std::uint64_t, caller_id> origin_asks_;
 
+  life_checks lives_;
+
   // Requests that end targets.
   end_watch ends_;
   quarantine quarantine_;
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -203,6 +203,9 @@
   counter("seamglade_target_ends_total",
           "Targets that ended while a request of this instance ran there",
           status.target_ends);
+  counter("seamglade_answer_ends_in_doubt_total",
+          "Answers ended by a close, whose target was tried for life",
+          status.ends_in_doubt);
   counter("seamglade_quarantines_total",
           "Requests that were found to end their targets", status.quarantines);
   counter("seamglade_quarantine_refusals_total",
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -79,12 +79,13 @@
 }
 
 void gateway_shell::carry_out(action::probe_target&& a) {
-  prober_.probe(a.address, [this, target = a.target](connect_outcome outcome) {
+  prober_.probe(a.address, [this, target = a.target,
+                            begun = boot_now()](connect_outcome outcome) {
     using how = event::target_probed::how;
     const auto told = outcome == connect_outcome::refused     ? how::refused
                       : outcome == connect_outcome::connected ? how::connected
                                                               : how::silent;
-    post(event::target_probed{target, told});
+    post(event::target_probed{target, told, begun});
   });
 }
 
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -115,6 +115,8 @@
   /** The first to be sent there after a rest. */
   bool is_after_rest = false;
   time_point called_at;
+  /** Its connection ended then; whether its answer is whole is not known. */
+  std::optional<time_point> closed_at;
   /** When this call passed its first event on. */
   std::optional<time_point> first_event;
   /** Prompt tokens that the target had to read up to its first event. */
--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -184,6 +184,21 @@
     done
   done
 done
+
+# An engine that ends behind the second event: only its end shows that the
+# stream is truncated. Each sends other bytes: none of them is to blame.
+for i in 1 2; do
+  id=ends-$i
+  size=$((2 * (14 + ${#id})))
+  say_both "{\"framing\": \"none\", \"cut\": $size, \"ending\": \"end\"}"
+  answer=$(stream "$i" "$id" -d "of $id")
+  expect "$answer" "id: 2"
+  if [[ $answer == *' result 0' ]]; then
+    fail "truncated between events and passed as whole: $answer"
+  fi
+done
+# Until both are back.
+sleep 2
 say_both '{}'
 expect "$(curl -s "http://$net.1:$((port + 3))/metrics")" \
   'seamglade_target_answers_total{framing="close_delimited",end="within_event"}'
