A stream that breaks at a living target is not refused when it is taken up

Cause: each broken call put its target in doubt until the store's next word, since it may have started again with other software. A target whose streams break often was in doubt nearly always, and streams that begin in a doubt are recorded without a version. Ruled out: streams that nobody knew (asked 0, after 0 ms).

A connection to the target is tried 10 ms after a call that had brought an answer breaks. A target that ends is not back within 300 ms, so one that takes it sooner did not end; the doubt is closed up to then. A later break, a refusal, and calls that brought no byte, where something else may take connections, stay in doubt. Refusals now name stream_version_doubted where the stream is known.

--- a/fakes/gateway_world_streams.cc
+++ b/fakes/gateway_world_streams.cc
@@ -98,7 +98,10 @@
   run->event_ends = std::move(body.event_ends);
   const bool is_cut =
       std::uniform_real_distribution<>(0, 1)(random_) < run->how.cut_share;
-  if (is_cut) run->how.cut_at = random_() % (run->text.size() + 1);
+  const auto least = std::min(run->how.least_drawn_cut, run->text.size());
+  if (is_cut) {
+    run->how.cut_at = least + random_() % (run->text.size() + 1 - least);
+  }
   return run;
 }
 
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -177,6 +177,8 @@
   std::optional<std::size_t> cut_at = {};
   /** Share of streams that it truncates behind drawn bytes. */
   double cut_share = 0;
+  /** So many bytes come all the same. */
+  std::size_t least_drawn_cut = 0;
   enum class ending : std::uint8_t { close, reset, silence };
   ending ends_by = ending::close;
 };
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -304,6 +304,8 @@
   /** Has its target tried before the answer counts as whole. */
   void doubt_end(exchange& x);
   void check_lives();
+  /** A target was tried for life, or for another reason. */
+  void note_life(const event::target_probed& e);
   void settle_ends(const event::target_probed& e);
   /**
    * Settles the ends of answers that are in doubt: all, if their target has
@@ -339,7 +341,9 @@
   void send_origin_requests(const exchange& x);
   /** Nobody knows: it goes on only where one version alone serves. */
   void end_tracing(exchange& x);
-  void refuse_unknown(exchange& x, duration retry_after);
+  /** Nobody knows its version, or who served it had doubts. */
+  void refuse_unknown(exchange& x, std::string_view reason,
+                      duration retry_after);
   /** `source`: who knew, for the log. */
   void go_on(exchange& x, const stream_origin& origin, std::string_view source);
   /** The first event of a stream is about to be passed on. */
--- a/src/process/gateway_lives.cc
+++ b/src/process/gateway_lives.cc
@@ -37,6 +37,14 @@
   }
 }
 
+void gateway_core::impl::note_life(const event::target_probed& e) {
+  settle_ends(e);
+  const auto lived_until = lives_.tried(hash_of(e.target), e.begun);
+  if (!lived_until || e.outcome != event::target_probed::how::connected) return;
+  auto* target = targets_.find(e.target);
+  if (target != nullptr) target->doubt.lives(now_, *lived_until);
+}
+
 void gateway_core::impl::settle_ends(const event::target_probed& e) {
   // An instance that lost its way to targets is refused by all.
   const bool has_ended =
--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -60,6 +60,8 @@
     target->doubt.refused(now_, copy_confirmed_);
   } else {
     target->doubt.broke(now_, copy_confirmed_);
+    // Something else may take connections where no byte came.
+    if (x.status != 0) lives_.connection_ended(now_, target->hash);
   }
 }
 
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -38,6 +38,7 @@
 constexpr int kLivesOfStream = 2;
 
 constexpr std::string_view kUnknown = "stream_version_unknown";
+constexpr std::string_view kDoubted = "stream_version_doubted";
 
 service_hash hash_of_service(const service_profile& service) {
   return stable_hash(service.name);
@@ -145,29 +146,32 @@
       only && !asked.has_several && (all_answered || copy_age() < kFreshCopy);
   if (!is_single) {
     // Who is silent may know it.
-    return refuse_unknown(x, all_answered ? duration{} : kComeBackSoon);
+    return refuse_unknown(x, kUnknown,
+                          all_answered ? duration{} : kComeBackSoon);
   }
   ++counts_.taken_up_unknown;
   go_on(x, {hash_of_service(*x.service), *only}, "single_version");
 }
 
-void gateway_core::impl::refuse_unknown(exchange& x, duration retry_after) {
+void gateway_core::impl::refuse_unknown(exchange& x, std::string_view reason,
+                                        duration retry_after) {
   ++counts_.origin_unknown;
   log("stream_unknown",
       {{"request", x.facts.id},
+       {"reason", std::string(reason)},
        {"resumes", x.facts.resumes},
        {"asked", static_cast<std::int64_t>(x.tracing.asked)},
        {"silent", static_cast<std::int64_t>(x.tracing.awaited.size())},
        {"copy_age_ms", to_ms(copy_age())},
        {"after_ms", to_ms(now_ - x.started)}},
       true);
-  refuse(x, kUnavailable, retry_after, kUnknown);
+  refuse(x, kUnavailable, retry_after, reason);
 }
 
 void gateway_core::impl::go_on(exchange& x, const stream_origin& origin,
                                std::string_view source) {
   origin_asks_.erase(x.tracing.request);
-  if (!origin.is_certain()) return refuse_unknown(x, {});
+  if (!origin.is_certain()) return refuse_unknown(x, kDoubted, {});
   log("stream_taken_up", {{"request", x.facts.id},
                           {"resumes", x.facts.resumes},
                           {"last_event", x.facts.last_event},
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -76,7 +76,7 @@
       ends_.probed(now_, hash, e.outcome, reach_.last_heard());
   if (!requests.empty()) blame(requests, e.target, kRefuses);
   if (ends_.awaits_others(hash)) try_others(e.target);
-  settle_ends(e);
+  note_life(e);
 }
 
 void gateway_core::impl::try_others(const target_id& than) {
--- a/src/process/life_checks.h
+++ b/src/process/life_checks.h
@@ -33,9 +33,22 @@
     for (const auto& [target, when] : due_) {
       if (when <= now) out.push_back(target);
     }
-    for (const auto target : out) due_.erase(target);
+    for (const auto target : out) {
+      due_.erase(target);
+      tried_[target] = now;
+    }
     return out;
   }
+  /**
+   * A connection to a target came up, or did not. Returns up to when it had not
+   * ended if it lives; none: the connection was not tried for that.
+   */
+  std::optional<time_point> tried(target_hash target, time_point begun) {
+    const auto found = tried_.find(target);
+    if (found == tried_.end() || begun < found->second) return std::nullopt;
+    tried_.erase(found);
+    return begun - kAllClosed;
+  }
   /** Returns when the next is due; none: nothing is. */
   std::optional<time_point> next_due() const {
     std::optional<time_point> next;
@@ -47,6 +60,8 @@
 
  private:
   std::map<target_hash, time_point> due_;
+  /** Targets that are being tried, and since when. */
+  std::map<target_hash, time_point> tried_;
 };
 
 }  // namespace seamglade::gateway
--- a/src/process/restart_doubt.h
+++ b/src/process/restart_doubt.h
@@ -40,6 +40,12 @@
     if (!from_ || now - last_ <= kInFlight) return;
     if (now < *from_ || sent < last_) from_.reset();
   }
+  /** It is seen to live, and did not end before `until`. */
+  void lives(time_point now, time_point until) {
+    if (!from_ || now >= *from_) return;
+    if (last_ <= until) return from_.reset();
+    from_ = std::max(*from_, until + kLeastRestart);
+  }
   /** The store's word of it came. */
   void told() { from_.reset(); }
   /** `confirmed`: the copy of the store was last known to be right then. */
--- a/test/stream_version-test.cc
+++ b/test/stream_version-test.cc
@@ -53,6 +53,17 @@
   expect_versions_kept(play_);
 }
 
+// A target whose connections break is not one that may have been upgraded.
+TEST_P(stream_version, a_stream_that_a_living_target_resets_goes_on) {
+  play_.break_streams(0.4);
+  play_.load(kLoad);
+  world().run_for(kLoad + 9s);
+  const auto got = play_.counts();
+  EXPECT_GE(got.taken_up, 40U);
+  expect_versions_kept(play_);
+  expect_goes_on(got);
+}
+
 TEST_P(stream_version, a_stream_of_a_killed_instance_goes_on_elsewhere) {
   play_.load(kLoad);
   repeat(2500ms, [this](std::size_t i) {
--- a/test/version_play.h
+++ b/test/version_play.h
@@ -53,6 +53,8 @@
 class version_play {
  public:
   static constexpr std::size_t kEvents = 40;
+  /** Bytes of the first event of any run, at most. */
+  static constexpr std::size_t kFirstEvent = 80;
   static constexpr duration kGap = 25ms;
   static constexpr int kAdapters = 12;
 
@@ -76,12 +78,22 @@
 
   gateway_world& world() { return world_; }
 
+  /** Targets that live on reset this share of streams, behind an event. */
+  void break_streams(double share) {
+    broken_share_ = share;
+    gap_ = 2ms;
+    send_streams();
+  }
+
   /** Has engines that start from now on send streams as all do. */
   void send_streams() {
     fakes::fake_stream how;
+    how.cut_share = broken_share_;
+    how.least_drawn_cut = kFirstEvent;
+    how.ends_by = fakes::fake_stream::ending::reset;
     how.events = kEvents;
     how.tells_software = true;
-    how.gap = 15ms;
+    how.gap = gap_;
     for (const auto& id : world_.engines()) world_.send_streams(id, how);
   }
 
@@ -184,6 +196,9 @@
 
   std::mt19937_64 random_;
   gateway_world world_;
+  double broken_share_ = 0;
+  /** Between two pieces of a stream. */
+  duration gap_ = 15ms;
   std::size_t first_open_ = 0;
   std::set<const gateway_call*> handled_;
 };
