On the path through owners too, a close is no proof of a whole answer

A close-delimited answer whose target was killed passed as whole there as it did on the direct path, the cause being the same: an orderly close was believed. Its end now waits for one connection to the target too; one that is refused fails the call. run_after stands once for the product and the stand-ins.

--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <utility>
 
+#include "seamglade/types.h"
+
 namespace seamglade::gateway {
 
 /** What marks the end of an answer's body (RFC 9112, section 6.3). */
@@ -35,6 +37,9 @@
 
 std::string_view to_string(call_end end);
 
+/** A process that ends has closed all its sockets within this time. */
+constexpr duration kAllSocketsClosed = 10ms;
+
 /** The connection that brought an answer. */
 struct answer_carrier {
   /** Number of the connection in its instance; 0: none. */
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -104,14 +104,18 @@
 }
 
 void run_later(event_base* base, std::function<void()> task) {
+  run_after(base, duration::zero(), std::move(task));
+}
+
+void run_after(event_base* base, duration wait, std::function<void()> task) {
   const auto run = [](evutil_socket_t, short, void* arg) {
     const std::unique_ptr<std::function<void()>> owned(
         static_cast<std::function<void()>*>(arg));
     (*owned)();
   };
-  const timeval now{};
+  const auto time = to_timeval(wait);
   event_base_once(base, -1, EV_TIMEOUT, run,
-                  new std::function<void()>(std::move(task)), &now);
+                  new std::function<void()>(std::move(task)), &time);
 }
 
 std::shared_ptr<const std::string> take_all(evbuffer* from) {
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -80,6 +80,9 @@
 /** Runs a task on the loop, after the callbacks that run now. */
 void run_later(event_base* base, std::function<void()> task);
 
+/** Runs a task on the loop after a time. */
+void run_after(event_base* base, duration wait, std::function<void()> task);
+
 /** Moves all bytes of a buffer into one string. */
 std::shared_ptr<const std::string> take_all(evbuffer* from);
 
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -23,6 +23,7 @@
 constexpr duration kIdleLimit = 5s;
 /** Pieces of a whole answer are gathered up to this size. */
 constexpr std::size_t kGatherBytes = 256 << 10;
+constexpr int kNoContent = 204;
 
 bool same_name(std::string_view a, const char* b) {
   return evutil_ascii_strcasecmp(std::string(a).c_str(), b) == 0;
@@ -104,7 +105,7 @@
 }
 
 http_client::http_client(event_base* base, repeated_answers repeats)
-    : base_(base), repeats_(repeats) {}
+    : base_(base), repeats_(repeats), prober_(base) {}
 
 http_client::~http_client() {
   *alive_ = false;
@@ -254,6 +255,7 @@
     fail_later(token);
     return;
   }
+  if (is_end_in_doubt(state)) return release_if_alive(token);
   const auto* closing = evhttp_find_header(
       evhttp_request_get_input_headers(request), "Connection");
   const bool reusable = repeats_ == repeated_answers::never &&
@@ -264,6 +266,29 @@
   });
 }
 
+bool http_client::is_end_in_doubt(const call_state& state) {
+  const bool has_body =
+      state.status != kNoContent && state.call.method != "HEAD";
+  return state.framing == gateway::body_framing::close_delimited && has_body;
+}
+
+void http_client::release_if_alive(call_token token) {
+  const auto tried = [this, token](connect_outcome outcome) {
+    if (outcome == connect_outcome::refused) {
+      fail(token);
+    } else {
+      release(token, false);
+    }
+  };
+  const auto wait = gateway::kAllSocketsClosed;
+  run_after(base_, wait, [this, token, tried, alive = alive_] {
+    if (!*alive) return;
+    const auto found = calls_.find(token);
+    if (found == calls_.end()) return;
+    prober_.probe(found->second->call.address, tried);
+  });
+}
+
 void http_client::release(call_token token, bool reusable) {
   const auto it = calls_.find(token);
   if (it == calls_.end()) return;
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "connection/connect_probe.h"
 #include "connection/event_handles.h"
 
 namespace seamglade::detail {
@@ -84,9 +85,14 @@
   void fail(call_token token);
   void fail_later(call_token token);
   void release(call_token token, bool reusable);
+  /** Whether only the close of its connection marks an answer's end. */
+  static bool is_end_in_doubt(const call_state& state);
+  /** Ends a call whose target, tried once more, has not ended with it. */
+  void release_if_alive(call_token token);
 
   event_base* base_;
   repeated_answers repeats_;
+  connect_prober prober_;
   call_token last_token_ = 0;
   std::unordered_map<call_token, std::unique_ptr<call_state>> calls_;
   std::map<std::string, std::vector<std::unique_ptr<connection>>> idle_;
--- a/src/process/gateway_lives.cc
+++ b/src/process/gateway_lives.cc
@@ -59,7 +59,7 @@
   for (const auto& [caller, x] : exchanges_) {
     if (!x.closed_at || hash_of(x.target) != target) continue;
     const bool proves_end = end != call_end::complete;
-    const bool is_later = tried >= *x.closed_at + life_checks::kAllClosed;
+    const bool is_later = tried >= *x.closed_at + kAllSocketsClosed;
     if (proves_end || is_later) settled.push_back(caller);
   }
   for (const auto caller : settled) {
--- a/src/process/life_checks.h
+++ b/src/process/life_checks.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <vector>
 
+#include "seamglade/answer_end.h"
 #include "seamglade/gateway_peers.h"
 
 namespace seamglade::gateway {
@@ -21,11 +22,8 @@
  */
 class life_checks {
  public:
-  /** A process that ends has closed all its sockets within this time. */
-  static constexpr duration kAllClosed = 10ms;
-
   void connection_ended(time_point now, target_hash target) {
-    due_.try_emplace(target, now + kAllClosed);
+    due_.try_emplace(target, now + kAllSocketsClosed);
   }
   /** Returns the targets that are to be tried now. */
   std::vector<target_hash> take_due(time_point now) {
@@ -47,7 +45,7 @@
     const auto found = tried_.find(target);
     if (found == tried_.end() || begun < found->second) return std::nullopt;
     tried_.erase(found);
-    return begun - kAllClosed;
+    return begun - kAllSocketsClosed;
   }
   /** Returns when the next is due; none: nothing is. */
   std::optional<time_point> next_due() const {
--- a/standin/standin.cc
+++ b/standin/standin.cc
@@ -54,14 +54,7 @@
 }
 
 void server::after(duration wait, std::function<void()> task) {
-  const auto run = [](evutil_socket_t, short, void* arg) {
-    const std::unique_ptr<std::function<void()>> owned(
-        static_cast<std::function<void()>*>(arg));
-    (*owned)();
-  };
-  const auto time = detail::to_timeval(wait);
-  event_base_once(base_.get(), -1, EV_TIMEOUT, run,
-                  new std::function<void()>(std::move(task)), &time);
+  detail::run_after(base_.get(), wait, std::move(task));
 }
 
 void server::on_close(evhttp_request* request, std::function<void()>* gone) {
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -19,7 +19,6 @@
   bool has_failed = false;
 };
 
-/** Calls a target that sends these pieces and closes its connection. */
 /** Calls a target and waits for the end of the answer. */
 got_answer call(event_base* base, http_client& client, http_call what) {
   got_answer out;
@@ -45,9 +44,10 @@
 }
 
 /** Calls a target that sends these pieces and closes its connection. */
-got_answer call(const std::vector<std::string>& pieces) {
+got_answer call(const std::vector<std::string>& pieces,
+                raw_target::ending ending = raw_target::ending::close) {
   const base_handle base(event_base_new());
-  raw_target target(base.get(), pieces, raw_target::ending::close);
+  raw_target target(base.get(), pieces, ending);
   http_client client(base.get(), repeated_answers::possible);
   http_call what;
   what.address = target.address();
@@ -72,6 +72,16 @@
   EXPECT_FALSE(got.is_whole);
 }
 
+// The end of the connection alone does not tell a whole answer from a cut one.
+TEST(http_client, a_close_delimited_answer_whose_target_ends_has_failed) {
+  const std::string plain = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+  for (const auto& head : {kHead, plain}) {
+    const auto got = call({head + "\r\n", kEvent}, raw_target::ending::end);
+    EXPECT_TRUE(got.has_failed) << head;
+    EXPECT_FALSE(got.is_whole) << head;
+  }
+}
+
 void expect_whole(const std::vector<std::string>& pieces,
                   const std::string& body) {
   const auto got = call(pieces);
--- a/test/raw_target.h
+++ b/test/raw_target.h
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,12 +23,12 @@
 /** Sends one answer, piece by piece, and ends its connection. */
 class raw_target {
  public:
-  enum class ending : std::uint8_t { close, reset, none };
+  /** `end`: the target ends, and with it its listener. */
+  enum class ending : std::uint8_t { close, reset, none, end };
 
   raw_target(event_base* base, std::vector<std::string> pieces, ending how)
-      : pieces_(std::move(pieces)),
-        how_(how),
-        listener_(base, [this](evutil_socket_t fd) { accept(fd); }) {
+      : pieces_(std::move(pieces)), how_(how) {
+    listener_.emplace(base, [this](evutil_socket_t fd) { accept(fd); });
     const auto tick = [](evutil_socket_t, short, void* self) {
       static_cast<raw_target*>(self)->step();
     };
@@ -39,7 +40,7 @@
   raw_target(const raw_target&) = delete;
   raw_target& operator=(const raw_target&) = delete;
 
-  std::string address() const { return listener_.address(); }
+  std::string address() const { return listener_->address(); }
 
  private:
   void accept(evutil_socket_t fd) {
@@ -64,13 +65,14 @@
     if (how_ == ending::none) return;
     if (how_ == ending::reset) set_reset_on_close(fd_, true);
     close(std::exchange(fd_, -1));
+    if (how_ == ending::end) listener_.reset();
   }
 
   std::vector<std::string> pieces_;
   ending how_;
   std::size_t next_ = 0;
   evutil_socket_t fd_ = -1;
-  loopback_listener listener_;
+  std::optional<loopback_listener> listener_;
   event_handle timer_;
 };
 
--- a/test/restart_doubt-test.cc
+++ b/test/restart_doubt-test.cc
@@ -60,7 +60,7 @@
   checks.connection_ended(kBegin, kTarget);
   checks.connection_ended(kBegin + 5ms, kTarget);
   EXPECT_TRUE(checks.take_due(kBegin + 9ms).empty());
-  const auto due = kBegin + life_checks::kAllClosed;
+  const auto due = kBegin + kAllSocketsClosed;
   EXPECT_EQ(checks.next_due(), due);
   EXPECT_EQ(checks.take_due(due).size(), 1U);
   EXPECT_EQ(checks.next_due(), std::nullopt);
@@ -69,7 +69,7 @@
 TEST(life_checks, only_a_connection_begun_since_then_counts) {
   life_checks checks;
   checks.connection_ended(kBegin, kTarget);
-  const auto due = kBegin + life_checks::kAllClosed;
+  const auto due = kBegin + kAllSocketsClosed;
   checks.take_due(due);
   EXPECT_EQ(checks.tried(kTarget, due - 1ms), std::nullopt);
   EXPECT_EQ(checks.tried(kTarget, due), kBegin);
