--- a/standin/platform_world.h
+++ b/standin/platform_world.h
@@ -42,14 +42,7 @@
   world() : base_(event_base_new()) {}
 
   void after(duration wait, std::function<void()> task) {
-    const auto when = to_timeval(wait);
-    const auto run = [](evutil_socket_t, short, void* arg) {
-      const std::unique_ptr<std::function<void()>> owned(
-          static_cast<std::function<void()>*>(arg));
-      (*owned)();
-    };
-    event_base_once(base_.get(), -1, EV_TIMEOUT, run,
-                    new std::function<void()>(std::move(task)), &when);
+    run_after(base_.get(), wait, std::move(task));
   }
 
   event_base* base() { return base_.get(); }
