A request that was handed on is not also sent to a place granted late

Cause: an instance that loses its way to targets while it waits for a place hands the request on, but went on awaiting the place. A late grant, of an admitter that is slow, sent the request there while the other run was under way.

A call that begins no longer awaits a place; a late grant gives it back.

--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -47,6 +47,8 @@
   if (!x.home.empty()) interest_dirty_.insert(x.home);
   x.home.clear();
   x.asked_until.reset();
+  // A place that is granted later is given back.
+  x.admission.answer_until.reset();
   x.now = exchange::phase::calling;
   x.call = next_call_++;
   x.relay = 0;
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -273,5 +273,32 @@
   }
 }
 
+class late_grant : public testing::TestWithParam<std::uint64_t> {};
+
+// A place that is granted after the request was handed on is given back.
+TEST_P(late_grant, a_request_that_was_handed_on_runs_once) {
+  gateway_world w(checkout(GetParam()));
+  w.run_for(kSettled);
+  const auto all = w.instances();
+  const auto cut_off = all.front();
+  for (int i = 0; i < 40; ++i) {
+    w.at(w.now() + i * 400ms, [&w, all, cut_off] {
+      w.cut_targets(cut_off, target_cut::refuse_new);
+      for (std::size_t n = 1; n < 4; ++n) w.freeze(all.at(n), 120ms);
+    });
+    w.at(w.now() + i * 400ms + 90ms,
+         [&w, cut_off] { w.cut_targets(cut_off, target_cut::none); });
+  }
+  for (auto t = 0ms; t < 16s; t += 4ms) {
+    w.at(w.now() + t, [&w, cut_off] { w.call_plain(cut_off, false); });
+  }
+  w.run_for(20s);
+  EXPECT_GT(w.relays(), 20U);
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, late_grant,
+                         testing::Range<std::uint64_t>(1, 4));
+
 }  // namespace
 }  // namespace seamglade
