The test of a leaving target has it end behind its answer

The target only drained and lived on, so the test passed with or without the rule that a leaving target is believed. It ends now while the end of its answer is under way: passes, and fails with that rule taken out (trial). The assertions stay.

--- a/test/stream_end-test.cc
+++ b/test/stream_end-test.cc
@@ -257,9 +257,14 @@
   how.events = 6;
   how.framing = body_framing::close_delimited;
   send_streams(how);
+  const auto id = world_.engines().front();
   const auto& got = world_.call_engine(world_.instances().front(), "a1");
   world_.run_for(15ms);
-  world_.drain_target(world_.engines().front());
+  world_.drain_target(id);
+  while (read_stream(got.body).ids.size() < how.events) world_.run_for(1ms);
+  // The end of the connection is under way.
+  world_.run_for(3ms);
+  world_.crash_target(id);
   world_.run_for(1s);
   EXPECT_TRUE(got.complete);
   expect_stream_kept(world_, got, how.events);
