Log what a refused route and a taken-up stream were decided by

A refusal as no_route named no request, path or version, and configuration_accepted no source, so the record could not tell a late configuration from a request on a route that never was. stream_taken_up and stream_unknown now tell how long the instance had watched, which tells a process that has just started from one that saw no other version. No decision goes by any of it.

--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -48,7 +48,7 @@
   bool take_item(const store_item& item, const change_origin& origin);
   bool take_deletion(const store_item& item, const change_origin& origin);
   bool take_entry(target_entry&& entry, const change_origin& origin);
-  void accept_configuration(configuration&& news);
+  void accept_configuration(configuration&& news, const change_origin& origin);
   void read_store();
   void tick_store();
   /** Ends the pauses of this instance once the store answers anybody again. */
@@ -164,6 +164,8 @@
   void on(event::request&& e);
   /** Finds a request's route and service, and a target for it. */
   void route(exchange& x);
+  /** No route of the configuration in force matches it. */
+  void refuse_unrouted(exchange& x);
   /** Counts a request of a known service, and has it placed. */
   void admit(exchange& x);
   /** Names what of a request may end its targets. */
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -69,6 +69,8 @@
   // The store.
   store_mirror mirror_;
   std::shared_ptr<const configuration> config_;
+  /** When the configuration in force was accepted here. */
+  time_point configuration_since_{};
   std::map<adapter_name, std::uint32_t> versions_;
   enum class reading : std::uint8_t { idle, range, watch };
   reading reading_ = reading::idle;
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -163,6 +163,7 @@
        {"asked", static_cast<std::int64_t>(x.tracing.asked)},
        {"silent", static_cast<std::int64_t>(x.tracing.awaited.size())},
        {"copy_age_ms", to_ms(copy_age())},
+       {"watched_ms", to_ms(now_ - started_)},
        {"after_ms", to_ms(now_ - x.started)}},
       true);
   refuse(x, kUnavailable, retry_after, reason);
@@ -177,6 +178,7 @@
                           {"last_event", x.facts.last_event},
                           {"software", software_name(origin)},
                           {"source", std::string(source)},
+                          {"watched_ms", to_ms(now_ - started_)},
                           {"after_ms", to_ms(now_ - x.started)}});
   const auto* service = service_at(x, origin);
   if (service == nullptr) {
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -31,6 +31,8 @@
 /** In a planned stop, later requests might not be finished in time. */
 constexpr duration kTakeStreamsWhileDraining = 2500ms;
 constexpr duration kTakeWhileDraining = 6000ms;
+/** Bytes of a caller's text in a line of the log. */
+constexpr std::size_t kMostLoggedText = 200;
 
 std::string retry_after_text(duration wait) {
   const auto ms = wait / std::chrono::milliseconds(1);
@@ -103,13 +105,28 @@
   for (const auto caller : unrouted) route(exchanges_.at(caller));
 }
 
+void gateway_core::impl::refuse_unrouted(exchange& x) {
+  // Its headers are not read yet: the id alone is, for the log.
+  if (auto facts = platform_.read_request(x.message.headers)) {
+    x.facts.id = std::move(facts.value().id);
+  }
+  const auto path = x.message.target.substr(0, x.message.target.find('?'));
+  log("no_route",
+      {{"request", x.facts.id},
+       {"host", x.message.host.substr(0, kMostLoggedText)},
+       {"path", path.substr(0, kMostLoggedText)},
+       {"version", static_cast<std::int64_t>(config_->version)},
+       {"in_force_ms", to_ms(now_ - configuration_since_)},
+       {"copy_age_ms", to_ms(copy_age())},
+       {"revision", static_cast<std::int64_t>(mirror_.revision())}},
+      true);
+  refuse(x, kNotFound, {}, "no_route");
+}
+
 void gateway_core::impl::route(exchange& x) {
   x.config = config_;
   x.way = config_->find_route(x.message.host, x.message.target);
-  if (x.way == nullptr) {
-    refuse(x, kNotFound, {}, "no_route");
-    return;
-  }
+  if (x.way == nullptr) return refuse_unrouted(x);
   const auto take_until =
       x.way->stream ? kTakeStreamsWhileDraining : kTakeWhileDraining;
   if (draining_ && now_ - drain_started_ > take_until) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -362,7 +362,7 @@
   }
   if (auto* config = std::get_if<configuration>(&read.value())) {
     const auto version = config->version;
-    accept_configuration(std::move(*config));
+    accept_configuration(std::move(*config), origin);
     if (origin.is_kept) return false;
     store_configuration_ = version;
     if (version == config_->version) kept_.erase(item.key);
@@ -430,8 +430,10 @@
   return is_news;
 }
 
-void gateway_core::impl::accept_configuration(configuration&& news) {
+void gateway_core::impl::accept_configuration(configuration&& news,
+                                              const change_origin& origin) {
   if (config_ && news.version <= config_->version) return;
+  configuration_since_ = now_;
   config_ = std::make_shared<const configuration>(std::move(news));
   do_act(action::set_limits{config_->limits});
   for (auto& [id, keeper] : keepers_) {
@@ -444,7 +446,11 @@
   }
   log("configuration_accepted",
       {{"version", static_cast<std::int64_t>(config_->version)},
-       {"routes", static_cast<std::int64_t>(config_->routes.size())}},
+       {"routes", static_cast<std::int64_t>(config_->routes.size())},
+       {"source", std::string(origin.source)},
+       {"is_kept", static_cast<std::int64_t>(origin.is_kept)},
+       {"revision", static_cast<std::int64_t>(mirror_.revision())},
+       {"copy_age_ms", to_ms(copy_age())}},
       true);
 }
 
