Targets can be asked which parts of prompts they keep

An instance's answer about a stream can tell that it has watched for as long as a stream may take. Nothing decides by any of it yet.

--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -78,10 +78,14 @@
       std::string_view key) const = 0;
 
   virtual std::string report_path() const = 0;
-  /** Returns the headers of a report asked of one target. */
-  virtual std::vector<http_header> report_headers(
+  /** Returns the headers of a question to one target. */
+  virtual std::vector<http_header> question_headers(
       const target_id& target) const = 0;
   virtual result<engine_report> read_report(std::string_view body) const = 0;
+  /** Path of the list of the parts of prompts that a target keeps. */
+  virtual std::string contents_path() const = 0;
+  virtual result<std::vector<prompt_part>> read_contents(
+      std::string_view body) const = 0;
   virtual std::string order_path() const = 0;
   virtual std::string order_body(const engine_order& order) const = 0;
   /** Returns the headers of an order to one target. */
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -73,6 +73,12 @@
   /** What the answer says of the target beside. */
   target_word word = {};
 };
+/** Which parts of prompts a target keeps. */
+struct contents_answer {
+  engine_call_id call = 0;
+  /** None: no answer, or no list. */
+  std::optional<std::vector<prompt_part>> parts;
+};
 /**
  * How a connection to a target fared that was tried to see if it ended. That it
  * came up shows no way to the target: something between may have taken it.
@@ -118,9 +124,9 @@
 using any_event =
     std::variant<event::request, event::caller_gone, event::answer_head,
                  event::answer_data, event::answer_end, event::order_answer,
-                 event::report_answer, event::target_probed, event::store_read,
-                 event::peer_changes, event::datagram, event::new_seeds,
-                 event::tick, event::drain>;
+                 event::report_answer, event::contents_answer,
+                 event::target_probed, event::store_read, event::peer_changes,
+                 event::datagram, event::new_seeds, event::tick, event::drain>;
 
 /** One field of a line of the log. */
 struct log_field {
@@ -198,6 +204,12 @@
   std::string address;
   target_id target;
 };
+/** Asks a target which parts of prompts it keeps; it holds its work up. */
+struct list_contents {
+  engine_call_id call = 0;
+  std::string address;
+  target_id target;
+};
 /** Opens a connection, sends nothing and closes it. */
 struct probe_target {
   target_id target;
@@ -237,7 +249,8 @@
     std::variant<action::reply_head, action::reply_data, action::reply_end,
                  action::reply_abort, action::call_target, action::call_peer,
                  action::cancel_call, action::send_order, action::read_report,
-                 action::probe_target, action::watch_store, action::range_store,
+                 action::list_contents, action::probe_target,
+                 action::watch_store, action::range_store,
                  action::fetch_changes, action::send_datagram,
                  action::set_limits, action::log_line>;
 
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -243,6 +243,15 @@
   std::vector<held_adapter> pending;
 };
 
+/** A part of a prompt, as a request names it or as a target keeps it. */
+struct prompt_part {
+  /** Empty: none. */
+  std::string id;
+  std::uint64_t tokens = 0;
+
+  friend bool operator==(const prompt_part&, const prompt_part&) = default;
+};
+
 enum class engine_order_kind : std::uint8_t { load, unload };
 
 /** An order to a target about a base model or an adapter. */
@@ -333,6 +342,8 @@
   std::string prompt_prefix;
   /** Parts of the prompt but the last, which is the request's own; in order. */
   std::vector<std::string> prompt_parts;
+  /** The last part of the prompt: the request's own, or its session's. */
+  prompt_part last_part;
   /** The last event that the caller has; empty: none. */
   std::string last_event;
   /** The earlier request that brought the stream's first event; empty: none. */
--- a/include/seamglade/peer_questions.h
+++ b/include/seamglade/peer_questions.h
@@ -154,6 +154,8 @@
   std::optional<stream_origin> origin;
   /** The sender has seen targets of one version only in the service lately. */
   bool is_single_version = false;
+  /** It has watched for as long as a stream may take. */
+  bool has_watched = false;
 
   friend bool operator==(const origin_answer&, const origin_answer&) = default;
 };
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -330,8 +330,9 @@
                                        const origin_answer& from) {
   const auto origin =
       write(origin_row{0, from.origin.value_or(stream_origin())});
-  return frames::CreateOriginAnswer(
-      b, from.request, from.origin ? &origin : nullptr, from.is_single_version);
+  return frames::CreateOriginAnswer(b, from.request,
+                                    from.origin ? &origin : nullptr,
+                                    from.is_single_version, from.has_watched);
 }
 
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -146,6 +146,7 @@
   // gateway_orders.cc
   void on(event::order_answer&& e);
   void on(event::report_answer&& e);
+  void on(event::contents_answer&& e);
   void note_isolation();
   void tick_claims();
   void tick_keepers();
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -153,6 +153,8 @@
   go_on(x, {hash_of_service(*x.service), *only}, "single_version");
 }
 
+void gateway_core::impl::on(event::contents_answer&&) {}
+
 void gateway_core::impl::refuse_unknown(exchange& x, std::string_view reason,
                                         duration retry_after) {
   ++counts_.origin_unknown;
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -59,6 +59,7 @@
   void carry_out(gateway::action::cancel_call&& a);
   void carry_out(gateway::action::send_order&& a);
   void carry_out(gateway::action::read_report&& a);
+  void carry_out(gateway::action::list_contents&& a);
   void carry_out(gateway::action::probe_target&& a);
   void carry_out(gateway::action::watch_store&& a);
   void carry_out(gateway::action::range_store&& a);
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -20,6 +20,7 @@
 
 constexpr answer_bounds kOrderBounds{900ms, 64UL << 10U};
 constexpr answer_bounds kReportBounds{600ms, 1UL << 20U};
+constexpr answer_bounds kContentsBounds{600ms, 4UL << 20U};
 constexpr duration kStoreTimeout = 1500ms;
 /** Pages of the store hold 1 MB or one item of that size, in base64. */
 constexpr std::size_t kMostStoreBytes = 16UL << 20U;
@@ -61,7 +62,7 @@
   call.address = std::move(a.address);
   call.method = "GET";
   call.target = platform_->report_path();
-  call.headers = platform_->report_headers(a.target);
+  call.headers = platform_->question_headers(a.target);
   call.connect_timeout = kTargetConnect;
   ask(target_client_, std::move(call), kReportBounds,
       [this, id = a.call](const collected_answer& got) {
@@ -78,6 +79,25 @@
       });
 }
 
+void gateway_shell::carry_out(action::list_contents&& a) {
+  outgoing_call call;
+  call.address = std::move(a.address);
+  call.method = "GET";
+  call.target = platform_->contents_path();
+  call.headers = platform_->question_headers(a.target);
+  call.connect_timeout = kTargetConnect;
+  ask(target_client_, std::move(call), kContentsBounds,
+      [this, id = a.call](const collected_answer& got) {
+        event::contents_answer answer{id, std::nullopt};
+        if (got.status == kOk) {
+          if (auto parts = platform_->read_contents(got.body)) {
+            answer.parts = std::move(parts.value());
+          }
+        }
+        post(std::move(answer));
+      });
+}
+
 void gateway_shell::carry_out(action::probe_target&& a) {
   prober_.probe(a.address, [this, target = a.target,
                             begun = boot_now()](connect_outcome outcome) {
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -38,9 +38,32 @@
   EXPECT_EQ(facts.value().answer_tokens, 80U);
   EXPECT_EQ(facts.value().prompt_prefix, "91");
   EXPECT_EQ(facts.value().prompt_parts, (std::vector<std::string>{"5c", "91"}));
+  EXPECT_EQ(facts.value().last_part, (prompt_part{"e4", 250}));
   EXPECT_EQ(facts.value().deadline, 15s);
 }
 
+// A target writes a part's id without the zeros that a caller may write.
+TEST_F(platform, reads_which_parts_of_prompts_a_target_keeps) {
+  const auto kept = d_->read_contents(
+      R"({"epoch":"e1","next_token":9,"held":[["","5c1e",800,"m"],)"
+      R"(["","0107",0,"m"]]})");
+  ASSERT_TRUE(kept);
+  EXPECT_EQ(kept.value(),
+            (std::vector<prompt_part>{{"5c1e", 800}, {"107", 0}}));
+  EXPECT_FALSE(d_->read_contents(R"({"held":[[1]]})"));
+  EXPECT_FALSE(d_->read_contents("{}"));
+  const auto last = [&](const std::string& text) {
+    return d_->read_request({{"X-Request-Id", "1"}, {"X-Prefix-Hash", text}})
+        .value()
+        .last_part;
+  };
+  EXPECT_EQ(last("5c:800,0107:25"), (prompt_part{"107", 25}));
+  EXPECT_EQ(last("107:25"), (prompt_part{"107", 25}));
+  EXPECT_EQ(last(""), prompt_part());
+  EXPECT_EQ(last("5c:x"), prompt_part());
+  EXPECT_EQ(d_->contents_path(), "/kv-list");
+}
+
 TEST_F(platform, tells_no_part_of_a_prompt_that_is_the_requests_own) {
   const auto parts = [&](const std::string& text) {
     return d_->read_request({{"X-Request-Id", "1"}, {"X-Prefix-Hash", text}})
@@ -340,7 +363,7 @@
 
 // A report of another target at a reused address was taken for this one's.
 TEST_F(platform, asks_one_target_for_its_report) {
-  const auto headers = d_->report_headers("i-7f");
+  const auto headers = d_->question_headers("i-7f");
   ASSERT_EQ(headers.size(), 1U);
   EXPECT_EQ(headers[0].name, "X-Expect-Replica");
   EXPECT_EQ(headers[0].value, "i-7f");
