Fakes: engines keep prompts and tell which parts

Tests could not show what a target remembers of a stream once no instance that served it is left. Memory may give way, lists may fail, targets may end for good, and plain targets may serve streams. Each list asked for is recorded.

Callers of plays with versions name a prompt of two shared parts and one of their own, or of their session, and bring the same parts when they take a stream up.

Nothing lists yet.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -8,6 +8,15 @@
 namespace seamglade::fakes {
 namespace {
 
+constexpr std::string_view kEngineStreams = "/llm2/x";
+constexpr std::string_view kPlainStreams = "/feed/x";
+
+std::vector<http_header> engine_headers(const std::string& adapter,
+                                        std::uint32_t prompt_tokens) {
+  return {{"X-Model", fmt::format("{}/{}", kModel, adapter)},
+          {"X-Token-Count", fmt::format("{},10", prompt_tokens)}};
+}
+
 /** Returns the id of the last event in a text; empty: there is none. */
 std::string last_event_of(const std::string& body) {
   constexpr std::string_view kId = "id: ";
@@ -101,6 +110,14 @@
   return out;
 }
 
+std::vector<std::string> gateway_world::plain_targets() const {
+  std::vector<std::string> out;
+  for (const auto& [id, t] : targets_) {
+    if (!t->engine) out.push_back(id);
+  }
+  return out;
+}
+
 const std::string& gateway_world::software_of(const std::string& id) const {
   return targets_.at(id)->software;
 }
@@ -254,6 +271,8 @@
     serve_order(from, *order);
   } else if (const auto* ask = std::get_if<action::read_report>(&any)) {
     serve_report(from, *ask);
+  } else if (const auto* list = std::get_if<action::list_contents>(&any)) {
+    serve_list(from, *list);
   } else if (const auto* probe = std::get_if<action::probe_target>(&any)) {
     serve_probe(from, *probe);
   } else if (const auto* watch = std::get_if<action::watch_store>(&any)) {
@@ -330,6 +349,11 @@
   made.repeatable = repeatable;
   made.adapter = adapter;
   made.content = content.body;
+  made.parts = content.parts;
+  made.prompt_tokens = content.prompt_tokens;
+  if (!content.parts.empty()) {
+    headers.push_back({"X-Prefix-Hash", content.parts});
+  }
   made.sent = now_;
   headers.push_back({"X-Request-Id", made.id});
   headers.push_back({"X-Deadline-Ms", "8000"});
@@ -361,14 +385,9 @@
                                               const std::string& adapter,
                                               const caller_content& content,
                                               bool repeatable) {
-  std::vector<http_header> headers{
-      {"X-Model", fmt::format("{}/{}", kModel, adapter)},
-      {"X-Token-Count", "100,10"}};
-  if (!content.parts.empty()) {
-    headers.push_back({"X-Prefix-Hash", content.parts});
-  }
-  return submit(entry, repeatable ? "/llm2/x" : "/llm/x", std::move(headers),
-                repeatable, adapter, content);
+  return submit(entry, std::string(repeatable ? kEngineStreams : "/llm/x"),
+                engine_headers(adapter, content.prompt_tokens), repeatable,
+                adapter, content);
 }
 
 gateway_call& gateway_world::take_up(member_address entry,
@@ -378,17 +397,26 @@
        call = call->earlier) {
     last_event = last_event_of(call->body);
   }
+  const bool is_plain = earlier.adapter.empty();
+  auto headers = is_plain
+                     ? std::vector<http_header>()
+                     : engine_headers(earlier.adapter, earlier.prompt_tokens);
+  headers.push_back({"Resumes", earlier.begun_by().id});
+  headers.push_back({"Last-Event-Id", last_event});
+  caller_content content;
+  content.parts = earlier.parts;
+  content.prompt_tokens = earlier.prompt_tokens;
   auto& made =
-      submit(entry, "/llm2/x",
-             {{"X-Model", fmt::format("{}/{}", kModel, earlier.adapter)},
-              {"X-Token-Count", "100,10"},
-              {"Resumes", earlier.begun_by().id},
-              {"Last-Event-Id", last_event}},
-             true, earlier.adapter);
+      submit(entry, std::string(is_plain ? kPlainStreams : kEngineStreams),
+             std::move(headers), true, earlier.adapter, content);
   made.earlier = &earlier;
   return made;
 }
 
+gateway_call& gateway_world::stream_plain(member_address entry) {
+  return submit(entry, std::string(kPlainStreams), {}, true, "");
+}
+
 gateway_call& gateway_world::call_plain(member_address entry, bool repeatable) {
   return call_plain_with(entry, {}, repeatable);
 }
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -60,6 +60,8 @@
                                   bool is_public = false,
                                   const std::string& body = "body");
   void leave(gateway_call& call);
+  /** Begins a stream at the plain service. */
+  gateway_call& stream_plain(gateway::member_address entry);
   /** Takes a stream up behind the last event that an earlier call brought. */
   gateway_call& take_up(gateway::member_address entry,
                         const gateway_call& earlier);
@@ -106,6 +108,7 @@
   gateway::gateway_status status(gateway::member_address who);
 
   std::vector<std::string> engines() const;
+  std::vector<std::string> plain_targets() const;
   const std::string& software_of(const std::string& id) const;
   /** Returns the failure domain of an instance or a target. */
   std::string domain_of(gateway::member_address who) const;
@@ -157,6 +160,14 @@
   /** Returns how many requests came to a target since then. */
   std::size_t arrivals_at(const std::string& id, time_point from) const;
   const unheeded_words& unheeded() const { return unheeded_; }
+  /** It ends for good, and its entry goes. */
+  void remove_target(const std::string& id);
+  /** An engine's memory of prompts gives way. */
+  void forget_contents(const std::string& id);
+  /** From now on an engine leaves questions for its contents unanswered. */
+  void fail_lists(const std::string& id, bool failing);
+  /** Returns who asked which target for its contents, in order. */
+  const std::vector<asked_list>& lists() const { return lists_; }
   /** Its entry goes, though it lives; or is back. */
   void lapse_target(const std::string& id);
   void relist_target(const std::string& id);
@@ -212,6 +223,8 @@
   std::size_t orders_at(const std::string& id) const;
   /** Returns the failure domains where a request ran. */
   std::set<std::string> domains_of_runs(const std::string& request) const;
+  /** Returns the targets where a request ran. */
+  std::set<std::string> targets_of_runs(const std::string& request) const;
   /** Returns how often a request was run. */
   std::size_t runs_of(const std::string& request) const;
   /** Returns how many requests plain targets rejected since they were full. */
@@ -359,6 +372,11 @@
   void publish_target(target& which);
   /** Remembers what the target is like now: its reports lag. */
   void note_state(target& at);
+  /** Notes that an engine has read a prompt. */
+  static void keep_contents(target& at, const std::string& adapter,
+                            std::string_view parts);
+  static std::vector<gateway::prompt_part> contents_of(const target& which);
+  void serve_list(instance& from, const gateway::action::list_contents& ask);
   void wake_watchers();
   /** Returns the epoch that the store's next answer names. */
   gateway::store_epoch name_epoch();
@@ -422,6 +440,8 @@
   std::map<std::string, gateway_call*> calls_by_id_;
   std::map<std::string, std::size_t> runs_;
   std::map<std::string, std::set<std::string>> run_domains_;
+  std::map<std::string, std::set<std::string>> run_targets_;
+  std::vector<asked_list> lists_;
   std::set<std::string> cut_unseen_;
   /** Since when a failure domain has been evacuated. */
   std::map<std::string, time_point> evacuated_;
--- a/fakes/gateway_world_faults.cc
+++ b/fakes/gateway_world_faults.cc
@@ -11,6 +11,7 @@
   which.adapters.clear();
   which.pending.clear();
   which.running.clear();
+  which.contents.clear();
   which.has_model = false;
   which.busy = false;
   which.sequence = 0;
@@ -68,6 +69,16 @@
   publish_target(t);
 }
 
+void gateway_world::remove_target(const std::string& id) {
+  auto& t = *targets_.at(id);
+  lapse_target(id);
+  if (t.down) return;
+  t.down = true;
+  ++t.blackouts;
+  t.contents.clear();
+  break_calls(t);
+}
+
 void gateway_world::lapse_target(const std::string& id) {
   auto& t = *targets_.at(id);
   t.listed = false;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -150,6 +150,10 @@
   std::map<std::string, std::uint32_t> adapters;
   std::map<std::string, std::pair<time_point, std::uint32_t>> pending;
   std::map<std::string, std::size_t> running;
+  /** Tokens that it keeps of each part of prompts, by adapter. */
+  std::map<std::string, std::map<std::string, std::uint64_t>> contents;
+  /** It does not answer who asks for these. */
+  bool fails_lists = false;
   std::uint64_t sequence = 0;
   std::uint64_t highest_fence = 0;
   std::map<std::uint64_t, std::string> fence_holders;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -166,6 +166,11 @@
     llm += fmt::format(R"(,"slo_ms":{})", options_.stream_objective_ms);
   }
   const auto plain = service_regions("plain");
+  const std::string feed =
+      options_.plain_streams
+          ? R"(,{"host":"h","prefix":"/feed/","type":"stream",)"
+            R"("resumable":true,"timeout_ms":8000,"svc":"plain","attempts":2})"
+          : "";
   const auto cold =
       options_.cold_rate > 0
           ? fmt::format(R"(,"cold_start_s":{},"cold_per_s":{})",
@@ -184,11 +189,11 @@
           R"({{"host":"h","prefix":"/set/","type":"mutating",)"
           R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
-          R"("public":true,"timeout_ms":1500,"svc":"plain"{}}}],)"
+          R"("public":true,"timeout_ms":1500,"svc":"plain"{}}}{}],)"
           R"("svcs":[{{"name":"llm","engine":{}{}}},{{"name":"plain"{}}}])"
           R"({}}})",
-          version, engine_prefix, llm, llm, plain, plain, plain, engine, cold,
-          cold, workspaces_text()));
+          version, engine_prefix, llm, llm, plain, plain, plain, feed, engine,
+          cold, cold, workspaces_text()));
 }
 
 std::string gateway_world::workspaces_text() const {
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -95,6 +95,8 @@
   ++at.runs;
   ++runs_[call.request_id];
   run_domains_[call.request_id].insert(at.domain);
+  run_targets_[call.request_id].insert(at.id);
+  keep_contents(at, adapter, header_of(call.headers, "X-Prefix-Hash"));
   judge_evacuation(from, at, "a request");
   judge_key(call);
   judge_region(at, *calls_by_id_.at(call.request_id));
@@ -348,6 +350,7 @@
     if (!at.adapters.contains(name)) return engine_order_status::rejected;
     if (at.running[name] > 0) return engine_order_status::started;
     at.adapters.erase(name);
+    at.contents.erase(name);
     ++at.sequence;
     publish_target(at);
     return engine_order_status::done;
@@ -428,6 +431,12 @@
   return found == run_domains_.end() ? std::set<std::string>() : found->second;
 }
 
+std::set<std::string> gateway_world::targets_of_runs(
+    const std::string& request) const {
+  const auto found = run_targets_.find(request);
+  return found == run_targets_.end() ? std::set<std::string>() : found->second;
+}
+
 std::size_t gateway_world::runs_of(const std::string& request) const {
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -69,6 +69,8 @@
   /** How long a key may run that was taken away. */
   duration key_bound = 5s;
   gateway::quota_bounds quota = {8s, 0.25, 11000};
+  /** Plain targets serve resumable streams, too. */
+  bool plain_streams = false;
   /** Requests a second that a cold target bears; 0: none is ever cold. */
   double cold_rate = 0;
   duration cold_time = 3s;
@@ -90,6 +92,9 @@
   duration retry_after{};
   /** What it sent. */
   std::string content;
+  /** Parts of its prompt as in the header, and their tokens. */
+  std::string parts;
+  std::uint32_t prompt_tokens = 100;
   /** The call that this one takes up, which may have taken one up itself. */
   const gateway_call* earlier = nullptr;
   time_point sent;
@@ -108,6 +113,14 @@
   std::uint32_t address = 0;
   /** Parts of its prompt as in the header; empty: it has none. */
   std::string parts = {};
+  std::uint32_t prompt_tokens = 100;
+};
+
+/** An instance asked a target which parts of prompts it keeps. */
+struct asked_list {
+  time_point when;
+  gateway::member_address who = 0;
+  target_id target;
 };
 
 /** What a request did that ends the targets that run it. */
--- a/test/version_play.h
+++ b/test/version_play.h
@@ -49,6 +49,14 @@
   }
 };
 
+/** Which calls a play counts. */
+struct counted_calls {
+  /** First calls and those that take streams up, if sent since then. */
+  time_point sent_from;
+  /** Of streams whose first call this holds for; none: all. */
+  std::function<bool(const gateway_call& first)> of = {};
+};
+
 /** A fleet under a load of resumable streams, whose callers do not give up. */
 class version_play {
  public:
@@ -57,6 +65,8 @@
   static constexpr std::size_t kFirstEvent = 80;
   static constexpr duration kGap = 25ms;
   static constexpr int kAdapters = 12;
+  /** A session's next request comes when the one before has ended. */
+  static constexpr int kSessions = 15 * kAdapters;
 
   static gateway_world_options options(std::uint64_t seed) {
     gateway_world_options out;
@@ -85,6 +95,19 @@
     send_streams();
   }
 
+  /**
+   * From now on requests belong to sessions, whose last part is one and grows
+   * by so many tokens from one request to the next.
+   */
+  void use_sessions(std::uint32_t growth) { session_growth_ = growth; }
+  /** From now on streams are of the plain service. */
+  void use_plain_targets() {
+    is_plain_ = true;
+    send_streams();
+  }
+  /** From now on callers wait so long before they take a stream up. */
+  void come_back_after(duration wait) { comes_back_after_ = wait; }
+
   /** Has engines that start from now on send streams as all do. */
   void send_streams() {
     fakes::fake_stream how;
@@ -94,7 +117,8 @@
     how.events = kEvents;
     how.tells_software = true;
     how.gap = gap_;
-    for (const auto& id : world_.engines()) world_.send_streams(id, how);
+    const auto all = is_plain_ ? world_.plain_targets() : world_.engines();
+    for (const auto& id : all) world_.send_streams(id, how);
   }
 
   /** Begins streams for a time, and takes up those that break. */
@@ -102,8 +126,7 @@
     const auto entries = world_.instances();
     for (int i = 0; i * kGap < time; ++i) {
       world_.at(world_.now() + i * kGap, [this, entries, i] {
-        const auto entry = entries[random_() % entries.size()];
-        world_.call_engine(entry, fmt::format("a{}", i % kAdapters), true);
+        begin_stream(entries[random_() % entries.size()], i);
       });
     }
     // Callers notice soon, and go on for as long as a stream may take.
@@ -123,15 +146,21 @@
   }
 
   version_counts counts(time_point from = {}) {
+    return counts(counted_calls{}, from);
+  }
+
+  /** Counts these calls, of streams that began since `from`. */
+  version_counts counts(const counted_calls& counted, time_point from = {}) {
     version_counts out;
     std::map<const gateway_call*, std::set<std::string>> versions;
     for (const auto& call : world_.calls()) {
       const auto& first = call->begun_by();
-      if (first.sent < from || call->adapter.empty()) continue;
+      if (first.sent < from || !is_stream(first)) continue;
       const bool has_events = call->status == kOk && !call->body.empty();
       versions[&first].merge(versions_in(call->body));
       const bool is_first = call->earlier == nullptr;
-      if (is_unread(*call)) continue;
+      if (is_unread(*call) || call->sent < counted.sent_from) continue;
+      if (counted.of && !counted.of(first)) continue;
       ++(is_first ? out.sent : out.taken_up);
       if (has_events) ++(is_first ? out.begun : out.went_on);
       if (has_events && call->complete) ++out.whole;
@@ -145,6 +174,30 @@
   }
 
  private:
+  bool is_stream(const gateway_call& call) const {
+    return is_plain_ || !call.adapter.empty();
+  }
+
+  /** Begins the play's next stream, whose prompt no other has. */
+  void begin_stream(gateway::member_address entry, int number) {
+    if (is_plain_) {
+      world_.stream_plain(entry);
+      return;
+    }
+    // The first two parts are shared.
+    const auto own = session_growth_ > 0 ? number % kSessions : number;
+    const auto tokens = static_cast<std::uint32_t>(
+        session_growth_ > 0 ? kOwnTokens + number / kSessions * session_growth_
+                            : kOwnTokens + number * 37 % kOwnTokens);
+    fakes::caller_content content;
+    content.parts =
+        fmt::format("a{:x}:{},b{:x}:{},c{:x}:{}", number % 2, kSharedTokens,
+                    number % 5, kSharedTokens, own + 0x1000, tokens);
+    content.prompt_tokens = 2 * kSharedTokens + tokens;
+    world_.call_engine_with(entry, fmt::format("a{}", number % kAdapters),
+                            content, true);
+  }
+
   /** Whether a call took a stream up at an instance that was down. */
   static bool is_unread(const gateway_call& call) {
     return call.earlier != nullptr && call.aborted && call.status == 0;
@@ -190,13 +243,26 @@
     for (const auto* call : broken) {
       auto entry = entries[random_() % entries.size()];
       if (entry == call->entry) entry = entries.front();
-      world_.take_up(entry, *call);
+      // Where nobody read it, the next try follows soon.
+      if (comes_back_after_ == duration{} || is_unread(*call)) {
+        world_.take_up(entry, *call);
+        continue;
+      }
+      world_.at(world_.now() + comes_back_after_,
+                [this, entry, call] { world_.take_up(entry, *call); });
     }
   }
 
+  /** Tokens of each shared part of a prompt, and the fewest of the last. */
+  static constexpr std::uint32_t kSharedTokens = 200;
+  static constexpr std::uint32_t kOwnTokens = 120;
+
   std::mt19937_64 random_;
   gateway_world world_;
   double broken_share_ = 0;
+  std::uint32_t session_growth_ = 0;
+  bool is_plain_ = false;
+  duration comes_back_after_{};
   /** Between two pieces of a stream. */
   duration gap_ = 15ms;
   std::size_t first_open_ = 0;
