--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -143,6 +143,7 @@
   }
   i.core = std::make_unique<gateway_core>(std::move(options), *platform_);
   ++i.life;
+  i.cancelled.clear();
   i.series.clear();
   i.last_series.clear();
   i.disturbed = now_;
--- a/test/version_play.h
+++ b/test/version_play.h
@@ -100,6 +100,8 @@
    * by so many tokens from one request to the next.
    */
   void use_sessions(std::uint32_t growth) { session_growth_ = growth; }
+  /** From now on requests name no parts of a prompt. */
+  void use_no_prompts() { has_prompts_ = false; }
   /** From now on streams are of the plain service. */
   void use_plain_targets() {
     is_plain_ = true;
@@ -184,6 +186,11 @@
       world_.stream_plain(entry);
       return;
     }
+    const auto adapter = fmt::format("a{}", number % kAdapters);
+    if (!has_prompts_) {
+      world_.call_engine(entry, adapter, true);
+      return;
+    }
     // The first two parts are shared.
     const auto own = session_growth_ > 0 ? number % kSessions : number;
     const auto tokens = static_cast<std::uint32_t>(
@@ -194,8 +201,7 @@
         fmt::format("a{:x}:{},b{:x}:{},c{:x}:{}", number % 2, kSharedTokens,
                     number % 5, kSharedTokens, own + 0x1000, tokens);
     content.prompt_tokens = 2 * kSharedTokens + tokens;
-    world_.call_engine_with(entry, fmt::format("a{}", number % kAdapters),
-                            content, true);
+    world_.call_engine_with(entry, adapter, content, true);
   }
 
   /** Whether a call took a stream up at an instance that was down. */
@@ -261,6 +267,7 @@
   gateway_world world_;
   double broken_share_ = 0;
   std::uint32_t session_growth_ = 0;
+  bool has_prompts_ = true;
   bool is_plain_ = false;
   duration comes_back_after_{};
   /** Between two pieces of a stream. */
