Calls to the store and for copies can ask for a new connection

Open connections may fall silent without a reset. A call can now leave the kept ones: it opens a connection and closes the idle ones to its address. Calls for copies bear a number, which their answer names, so that one can be made twice. No decision asks for either yet.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -25,6 +25,7 @@
 
 /** Names a call of the store; an answer bears its call's. */
 using store_call_id = std::uint64_t;
+using fetch_id = std::uint64_t;
 
 /** Events: what the driver tells the decisions. */
 namespace event {
@@ -104,6 +105,7 @@
 };
 /** What a peer sent that was asked for its changes; none: it failed. */
 struct peer_changes {
+  fetch_id call = 0;
   member_address from = 0;
   std::optional<store_changes> changes;
 };
@@ -220,14 +222,19 @@
   store_scope scope = store_scope::everything;
   std::uint64_t after = 0;
   duration wait{};
+  /** Kept connections may have fallen silent. */
+  bool on_new_connection = false;
 };
 struct range_store {
   store_call_id call = 0;
   std::string after_key;
+  bool on_new_connection = false;
 };
 struct fetch_changes {
+  fetch_id call = 0;
   member_address from = 0;
   copy_extent known;
+  bool on_new_connection = false;
 };
 struct send_datagram {
   member_address to = 0;
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -69,6 +69,7 @@
 call_client::~call_client() = default;
 
 call_client::token call_client::start(outgoing_call call, handlers on) {
+  if (call.on_new_connection) close_idle(call.address);
   auto* c = take_idle(call);
   if (c != nullptr) {
     ++counts_.reused;
@@ -106,6 +107,13 @@
   return nullptr;
 }
 
+void call_client::close_idle(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  for (const auto* c : found->second) connections_.erase(c->number);
+  idle_.erase(found);
+}
+
 bool call_client::may_carry(const connection& c,
                             const outgoing_call& call) const {
   if (name_header_.empty()) return true;
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -40,6 +40,11 @@
    * holds for this one too. 0: of none.
    */
   std::uint64_t series = 0;
+  /**
+   * Opens a connection, and closes the idle ones to the address: they may have
+   * fallen silent without a reset.
+   */
+  bool on_new_connection = false;
 };
 
 using gateway::answer_carrier;
@@ -137,6 +142,7 @@
   void note_peak(const std::string& address);
   /** Returns an idle connection that may carry a call; null: none may. */
   connection* take_idle(const outgoing_call& call);
+  void close_idle(const std::string& address);
   bool may_carry(const connection& c, const outgoing_call& call) const;
   bool may_be_kept(const connection& c) const;
   /** Whether nothing has come on an idle connection, also no close. */
--- a/src/process/gateway_epochs.cc
+++ b/src/process/gateway_epochs.cc
@@ -130,7 +130,7 @@
   if (fetching_) return;
   fetching_ = true;
   fetch_confirms_ = confirms;
-  do_act(action::fetch_changes{peer, known});
+  do_act(action::fetch_changes{next_fetch_call_++, peer, known});
 }
 
 bool gateway_core::impl::hear_evacuation(const evacuation& word,
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -72,7 +72,7 @@
   void ask(call_client& client, outgoing_call call, const answer_bounds& bounds,
            std::function<void(collected_answer)> done);
   void read_store(gateway::store_call_id id, gateway::store_scope scope,
-                  std::string path, duration timeout);
+                  std::string path, duration timeout, bool on_new_connection);
   void answer_ready(caller_id caller);
   void answer_metrics(caller_id caller, std::string_view path);
   void answer_peer(caller_id caller, gateway::caller_message message);
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -111,11 +111,12 @@
 
 void gateway_shell::read_store(gateway::store_call_id id,
                                gateway::store_scope scope, std::string path,
-                               duration timeout) {
+                               duration timeout, bool on_new_connection) {
   outgoing_call call;
   call.address = config_.store_address;
   call.method = "GET";
   call.target = std::move(path);
+  call.on_new_connection = on_new_connection;
   ask(fleet_client_, std::move(call), {timeout, kMostStoreBytes},
       [this, id, scope](const collected_answer& got) {
         using outcome = event::store_read::outcome;
@@ -137,12 +138,13 @@
 
 void gateway_shell::carry_out(action::watch_store&& a) {
   read_store(a.call, a.scope, platform_->watch_path(a.scope, a.after, a.wait),
-             a.wait + kStoreTimeout);
+             a.wait + kStoreTimeout, a.on_new_connection);
 }
 
 void gateway_shell::carry_out(action::range_store&& a) {
   read_store(a.call, gateway::store_scope::everything,
-             platform_->range_path(a.after_key), kStoreTimeout);
+             platform_->range_path(a.after_key), kStoreTimeout,
+             a.on_new_connection);
 }
 
 void gateway_shell::carry_out(action::fetch_changes&& a) {
@@ -150,9 +152,10 @@
   call.address = fmt::format("{}:{}", to_text(a.from), peer_port_);
   call.method = "GET";
   call.target = changes_path(a.known);
+  call.on_new_connection = a.on_new_connection;
   ask(fleet_client_, std::move(call), kCopyBounds,
-      [this, from = a.from](const collected_answer& got) {
-        event::peer_changes answer{from, std::nullopt};
+      [this, id = a.call, from = a.from](const collected_answer& got) {
+        event::peer_changes answer{id, from, std::nullopt};
         if (got.status == kOk) {
           if (auto changes = gateway::decode_store_changes(got.body)) {
             answer.changes = std::move(changes.value());
--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -38,6 +38,7 @@
     what.target = "/x";
     what.host = std::to_string(++last_serial_);
     what.series = series_;
+    what.on_new_connection = on_new_connection_;
     if (name.empty()) return what;
     what.headers = {{kNameHeader, name}};
     what.name = name;
@@ -93,6 +94,7 @@
   call_client client_;
   std::string method_ = "POST";
   std::uint64_t series_ = 0;
+  bool on_new_connection_ = false;
   int last_serial_ = 0;
   int answered_ = 0;
 };
@@ -217,5 +219,16 @@
   EXPECT_EQ(client_.counts().opened, 3U);
 }
 
+TEST_F(repeated_answers_test, kept_connections_that_may_be_silent_are_left) {
+  for (const auto* name : {"a", "b"}) expect_own_answer(call(name));
+  EXPECT_EQ(client_.counts().opened, 1U);
+  on_new_connection_ = true;
+  expect_own_answer(call("c"));
+  on_new_connection_ = false;
+  expect_own_answer(call("d"));
+  EXPECT_EQ(client_.counts().opened, 2U);
+  EXPECT_EQ(client_.counts().most_to_one_address, 1U);
+}
+
 }  // namespace
 }  // namespace seamglade::detail
