--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -126,6 +126,8 @@
   }
   i.core = std::make_unique<gateway_core>(std::move(options), *platform_);
   ++i.life;
+  i.kept.close_all();
+  i.store_calls.clear();
   i.series.clear();
   i.last_series.clear();
   i.disturbed = now_;
@@ -257,35 +259,24 @@
   } else if (const auto* probe = std::get_if<action::probe_target>(&any)) {
     serve_probe(from, *probe);
   } else if (const auto* watch = std::get_if<action::watch_store>(&any)) {
+    const store_watch asked{watch->call, watch->scope, watch->after,
+                            watch->wait};
+    if (!begin_store_call(from, asked, watch->on_new_connection)) return;
     if (store_silent_) {
-      lose_store_call(from, {watch->call, watch->scope, 0, watch->wait});
+      lose_store_call(from, asked);
       return;
     }
-    serve_watch(from, {watch->call, watch->scope, watch->after, watch->wait});
+    serve_watch(from, asked);
   } else if (const auto* range = std::get_if<action::range_store>(&any)) {
+    const store_watch asked{range->call, store_scope::everything, 0, 0ms};
+    if (!begin_store_call(from, asked, range->on_new_connection)) return;
     if (store_silent_) {
-      lose_store_call(from, {range->call, store_scope::everything, 0, 0ms});
+      lose_store_call(from, asked);
       return;
     }
     serve_range(from, range->call);
   } else if (const auto* fetch = std::get_if<action::fetch_changes>(&any)) {
-    const auto who = from.address;
-    const auto life = from.life;
-    const auto peer = fetch->from;
-    const auto known = fetch->known;
-    ++traffic_[distance(from, *instances_.at(peer))].copies;
-    later(2 * kLinkDelay, [this, who, life, peer, known] {
-      auto& to = *instances_.at(who);
-      if (to.life != life) return;
-      event::peer_changes answer{peer, std::nullopt};
-      auto& other = *instances_.at(peer);
-      const bool answers = other.core && reachable(who, peer) &&
-                           now_ >= other.frozen_until && !copies_blocked_;
-      if (answers) {
-        answer.changes = other.core->changes_after(known);
-      }
-      post(to, std::move(answer));
-    });
+    serve_fetch(from, *fetch);
   } else if (auto* datagram = std::get_if<action::send_datagram>(&any)) {
     const auto who = from.address;
     const auto peer = datagram->to;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -100,6 +100,11 @@
   void block_copies(bool blocked) { copies_blocked_ = blocked; }
   /** Turns an instance away at the store, or serves it again. */
   void deny_store(gateway::member_address who, bool denied);
+  /**
+   * Open connections to the store and between instances carry nothing any more,
+   * without a reset; those opened from now on work.
+   */
+  void silence_connections();
   /** The store answers nobody, also nobody that waits already; or again. */
   void silence_store(bool silent);
   void stop(gateway::member_address who);
@@ -180,8 +185,10 @@
   }
   /** Returns who has a watch of the whole store under way. */
   std::set<gateway::member_address> watchers() const;
+  /** `further`: routes to the plain service beside the usual ones. */
   void publish_configuration(std::uint64_t version,
-                             const std::string& engine_prefix);
+                             const std::string& engine_prefix,
+                             std::size_t further = 0);
   /** Publish the next version of the configuration. */
   void add_key(const std::string& workspace, const std::string& key);
   void take_key(const std::string& key);
@@ -222,6 +229,8 @@
   /** Orders that asked whether an earlier one of their series has ended. */
   std::size_t questions() const { return questions_; }
   std::size_t store_calls() const { return store_calls_; }
+  /** Returns how many calls to the store opened a connection for that alone. */
+  std::size_t repeated_store_calls() const { return repeated_store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
   /** Returns what was sent so far, by the kind of message. */
   const std::map<std::string, peer_traffic>& traffic_by_kind() const {
@@ -354,7 +363,16 @@
   void serve_probe(instance& from, const gateway::action::probe_target& probe);
   void answer_store(instance& to, gateway::event::store_read read);
   /** A call that gets no answer: its caller gives it up after `wait`. */
-  void lose_store_call(const instance& from, const store_watch& watch);
+  void lose_store_call(instance& from, const store_watch& watch);
+  /** Returns false if its connection is silent: then it is not heard. */
+  bool begin_store_call(instance& from, const store_watch& watch,
+                        bool on_new_connection);
+  /** Returns whether the caller still waits for it, and hears the end. */
+  bool end_store_call(instance& from, gateway::store_call_id call,
+                      bool is_answered);
+  void fail_store_call(instance& from, const store_watch& watch);
+  void serve_fetch(instance& from, const gateway::action::fetch_changes& fetch);
+  void answer_fetch(instance& to, const gateway::action::fetch_changes& fetch);
   void put(const std::string& key, std::optional<std::string> value);
   void publish_target(target& which);
   /** Remembers what the target is like now: its reports lag. */
@@ -397,6 +415,8 @@
   };
   std::vector<watcher> watchers_;
   bool store_silent_ = false;
+  /** How often open connections have fallen silent. */
+  std::size_t silences_ = 0;
   duration datagram_delay_ = 1ms;
   double lost_datagrams_ = 0;
   std::size_t link_bytes_per_ms_ = 0;
@@ -446,6 +466,7 @@
   unheeded_words unheeded_;
   std::size_t most_while_cold_ = 0;
   std::size_t store_calls_ = 0;
+  std::size_t repeated_store_calls_ = 0;
   std::map<gateway::proximity, fake_traffic> traffic_;
   std::map<std::string, peer_traffic> traffic_by_kind_;
   word_age word_ages_;
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -25,6 +25,10 @@
 /** What a datagram takes longer where regions are named: 2 and 8 ms in all. */
 inline constexpr duration kRegionDelay = 1ms;
 inline constexpr duration kFarDelay = 7ms;
+/** A caller gives up so long after the time its call was to be held. */
+inline constexpr duration kStoreTimeout = 1500ms;
+/** ... and so long after it asked for a copy. */
+inline constexpr duration kCopyTimeout = 1000ms;
 /** Bytes of the IP and UDP heads. */
 inline constexpr std::size_t kDatagramHead = 28;
 inline constexpr std::string_view kModel = "m0";
@@ -42,6 +46,32 @@
 /** Returns the caller that an action answers; none: another action. */
 std::optional<caller_id> relayed_caller(const any_action& any);
 
+/** A connection of an instance to the store or to another instance. */
+struct fake_connection {
+  /** How often open connections had fallen silent when it was opened. */
+  std::size_t silences = 0;
+  /** Of the instance that it leads to. */
+  std::uint64_t life = 0;
+};
+
+/** An instance's idle connections, by what they lead to. */
+class kept_connections {
+ public:
+  /** In place of a member's address. */
+  static constexpr member_address kStore = 0;
+
+  /** Returns the connection used last, or `opened` where none is kept. */
+  fake_connection take(member_address to, const fake_connection& opened);
+  void keep(member_address to, const fake_connection& c) {
+    idle_[to].push_back(c);
+  }
+  void close(member_address to) { idle_.erase(to); }
+  void close_all() { idle_.clear(); }
+
+ private:
+  std::map<member_address, std::vector<fake_connection>> idle_;
+};
+
 struct gateway_world::instance {
   member_address address = 0;
   std::string domain;
@@ -51,6 +81,15 @@
   /** Instances of different sides do not reach each other. */
   int side = 0;
   bool store_denied = false;
+  kept_connections kept;
+  /** A call to the store under way, and what carries it. */
+  struct store_call {
+    store_watch watch;
+    fake_connection by;
+    /** When it is given up. */
+    time_point until;
+  };
+  std::map<store_call_id, store_call> store_calls;
   target_cut targets_cut = target_cut::none;
   time_point frozen_until;
   time_point disturbed;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -6,12 +6,6 @@
 #include "gateway_world_impl.h"
 
 namespace seamglade::fakes {
-namespace {
-
-/** A caller gives up so long after the time its call was to be held. */
-constexpr duration kStoreTimeout = 1500ms;
-
-}  // namespace
 
 void gateway_world::put(const std::string& key,
                         std::optional<std::string> value) {
@@ -31,22 +25,18 @@
   store_silent_ = silent;
   if (!silent) return;
   for (const auto& w : std::exchange(watchers_, {})) {
-    const auto& i = *instances_.at(w.who);
+    auto& i = *instances_.at(w.who);
     if (i.life == w.life) lose_store_call(i, w.watch);
   }
 }
 
-void gateway_world::lose_store_call(const instance& from,
-                                    const store_watch& watch) {
+void gateway_world::lose_store_call(instance& from, const store_watch& watch) {
   ++store_calls_;
-  event::store_read lost;
-  lost.call = watch.call;
-  lost.scope = watch.scope;
-  later(watch.wait + kStoreTimeout,
-        [this, who = from.address, life = from.life, lost] {
-          auto& i = *instances_.at(who);
-          if (i.life == life) post(i, lost);
-        });
+  const auto call = from.store_calls.find(watch.call);
+  if (call != from.store_calls.end()) {
+    call->second.until = now_ + watch.wait + kStoreTimeout;
+  }
+  fail_store_call(from, watch);
 }
 
 void gateway_world::answer_store(instance& to, event::store_read read) {
@@ -60,7 +50,9 @@
   }
   later(store_delay_, [this, who, life, read = std::move(read)] {
     auto& i = *instances_.at(who);
-    if (i.life == life) post(i, read);
+    if (i.life != life) return;
+    const bool is_answered = read.how != event::store_read::outcome::failed;
+    if (end_store_call(i, read.call, is_answered)) post(i, read);
   });
 }
 
@@ -153,7 +145,8 @@
 }
 
 void gateway_world::publish_configuration(std::uint64_t version,
-                                          const std::string& engine_prefix) {
+                                          const std::string& engine_prefix,
+                                          std::size_t further) {
   configuration_ = version;
   engine_prefix_ = engine_prefix;
   const auto engine = fmt::format(
@@ -172,9 +165,16 @@
                         static_cast<double>(options_.cold_time / 1ms) / 1000,
                         options_.cold_rate)
           : std::string();
+  std::string routes;
+  for (std::size_t i = 0; i < further; ++i) {
+    routes += fmt::format(
+        R"({{"host":"h{}","prefix":"/further-{}/","type":"idempotent",)"
+        R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2}},)",
+        i % 20, i);
+  }
   put("op/config",
       fmt::format(
-          R"({{"cfg_ver":{},"routes":[)"
+          R"({{"cfg_ver":{},"routes":[{})"
           R"({{"host":"h","prefix":"{}","type":"stream","timeout_ms":8000,)"
           R"("svc":"llm","attempts":1{}}},)"
           R"({{"host":"h","prefix":"/llm2/","type":"stream","resumable":true,)"
@@ -187,8 +187,8 @@
           R"("public":true,"timeout_ms":1500,"svc":"plain"{}}}],)"
           R"("svcs":[{{"name":"llm","engine":{}{}}},{{"name":"plain"{}}}])"
           R"({}}})",
-          version, engine_prefix, llm, llm, plain, plain, plain, engine, cold,
-          cold, workspaces_text()));
+          version, routes, engine_prefix, llm, llm, plain, plain, plain, engine,
+          cold, cold, workspaces_text()));
 }
 
 std::string gateway_world::workspaces_text() const {
--- a/standin/target_way.h
+++ b/standin/target_way.h
@@ -16,8 +16,8 @@
 namespace seamglade::standin {
 
 /**
- * Passes bytes on between an instance and one target. While it is silent it
- * accepts connections all the same, and nothing passes on any.
+ * Passes bytes on between instances and one target, or the store. While it is
+ * silent it accepts connections all the same, and nothing passes on any.
  */
 class target_way {
  public:
@@ -33,10 +33,19 @@
     for (auto& [number, l] : links_) set_passing(*l);
   }
 
+  /** Nothing passes on connections open now, ever; new ones work. */
+  void silence_open() {
+    for (auto& [number, l] : links_) {
+      l->is_silent = true;
+      set_passing(*l);
+    }
+  }
+
  private:
   struct link {
     target_way* way = nullptr;
     std::uint64_t number = 0;
+    bool is_silent = false;
     bufferevent_handle instance;
     bufferevent_handle target;
   };
@@ -78,7 +87,7 @@
 
   void set_passing(link& l) const {
     for (auto* side : {l.instance.get(), l.target.get()}) {
-      if (is_silent_) {
+      if (is_silent_ || l.is_silent) {
         bufferevent_disable(side, EV_READ | EV_WRITE);
       } else {
         bufferevent_enable(side, EV_READ | EV_WRITE);
