A connection that fell silent is found before a configuration is due

What callers saw: all instances refuse a route with 404 that was acknowledged over 2 s ago, within milliseconds of each other.

Cause: open connections to the store had fallen silent, without a reset. In a small fleet two instances watch for all; a watch was given up after the second that it is held and 1.5 s more, the copies that the others ask for after 1 s, and in a large fleet a watch of what operators write after 26.5 s. Each time was made for a store that is down; no sum of them was held against the bound.

One at a time is repeated, once, and none while new connections fail too. Who finds the silence in a large fleet tells what operators wrote; who hears of more than its own watch has told asks anew.

--- a/src/process/gateway_common.h
+++ b/src/process/gateway_common.h
@@ -19,6 +19,11 @@
 inline constexpr std::string_view kFromStore = "store";
 /** After a failure a watch is held this long: silence is to be seen soon. */
 inline constexpr duration kProbeWait = 50ms;
+/**
+ * An answer of the store that is this much later than due is asked for again on
+ * a new connection: the kept one may have fallen silent without a reset.
+ */
+inline constexpr duration kReadPatience = 300ms;
 /** A copy so fresh says that the store answers somebody. */
 inline constexpr duration kStoreBack = 1500ms;
 
--- a/src/process/gateway_epochs.cc
+++ b/src/process/gateway_epochs.cc
@@ -105,7 +105,7 @@
   // They go on from a revision of the former history.
   if (reading_ != reading::idle) next_read_ = now_;
   reading_ = reading::idle;
-  read_call_ = 0;
+  forget_read_call();
   range_ = {};
   operator_watch_.call = 0;
   operator_watch_.next = now_;
@@ -130,7 +130,8 @@
   if (fetching_) return;
   fetching_ = true;
   fetch_confirms_ = confirms;
-  do_act(action::fetch_changes{next_fetch_call_++, peer, known});
+  fetch_ = {next_fetch_call_++, 0, peer, known, mirror_.epoch(), now_};
+  do_act(action::fetch_changes{fetch_.call, peer, known});
 }
 
 bool gateway_core::impl::hear_evacuation(const evacuation& word,
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -50,6 +50,8 @@
   bool take_entry(target_entry&& entry, const change_origin& origin);
   void accept_configuration(configuration&& news, const change_origin& origin);
   void read_store();
+  /** Makes the call that `reading_` stands for, or makes it again. */
+  void send_read(bool on_new_connection);
   void tick_store();
   /** Ends the pauses of this instance once the store answers anybody again. */
   void note_store_back();
@@ -57,6 +59,17 @@
   duration spread(duration pause);
   void confirm_copy(time_point at);
 
+  // gateway_silence.cc
+  /** Repeats, on new connections, what is overdue on kept ones. */
+  void repeat_overdue();
+  void repeat_read();
+  void repeat_fetch();
+  /** Returns whether an answer of the store is still waited for. */
+  bool take_read_call(const event::store_read& e);
+  void forget_read_call();
+  /** Returns whether a peer's answer is still waited for. */
+  bool take_fetch_call(const event::peer_changes& e);
+
   // gateway_epochs.cc
   /** Returns whether an answer of the store is of the copy's history. */
   bool is_of_epoch(const event::store_read& e);
@@ -90,6 +103,10 @@
   void tell_operators_word(const std::vector<store_item>& items,
                            std::uint64_t known_before);
   void hear_operators_word(member_address from, const news_message& message);
+  /** Tells all of operators' items that a watch of the whole is answered. */
+  void tell_operators_items(const store_answer& answer);
+  /** The watch of operators' items should bring what came another way. */
+  void doubt_operator_watch();
 
   // gateway_watchers.cc
   bool should_watch();
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -75,6 +75,8 @@
   enum class reading : std::uint8_t { idle, range, watch };
   reading reading_ = reading::idle;
   store_changes range_;
+  /** When its first page was asked for. */
+  time_point range_sent_{};
   bool needs_range_ = true;
   time_point next_read_{};
   store_call_id next_store_call_ = 1;
@@ -83,6 +85,10 @@
   /** When that was made, and how long the store may hold it. */
   time_point read_sent_{};
   duration read_wait_{};
+  /** The call that it repeats, whose connection may be silent. */
+  store_call overdue_read_;
+  /** How much later than due an answer of the store may be; 0: as usual. */
+  duration read_patience_{};
   time_point last_answer_{};
   bool ever_answered_ = false;
   bool store_failing_ = false;
@@ -111,6 +117,8 @@
   /** Nobody was known to be without the store since it last answered. */
   bool is_store_back_ = true;
   bool fetching_ = false;
+  copy_fetch fetch_;
+  fetch_id next_fetch_call_ = 1;
   /** What the copy being fetched confirms: the store's state then. */
   time_point fetch_confirms_{};
   time_point next_fetch_{};
--- a/src/process/gateway_operators.cc
+++ b/src/process/gateway_operators.cc
@@ -48,6 +48,24 @@
   operator_watch_.after = std::max(operator_watch_.after, known);
 }
 
+void gateway_core::impl::tell_operators_items(const store_answer& answer) {
+  if (!roster_.is_large()) return;
+  const auto known_before = operators_known();
+  std::vector<store_item> items;
+  for (const auto& item : answer.items) {
+    const bool is_news = item.revision > known_before;
+    if (is_news && !platform_.target_of_key(item.key)) items.push_back(item);
+  }
+  if (items.empty()) return;
+  take_operators_word(answer.revision);
+  tell_operators_word(items, known_before);
+}
+
+void gateway_core::impl::doubt_operator_watch() {
+  auto& watch = operator_watch_;
+  if (watch.call != 0 && !watch.overdue_since) watch.overdue_since = now_;
+}
+
 void gateway_core::impl::tell_operators_word(
     const std::vector<store_item>& items, std::uint64_t known_before) {
   news_message message;
@@ -70,6 +88,7 @@
                                              const news_message& message) {
   const auto known = operators_known();
   if (message.operators_to <= known) return;
+  doubt_operator_watch();
   if (message.operators_from <= known) {
     take_operators_word(message.operators_to);
     return;
@@ -87,17 +106,21 @@
   // A store that went silent has forgotten the watch that it was to answer.
   const bool is_lost =
       watch.call != 0 && watch.sent <= watch.doubted && copy_age() < kStoreBack;
-  if (is_lost) watch.call = 0;
+  const bool is_overdue =
+      watch.overdue_since && now_ - *watch.overdue_since > kReadPatience;
+  if (is_lost || is_overdue) watch.call = 0;
   const bool due = roster_.is_large() && !needs_range_ && now_ >= watch.next;
   if (!due || watch.call != 0 || draining_) return;
   if (!should_watch_operators()) return;
+  const bool on_new_connection = is_overdue || watch.after_failure > duration{};
+  watch.overdue_since.reset();
   watch.call = next_store_call_++;
   watch.sent = now_;
   watch.wait = watch.after_failure > duration{} ? kProbeWait : kOperatorWait;
   watch.after = operators_known();
   ++counts_.store_calls;
   do_act(action::watch_store{watch.call, store_scope::operators, watch.after,
-                             watch.wait});
+                             watch.wait, on_new_connection});
 }
 
 void gateway_core::impl::take_operator_watch(event::store_read&& e) {
@@ -105,6 +128,7 @@
   auto& watch = operator_watch_;
   if (e.call != watch.call) return;
   watch.call = 0;
+  watch.overdue_since.reset();
   if (!is_of_epoch(e)) return;
   if (e.how == outcome::answered) {
     const auto known_before = operators_known();
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -6,6 +6,7 @@
 #ifndef SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
 #define SEAMGLADE_SRC_PROCESS_GATEWAY_STATE_H_
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -26,6 +27,30 @@
   /** When the store was last taken to be away. */
   time_point doubted;
   duration after_failure{};
+  /** Since when others know of more than the call under way was told. */
+  std::optional<time_point> overdue_since;
+};
+
+/** A call to the store. */
+struct store_call {
+  /** 0: none. */
+  store_call_id id = 0;
+  time_point sent;
+  /** How long the store may hold it. */
+  duration wait{};
+};
+
+/** A copy that a peer is asked for. */
+struct copy_fetch {
+  /** The calls under way: the later one repeats the other. 0: none. */
+  fetch_id call = 0;
+  fetch_id earlier = 0;
+  member_address from = 0;
+  copy_extent known;
+  /** The own copy's history when the peer was asked. */
+  store_epoch epoch = 0;
+  time_point sent;
+  bool is_repeated = false;
 };
 
 /** What others said that operators have written. */
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -125,27 +125,40 @@
 
 void gateway_core::impl::tick_store() {
   if (roster_.is_large()) note_store_back();
+  repeat_overdue();
   watch_operators();
   if (reading_ != reading::idle || now_ < next_read_) return;
   if (needs_range_ ? now_ >= range_not_before_ : should_watch()) read_store();
 }
 
 void gateway_core::impl::read_store() {
-  ++counts_.store_calls;
-  read_call_ = next_store_call_++;
-  read_sent_ = now_;
   if (needs_range_) {
     reading_ = reading::range;
     range_ = {};
-    do_act(action::range_store{read_call_, ""});
+    range_sent_ = now_;
+    read_wait_ = {};
+  } else {
+    reading_ = reading::watch;
+    // Where the keys are in doubt, the answer is not to be waited for.
+    const bool is_urgent = store_failing_ || is_key_word_old();
+    read_wait_ = is_urgent ? kProbeWait : kWatchWait;
+  }
+  send_read(store_failing_);
+}
+
+void gateway_core::impl::send_read(bool on_new_connection) {
+  ++counts_.store_calls;
+  read_call_ = next_store_call_++;
+  read_sent_ = now_;
+  if (reading_ == reading::range) {
+    const auto& items = range_.items;
+    const auto after = items.empty() ? std::string() : items.back().key;
+    do_act(action::range_store{read_call_, after, on_new_connection});
     return;
   }
-  reading_ = reading::watch;
-  // Where the keys are in doubt, the answer is not to be waited for.
-  const bool is_urgent = store_failing_ || is_key_word_old();
-  read_wait_ = is_urgent ? kProbeWait : kWatchWait;
   do_act(action::watch_store{read_call_, store_scope::everything,
-                             mirror_.revision(), read_wait_});
+                             mirror_.revision(), read_wait_,
+                             on_new_connection});
 }
 
 void gateway_core::impl::on(event::store_read&& e) {
@@ -154,8 +167,8 @@
     take_operator_watch(std::move(e));
     return;
   }
-  if (e.call != read_call_) return;
-  read_call_ = 0;
+  const bool is_repeat = overdue_read_.id != 0 && e.call == read_call_;
+  if (!take_read_call(e)) return;
   const auto was = std::exchange(reading_, reading::idle);
   const auto named_before = named_epoch_;
   const bool is_of_copy = is_of_epoch(e);
@@ -173,6 +186,7 @@
   }
   note_store_answer();
   if (was == reading::watch) {
+    if (is_repeat) tell_operators_items(e.answer);
     take_watch(std::move(e.answer));
     return;
   }
@@ -224,10 +238,8 @@
   }
   for (auto& item : answer.items) range_.items.push_back(std::move(item));
   if (answer.more && !range_.items.empty()) {
-    ++counts_.store_calls;
     reading_ = reading::range;
-    read_call_ = next_store_call_++;
-    do_act(action::range_store{read_call_, range_.items.back().key});
+    send_read(false);
     return;
   }
   range_.whole = true;
@@ -242,12 +254,12 @@
   }
   apply(std::exchange(range_, {}), kFromStore);
   confirm_copy(now_);
-  confirm_keys_by_store(read_sent_);
+  confirm_keys_by_store(range_sent_);
   next_read_ = now_;
 }
 
 void gateway_core::impl::on(event::peer_changes&& e) {
-  fetching_ = false;
+  if (!take_fetch_call(e)) return;
   if (!e.changes) {
     next_fetch_ = now_ + kFetchAgain;
     return;
