A copy asked for before the store was restored is not believed whole

What callers would see: routes, evacuations or targets that an instance lacks until they are written again, after the store came back from an older copy.

Cause: an instance asks a peer for what is newer than its own revision. If both take the restored store's copy before the answer comes, the answer is of the new history, its lower end a revision of the former one; both epochs were equal, so it was believed whole, and the store was watched from behind it. The epoch at which the peer was asked now counts too.

--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -268,9 +268,10 @@
   // A peer with a revision has the whole copy up to it.
   if (e.changes->revision == 0) return;
   if (e.changes->epoch < mirror_.epoch()) return;
+  // Else it was asked for less, before its own copy or this one was replaced.
   const bool is_usable =
-      e.changes->whole || e.changes->epoch == mirror_.epoch();
-  // It was asked for less, before its own copy was replaced.
+      e.changes->whole ||
+      (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
   apply(*e.changes, "peer");
   take_kept(e.changes->kept);
