The platform's stand-in lists the parts of prompts that engines keep

Engines answer /kv-list from the prompts that they ran: whole blocks of 16 tokens over a prompt, forgotten at a restart and with an adapter that is unloaded. Each list asked for is a line of the output. Targets can leave for good by a word, plain targets send streams on /feed/, and there may be any number of each; fleet.sh kills instances at the same moment.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -132,9 +132,10 @@
   exit 1
 }
 
-# start_platform [PART]: starts the platform's stand-in and sets `store`; so many
-# answers of its targets come again. Sets `port`: instances of the direct path
-# use it and the next three, each on an address of its own in `net`.
+# start_platform [PART [ENGINES PLAIN]]: starts the platform's stand-in and sets
+# `store`; so many answers of its targets come again, of so many targets. Sets
+# `port`: instances of the direct path use it and the next three, each on an
+# address of its own in `net`.
 start_platform() {
   "$bin/seamglade-platform-standin" "$@" >"$work/platform.out" 2>&1 &
   pids+=($!)
@@ -162,6 +163,18 @@
   pid_of[g$1]=$!
 }
 
+# kill_gateways N...: kills instances of the direct path at the same moment.
+kill_gateways() {
+  local n pid victims=() others=()
+  for n in "$@"; do victims+=("${pid_of[g$n]}"); done
+  kill -KILL "${victims[@]}"
+  for pid in "${victims[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    [[ " ${victims[*]} " == *" $pid "* ]] || others+=("$pid")
+  done
+  pids=("${others[@]}")
+}
+
 # until_gateway_ready N: waits until instance N takes requests.
 until_gateway_ready() {
   for _ in $(seq 200); do
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -9,11 +9,12 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <iostream>
 #include <optional>
 #include <set>
+#include <vector>
 
+#include "kept_prompts.h"
 #include "platform_store.h"
 #include "repeating_relay.h"
 
@@ -28,6 +29,7 @@
 constexpr std::size_t kEvents = 6;
 constexpr std::size_t kAdapterSlots = 3;
 constexpr std::string_view kModel = "base";
+constexpr std::string_view kPlainStreams = "/feed/";
 /** A body that begins so ends the target that begins to run it. */
 constexpr std::string_view kDeadly = "deadly";
 /** What was written before a target ends has left by then. */
@@ -51,7 +53,10 @@
   std::string ending = "close";
 };
 
-/** A target; an engine if it has adapters to load. */
+/**
+ * A target; an engine if it has adapters to load. An engine's answers are
+ * streams, so are a plain target's on a path that begins with `kPlainStreams`.
+ */
 class target {
  public:
   /** `relay`: stands before the target, at one address for all its lives. */
@@ -71,9 +76,11 @@
    * asks for so many seconds of rest (`rest`; 0: no longer). Its streams have
    * a `framing`, and are truncated behind `cut` bytes with an `ending`; events
    * are `event_ms` apart. It is of a `software` version, which its entry and
-   * its events name; empty: none.
+   * its events name; empty: none. While it is `gone` it has left for good;
+   * what comes back has another id.
    */
   void take_word(const json& word) {
+    set_gone(word.value("gone", false));
     says_leaving_ = word.value("leaving", false);
     rest_s_ = word.value("rest", 0);
     limit_ = word.value("limit", 0.0);
@@ -89,6 +96,7 @@
   }
 
   void publish() {
+    if (is_gone_) return;
     store_.put("servers/" + id_, {{"svc", engine_ ? "llm" : "desk"},
                                   {"addr", address_},
                                   {"zone", "z1"},
@@ -127,17 +135,34 @@
     publish();
   }
 
-  /** All its connections break, new ones are refused; it comes back anew. */
-  void end() {
+  void set_gone(bool is_gone) {
+    if (std::exchange(is_gone_, is_gone) == is_gone) return;
+    if (is_gone) {
+      stop();
+      store_.erase("servers/" + id_);
+    } else {
+      id_ += "+";
+      start();
+    }
+  }
+
+  /** All its connections break, new ones are refused; it forgets all. */
+  void stop() {
     std::cout << "end " << id_ << std::endl;
     server_.reset();
     ++life_;
     adapters_.clear();
     pending_.clear();
+    kept_.clear();
     sequence_ = 0;
     fence_ = 0;
+  }
+
+  /** It stops and comes back anew. */
+  void end() {
+    stop();
     if (!relay_) {
-      world_.after(kDownFor, [this] {
+      while_alive(kDownFor, [this] {
         store_.erase("servers/" + id_);
         id_ += "+";
         start();
@@ -146,7 +171,7 @@
     }
     world_.after(kFormerEntry,
                  [this, former = id_] { store_.erase("servers/" + former); });
-    world_.after(kSoonBack, [this] {
+    while_alive(kSoonBack, [this] {
       id_ += "+";
       start();
     });
@@ -178,6 +203,11 @@
             own_headers());
       return;
     }
+    if (m.target == "/kv-list") {
+      std::cout << "listed " << id_ << std::endl;
+      reply(*server_, caller, 200, kept_.list(id_).dump(), own_headers());
+      return;
+    }
     if (m.target == "/order") {
       reply(*server_, caller, take_order(json::parse(*m.body)), "",
             own_headers());
@@ -190,7 +220,8 @@
     std::vector<http_header> headers{{"X-Not-Executed", "1"}};
     const auto request = header_of(m, "X-Request-Id");
     if (!request.empty()) headers.push_back({"X-Request-Id", request});
-    if (m.target == "/report" && header_of(m, "X-Expect-Replica").empty()) {
+    const bool asks = m.target == "/report" || m.target == "/kv-list";
+    if (asks && header_of(m, "X-Expect-Replica").empty()) {
       std::cout << "BROKEN " << id_ << " a report of any target" << std::endl;
     }
     reply(*server_, caller, 421, "", std::move(headers));
@@ -203,6 +234,7 @@
     const auto name = order.value("adapter", "");
     if (order.value("op", "") == "unload") {
       adapters_.erase(name);
+      kept_.forget(fmt::format("{}/{}", kModel, name));
       ++sequence_;
       publish();
       return 200;
@@ -249,10 +281,11 @@
     auto headers = own_headers();
     headers.push_back({"X-Request-Id", request});
     headers.push_back({"X-Server-Stamp", id_});
-    if (!engine_) {
+    if (!engine_ && !m.target.starts_with(kPlainStreams)) {
       reply(*server_, caller, 200, "answer to " + request, headers);
       return;
     }
+    if (engine_) kept_.add(model, header_of(m, "X-Prefix-Hash"));
     const auto last = header_of(m, "Last-Event-Id");
     send_stream(caller, request, std::move(headers),
                 last.empty() ? 0 : std::stoul(last));
@@ -309,9 +342,11 @@
   std::unique_ptr<repeating_relay> relay_;
   std::unique_ptr<gateway_server> server_;
   std::uint64_t life_ = 0;
+  bool is_gone_ = false;
   std::string address_;
   std::set<std::string> adapters_;
   std::set<std::string> pending_;
+  kept_prompts kept_;
   std::uint64_t sequence_ = 0;
   std::uint64_t beats_ = 0;
   std::uint64_t fence_ = 0;
@@ -323,7 +358,7 @@
   std::string software_;
 };
 
-json route(const char* prefix, const char* type, const char* service) {
+json route(std::string_view prefix, const char* type, const char* service) {
   return {{"host", "desk.example"}, {"prefix", prefix}, {"type", type},
           {"timeout_ms", 5000},     {"slo_ms", 800},    {"prio", 0},
           {"svc", service},         {"attempts", 2}};
@@ -343,46 +378,54 @@
                                              {"weights_mb", 500},
                                              {"lora_mb", 1},
                                              {"load_s", 0.5}}})}};
-  return {{"cfg_ver", version},
-          {"routes", json::array({route("/draft/", "stream", "llm"),
-                                  resumable(route("/chat/", "stream", "llm")),
-                                  route("/get/", "idempotent", "desk"),
-                                  route("/set/", "mutating", "desk")})},
-          {"svcs", json::array({{{"name", "llm"}, {"engine", engine}},
-                                {{"name", "desk"}}})},
-          {"limits",
-           {{"max_header_bytes", 8192},
-            {"max_body_bytes", 100000},
-            {"header_timeout_ms", 2000},
-            {"idle_timeout_ms", 5000}}}};
+  return {
+      {"cfg_ver", version},
+      {"routes", json::array({route("/draft/", "stream", "llm"),
+                              resumable(route("/chat/", "stream", "llm")),
+                              resumable(route(kPlainStreams, "stream", "desk")),
+                              route("/get/", "idempotent", "desk"),
+                              route("/set/", "mutating", "desk")})},
+      {"svcs", json::array({{{"name", "llm"}, {"engine", engine}},
+                            {{"name", "desk"}}})},
+      {"limits",
+       {{"max_header_bytes", 8192},
+        {"max_body_bytes", 100000},
+        {"header_timeout_ms", 2000},
+        {"idle_timeout_ms", 5000}}}};
 }
 
 }  // namespace
 
-/** Usage: seamglade-platform-standin [PART]: so many answers come again. */
+/**
+ * Usage: seamglade-platform-standin [PART [ENGINES PLAIN]]: so many answers
+ * come again, of so many targets. Engines are numbered first.
+ */
 int main(int count, char** words) {
   const double part = count > 1 ? std::stod(words[1]) : 0;
+  const unsigned engines = count > 2 ? std::stoul(words[2]) : 2;
+  const unsigned plain = count > 3 ? std::stoul(words[3]) : 1;
   world w;
   store s(w);
   const auto where = s.listen({"127.0.0.1", 0});
   s.put("op/config", configuration(1));
-  unsigned seed = 0;
-  const auto relay = [&] {
-    return part > 0 ? std::make_unique<repeating_relay>(w.base(), part, ++seed)
-                    : nullptr;
-  };
-  target one(w, s, "engine-1", true, relay());
-  target two(w, s, "engine-2", true, relay());
-  target three(w, s, "desk-1", false, relay());
-  const std::array all{&one, &two, &three};
-  s.on_word = [all](std::size_t number, const json& word) {
+  std::vector<std::unique_ptr<target>> all;
+  for (unsigned i = 1; i <= engines + plain; ++i) {
+    const bool is_engine = i <= engines;
+    auto id = is_engine ? fmt::format("engine-{}", i)
+                        : fmt::format("desk-{}", i - engines);
+    auto relay = part > 0 ? std::make_unique<repeating_relay>(w.base(), part, i)
+                          : nullptr;
+    all.push_back(std::make_unique<target>(w, s, std::move(id), is_engine,
+                                           std::move(relay)));
+  }
+  s.on_word = [&all](std::size_t number, const json& word) {
     all.at(number)->take_word(word);
   };
   s.on_version = [&s](std::uint64_t version) {
     s.put("op/config", configuration(version));
   };
-  s.on_restored = [all] {
-    for (auto* each : all) each->publish();
+  s.on_restored = [&all] {
+    for (const auto& each : all) each->publish();
   };
   std::cout << "listening " << where.str() << std::endl;
   event_base_dispatch(w.base());
