A slow answer of the store counts where no new connection comes up

Where open connections live on and new ones are refused, the call that was repeated ended both: the store was taken for lost while its answer was on the way. The call before goes on now; an answer that turns the repeated call away is a failure as before.

--- a/src/process/gateway_silence.cc
+++ b/src/process/gateway_silence.cc
@@ -54,13 +54,23 @@
     overdue_read_ = {};
     return false;
   }
-  if (is_overdue) {
+  const bool is_repeat = !is_overdue && overdue_read_.id != 0;
+  if (is_repeat && has_failed && e.status == 0) {
+    // Old connections may live on while no new one comes up.
+    read_call_ = overdue_read_.id;
+    read_sent_ = overdue_read_.sent;
+    read_wait_ = overdue_read_.wait;
+    overdue_read_ = {};
+    read_patience_ = kLongestReadPatience;
+    return false;
+  }
+  if (is_overdue && !has_failed) {
     read_sent_ = overdue_read_.sent;
     read_wait_ = overdue_read_.wait;
     // It was slow, not silent.
     read_patience_ = std::min(kLongestReadPatience,
                               std::max(read_patience_, kReadPatience) * 2);
-  } else if (overdue_read_.id != 0 && !has_failed) {
+  } else if (is_repeat && !has_failed) {
     log("store_connection_silent",
         {{"since_ms", to_ms(now_ - overdue_read_.sent)}}, true);
     operator_watch_.doubted = now_;
--- a/test/config_silence-test.cc
+++ b/test/config_silence-test.cc
@@ -133,11 +133,21 @@
     }
   }
 
+  void wait(duration time) {
+    now_ += time;
+    take(gateway::event::tick{});
+  }
+
   /** The store answers the last call of a kind. */
   template <typename Call>
   void answer(gateway::store_epoch epoch, std::uint64_t revision) {
+    answer(last<Call>().call, epoch, revision);
+  }
+
+  void answer(gateway::store_call_id call, gateway::store_epoch epoch,
+              std::uint64_t revision) {
     gateway::event::store_read read;
-    read.call = last<Call>().call;
+    read.call = call;
     read.how = gateway::event::store_read::outcome::answered;
     read.epoch = epoch;
     read.answer.revision = revision;
@@ -198,6 +208,25 @@
   EXPECT_EQ(one.status().store_revision, 3U);
 }
 
+TEST(store_calls, a_late_answer_counts_where_no_new_connection_comes_up) {
+  using gateway::action::range_store;
+  using gateway::action::watch_store;
+  lone_instance one;
+  one.take(gateway::event::tick{});
+  one.answer<range_store>(1, 10);
+  one.answer<range_store>(1, 10);
+  const auto watch = one.last<watch_store>();
+  one.wait(watch.wait + 400ms);
+  const auto repeated = one.last<watch_store>();
+  ASSERT_NE(repeated.call, watch.call);
+  ASSERT_TRUE(repeated.on_new_connection);
+  gateway::event::store_read failed;
+  failed.call = repeated.call;
+  one.take(failed);
+  one.answer(watch.call, 1, 11);
+  EXPECT_EQ(one.status().store_revision, 11U);
+}
+
 std::vector<silent_play> plays() {
   std::vector<silent_play> out;
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
