--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -50,6 +50,8 @@
   bool take_entry(target_entry&& entry, const change_origin& origin);
   void accept_configuration(configuration&& news, const change_origin& origin);
   void read_store();
+  /** Makes the call that `reading_` stands for, or makes it again. */
+  void send_read(bool on_new_connection);
   void tick_store();
   /** Ends the pauses of this instance once the store answers anybody again. */
   void note_store_back();
@@ -57,6 +59,17 @@
   duration spread(duration pause);
   void confirm_copy(time_point at);
 
+  // gateway_silence.cc
+  /** Repeats, on new connections, what is overdue on kept ones. */
+  void repeat_overdue();
+  void repeat_read();
+  void repeat_fetch();
+  /** Returns whether an answer of the store is still waited for. */
+  bool take_read_call(const event::store_read& e);
+  void forget_read_call();
+  /** Returns whether a peer's answer is still waited for. */
+  bool take_fetch_call(const event::peer_changes& e);
+
   // gateway_epochs.cc
   /** Returns whether an answer of the store is of the copy's history. */
   bool is_of_epoch(const event::store_read& e);
@@ -90,6 +103,10 @@
   void tell_operators_word(const std::vector<store_item>& items,
                            std::uint64_t known_before);
   void hear_operators_word(member_address from, const news_message& message);
+  /** Tells all of operators' items that a watch of the whole is answered. */
+  void tell_operators_items(const store_answer& answer);
+  /** The watch of operators' items should bring what came another way. */
+  void doubt_operator_watch();
 
   // gateway_watchers.cc
   bool should_watch();
@@ -146,7 +163,6 @@
   // gateway_orders.cc
   void on(event::order_answer&& e);
   void on(event::report_answer&& e);
-  void on(event::contents_answer&& e);
   void note_isolation();
   void tick_claims();
   void tick_keepers();
@@ -342,11 +358,11 @@
   /** Asks who may know; returns false where nobody is. */
   bool ask_origin(exchange& x);
   void send_origin_requests(const exchange& x);
-  /** Nobody knows: it goes on only where one version alone serves. */
+  /** No instance knows: goes by what was seen, or by what targets keep. */
   void end_tracing(exchange& x);
   /** Nobody knows its version, or who served it had doubts. */
   void refuse_unknown(exchange& x, std::string_view reason,
-                      duration retry_after);
+                      const stream_evidence& evidence);
   /** `source`: who knew, for the log. */
   void go_on(exchange& x, const stream_origin& origin, std::string_view source);
   /** The first event of a stream is about to be passed on. */
@@ -364,6 +380,14 @@
   void take(member_address from, const origin_request& message);
   void take(member_address from, const origin_answer& message);
 
+  // gateway_evidence.cc
+  void on(event::contents_answer&& e);
+  /** Asks targets who keeps its prompt; false: nothing can be asked for. */
+  bool ask_targets(exchange& x);
+  void ask_for_lists(const exchange& x);
+  /** Decides by the lists, unless more are to come. */
+  void weigh_evidence(exchange& x);
+
   // gateway_placement.cc
   /** Returns whether a request is to show if targets answer again. */
   bool tries_way(exchange& x);
