--- a/test/stream_restart-test.cc
+++ b/test/stream_restart-test.cc
@@ -250,7 +250,6 @@
   play.at(kKilled - 300ms, [&] {
     for (const auto& id : draining) w.drain_target(id);
   });
-  // Others may load nothing until the leases of former holders have run out.
   std::map<std::string, std::set<std::string>> held;
   play.at(kKilled, [&] {
     for (int i = 0; i < version_play::kAdapters; ++i) {
