Only the word of a target's next life ends the doubt about its version

What callers saw (in the fakes): a stream could go on at a target that had started again with other software, as what it wrote before its end came later and counted as its word after it. Cause: any entry that came ended the doubt.

Now an entry does so only if it is of a later life: by its start, or, of one that tells no start, by other software or a count that began anew.

Shown by listed_target.what_its_former_life_wrote_does_not_end_a_doubt, which failed before.

--- a/src/process/target_table.cc
+++ b/src/process/target_table.cc
@@ -30,6 +30,16 @@
 /** The entry of a target that has ended lapses within this time. */
 constexpr duration kEndedListed = 6s;
 
+/** Whether a target has started again between the writing of two entries. */
+bool is_next_life(const target_entry& before, const target_entry& now) {
+  if (now.started_ms != before.started_ms) {
+    return now.started_ms > before.started_ms;
+  }
+  if (now.started_ms != 0) return false;
+  // Of one that doesn't tell its start: what it counts begins anew.
+  return now.software != before.software || now.sequence < before.sequence;
+}
+
 }  // namespace
 
 target_hash hash_of(const target_id& id) { return stable_hash(id); }
@@ -108,7 +118,7 @@
   state.gone = false;
   state.doubted_until = {};
   state.entry_heard = now;
-  state.doubt.told();
+  if (is_next_life(state.entry, entry)) state.doubt.told();
   // Counted from now, not from when it was written: later is safer.
   if (entry.cold_left > duration{}) {
     state.cold_until = std::max(state.cold_until, now + entry.cold_left);
