A break that is read after a standstill is not taken as fresh

What callers saw (in the fakes): streams joined from two software versions after a standstill of one second in which a target started again. Cause: a connection that broke meanwhile counted as broken at the moment it was read, so that the connection tried 10 ms later, which the next life takes, was proof that it had not ended. Others' word of the end covers it where it arrives.

Now such a break counts as a refused connection. A standstill of less than 0.7 s is not noticed and not covered.

--- a/src/process/gateway_loss.cc
+++ b/src/process/gateway_loss.cc
@@ -56,7 +56,9 @@
 void gateway_core::impl::doubt_life(const exchange& x, call_end how) {
   auto* target = target_of(x);
   if (target == nullptr) return;
-  if (how == call_end::not_sent) {
+  // It may have broken long before it was read, and be back since.
+  const bool is_read_late = x.called_at < resumed_;
+  if (how == call_end::not_sent || is_read_late) {
     target->doubt.refused(now_, copy_confirmed_);
   } else {
     target->doubt.broke(now_, copy_confirmed_);
