A second without news of the store does not end a doubt about a version

What callers saw (in the fakes): a stream that went on at a target that had started again with other software, 3 s after its start. Cause: the doubt ended once the copy of the store was right 1 s after the last refused connection. Targets write their entries about once in a heartbeat (1.2 s), and the last refused connection may be up to 2 s before the start. The class: the absence of word within a guessed time, taken as proof.

Now the copy must be right 1.5 s after the target took a connection again or gave a byte, or three heartbeats after the last sign, when the entry of one that writes none is gone. Connections count for it only outside of a cut.

Ruled out by trials: three heartbeats alone, and 1.5 s after a byte alone.

--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -42,6 +42,8 @@
   auto* target = targets_.find(e.target);
   if (target != nullptr && e.outcome != how::connected) {
     target->doubt.refused(now_, copy_confirmed_);
+  } else if (target != nullptr && !reach_.is_cut_off()) {
+    target->doubt.connected(now_);
   }
   const bool is_out = reach_.is_out_of_reach(hash);
   if (is_out == was_out) return;
--- a/src/process/restart_doubt.h
+++ b/src/process/restart_doubt.h
@@ -22,8 +22,10 @@
  public:
   /** A target that ends is not back sooner. */
   static constexpr duration kLeastRestart = 300ms;
-  /** A target that starts has written its entry within this time. */
-  static constexpr duration kEntryWritten = 1s;
+  /** A target that starts has written its entry within a heartbeat. */
+  static constexpr duration kEntryWritten = 1500ms;
+  /** One that has written none for three heartbeats is unlisted. */
+  static constexpr duration kEntryKept = 3600ms;
   /** What came before a connection broke may be read so much later. */
   static constexpr duration kInFlight = 20ms;
 
@@ -38,7 +40,15 @@
   /** Bytes came from it, in answer to what was sent then. */
   void heard(time_point now, time_point sent) {
     if (!from_ || now - last_ <= kInFlight) return;
-    if (now < *from_ || sent < last_) from_.reset();
+    if (now < *from_ || sent < last_) {
+      from_.reset();
+    } else if (!back_) {
+      back_ = now;
+    }
+  }
+  /** It took a connection. */
+  void connected(time_point now) {
+    if (from_ && !back_ && now > last_) back_ = now;
   }
   /** It is seen to live, and did not end before `until`. */
   void lives(time_point now, time_point until) {
@@ -46,7 +56,7 @@
     if (last_ <= until) return from_.reset();
     from_ = std::max(*from_, until + kLeastRestart);
   }
-  /** The store's word of it came. */
+  /** The store's word of its next life came. */
   void told() { from_.reset(); }
   /** `confirmed`: the copy of the store was last known to be right then. */
   bool is_open(time_point now, std::optional<time_point> confirmed) const {
@@ -55,19 +65,24 @@
 
  private:
   bool is_settled(std::optional<time_point> confirmed) const {
-    return confirmed && *confirmed >= last_ + kEntryWritten;
+    if (!confirmed) return false;
+    return *confirmed >= last_ + kEntryKept ||
+           (back_ && *confirmed >= *back_ + kEntryWritten);
   }
   void open(time_point now, time_point from,
             std::optional<time_point> confirmed) {
     if (from_ && is_settled(confirmed)) from_.reset();
     from_ = from_ ? std::min(*from_, from) : from;
     last_ = std::max(last_, now);
+    if (back_ && now > *back_) back_.reset();
   }
 
   /** None: there is no doubt. */
   std::optional<time_point> from_;
   /** The last sign of an end. */
   time_point last_{};
+  /** It had started by then; none: nothing came from it since the last sign. */
+  std::optional<time_point> back_;
 };
 
 }  // namespace seamglade::gateway
--- a/test/restart_doubt-test.cc
+++ b/test/restart_doubt-test.cc
@@ -65,6 +65,15 @@
   EXPECT_FALSE(doubt_.is_open(kBegin + 4s, kBegin + 3600ms));
 }
 
+TEST_F(doubted_target, an_answer_tells_by_when_its_entry_is_written) {
+  doubt_.refused(kBegin, std::nullopt);
+  doubt_.heard(kBegin + 500ms, kBegin + kLater);
+  EXPECT_TRUE(doubt_.is_open(kBegin + 3s, kBegin + 1900ms));
+  EXPECT_FALSE(doubt_.is_open(kBegin + 3s, kBegin + 2s));
+  doubt_.refused(kBegin + 600ms, std::nullopt);
+  EXPECT_TRUE(doubt_.is_open(kBegin + 3s, kBegin + 2900ms));
+}
+
 class listed_target : public testing::Test {
  protected:
   listed_target() { list(1, 5, "v1"); }
