--- a/test/stream_version_soak-test.cc
+++ b/test/stream_version_soak-test.cc
@@ -243,7 +243,7 @@
 INSTANTIATE_TEST_SUITE_P(seeds, stream_version_soak,
                          testing::Range<std::uint64_t>(1, 1 + soak_seeds()));
 // Seeds that failed in longer plays.
-INSTANTIATE_TEST_SUITE_P(found, stream_version_soak, testing::Values(53));
+INSTANTIATE_TEST_SUITE_P(found, stream_version_soak, testing::Values(53, 94));
 INSTANTIATE_TEST_SUITE_P(found, promptless_version_soak, testing::Values(53));
 INSTANTIATE_TEST_SUITE_P(found, stream_restart_soak, testing::Values(6, 9, 44));
 
