A stream whose evidence is out of reach is handed on, and placed nowhere else

Cause: it decided by itself, though others reach the targets. Now it hands the request on, once metered, and the other instance finds out. A request that takes a stream up and whose version is not known is placed nowhere: neither place nor may_go_on_at lets it pass, whatever path it comes by.

A list is waited for 350 ms, so that with the second instance's the caller has its answer within a second, as stream_restart-test asks.

--- a/src/process/gateway_evidence.cc
+++ b/src/process/gateway_evidence.cc
@@ -16,7 +16,7 @@
 namespace {
 
 /** A target that has not listed what it keeps is done without after this. */
-constexpr duration kListPatience = 650ms;
+constexpr duration kListPatience = 350ms;
 
 bool runs_service_of(const route& way, const target_entry& entry) {
   return std::any_of(
@@ -126,12 +126,26 @@
     return weigh_evidence(x);
   }
   x.origin = evidence.only_origin();
-  if (!x.origin) return refuse_unknown(x, kVersionUnknown, evidence);
+  if (!x.origin) {
+    const bool may_hand_on = !evidence.silent.empty() && !x.relayed;
+    if (!may_hand_on) return refuse_unknown(x, kVersionUnknown, evidence);
+    // Another instance may reach the targets that are silent here.
+    origin_asks_.erase(x.tracing.request);
+    x.now = exchange::phase::waiting;
+    return admit(x);
+  }
   ++counts_.taken_up_kept;
   keep_origin(x);
   go_on(x, *x.origin, "kept");
 }
 
+void gateway_core::impl::hand_on_unknown(exchange& x) {
+  if (relay(x)) return;
+  const auto evidence =
+      x.tracing.lists_from ? evidence_of(x) : stream_evidence();
+  refuse_unknown(x, kVersionUnknown, evidence);
+}
+
 std::optional<stream_origin> gateway_view::stream_evidence::only_origin()
     const {
   if (kept.empty()) return std::nullopt;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -387,6 +387,8 @@
   void ask_for_lists(const exchange& x);
   /** Decides by the lists, unless more are to come. */
   void weigh_evidence(exchange& x);
+  /** Has another instance find out; refuses where none can be asked. */
+  void hand_on_unknown(exchange& x);
 
   // gateway_placement.cc
   /** Returns whether a request is to show if targets answer again. */
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -64,9 +64,13 @@
          target.entry.software == x.software && is_life_certain(target);
 }
 
+bool gateway_view::takes_up(const exchange& x) {
+  return x.way->stream && x.way->resumable && x.facts.takes_up();
+}
+
 bool gateway_view::may_go_on_at(const exchange& x,
                                 const target_state& target) const {
-  if (!x.origin) return true;
+  if (!x.origin) return !takes_up(x);
   return x.origin->is_certain() &&
          hash_of_software(target.entry.software) == x.origin->software &&
          is_life_certain(target);
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -166,6 +166,8 @@
   bool is_life_certain(const target_state& target) const;
   /** Returns whether its call surely runs at the version it was sent to. */
   bool is_version_certain(const exchange& x, const target_state& target) const;
+  /** Returns whether a request goes on with a stream that has begun. */
+  static bool takes_up(const exchange& x);
   /** Returns whether a stream that has begun may go on there. */
   bool may_go_on_at(const exchange& x, const target_state& target) const;
   static stream_key stream_key_of(const exchange& x, std::string_view id);
