--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -344,6 +344,8 @@
   std::vector<std::string> prompt_parts;
   /** The last part of the prompt: the request's own, or its session's. */
   prompt_part last_part;
+  /** Tokens of all its parts. */
+  std::uint64_t parts_tokens = 0;
   /** The last event that the caller has; empty: none. */
   std::string last_event;
   /** The earlier request that brought the stream's first event; empty: none. */
--- a/include/seamglade/peer_questions.h
+++ b/include/seamglade/peer_questions.h
@@ -154,8 +154,8 @@
   std::optional<stream_origin> origin;
   /** The sender has seen targets of one version only in the service lately. */
   bool is_single_version = false;
-  /** It has watched for as long as a stream may take. */
-  bool has_watched = false;
+  /** It has seen this one alone for as long as a stream may take; 0: no. */
+  software_hash watched = 0;
 
   friend bool operator==(const origin_answer&, const origin_answer&) = default;
 };
--- a/src/connection/gateway_wire_decode.cc
+++ b/src/connection/gateway_wire_decode.cc
@@ -298,7 +298,7 @@
   out.request = from.request();
   if (from.origin() != nullptr) out.origin = read(*from.origin()).origin;
   out.is_single_version = from.is_single_version();
-  out.has_watched = from.has_watched();
+  out.watched = from.watched();
   return out;
 }
 
--- a/src/connection/gateway_wire_encode.cc
+++ b/src/connection/gateway_wire_encode.cc
@@ -332,7 +332,7 @@
       write(origin_row{0, from.origin.value_or(stream_origin())});
   return frames::CreateOriginAnswer(b, from.request,
                                     from.origin ? &origin : nullptr,
-                                    from.is_single_version, from.has_watched);
+                                    from.is_single_version, from.watched);
 }
 
 frames::Body kind_of(const heartbeat&) { return frames::Body::Heartbeat; }
--- a/src/process/gateway_evidence.cc
+++ b/src/process/gateway_evidence.cc
@@ -32,8 +32,8 @@
 }  // namespace
 
 bool gateway_view::has_watched() const {
-  return config_ && watching_since_ &&
-         now_ - *watching_since_ >= longest_stream();
+  return config_ && copy_confirmed_ && !was_store_away() &&
+         now_ - watching_since_ >= longest_stream();
 }
 
 std::vector<const target_state*> gateway_view::targets_to_list(
@@ -60,7 +60,8 @@
                                      const target_state& target) const {
   if (!is_life_certain(target)) return part_word::unknown;
   return memory_.word_of(*x.tracing.lists_from, target.entry.id,
-                         target.entry.started_ms, x.facts.last_part);
+                         target.entry.started_ms, x.facts.last_part,
+                         x.facts.parts_tokens);
 }
 
 gateway_view::stream_evidence gateway_view::evidence_of(
@@ -102,7 +103,7 @@
 }
 
 void gateway_core::impl::on(event::contents_answer&& e) {
-  memory_.answered(e.call, e.parts);
+  memory_.answered(now_, e.call, e.parts);
   std::vector<caller_id> waiting;
   for (const auto& [caller, x] : exchanges_) {
     const bool waits =
@@ -116,6 +117,9 @@
 }
 
 void gateway_core::impl::weigh_evidence(exchange& x) {
+  if (const auto known = origins_.find(x.stream)) {
+    return go_on(x, *known, "told");
+  }
   const auto evidence = evidence_of(x);
   const bool is_over = now_ >= x.tracing.until;
   if (evidence.pending > 0 && !is_over) return;
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -219,8 +219,8 @@
   // Where streams began.
   origin_table origins_;
   version_history history_;
-  /** When the first whole copy of the store was here. */
-  std::optional<time_point> watching_since_;
+  /** Since when each change of the store was heard of. */
+  time_point watching_since_{};
   prompt_memory memory_;
   std::uint64_t next_origin_request_ = 1;
   std::map<std::uint64_t, caller_id> origin_asks_;
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -146,7 +146,7 @@
   const bool all_answered = asked.asked > 0 && asked.awaited.empty();
   const auto only = history_.only_version(hash_of_service(*x.service));
   const bool is_proved = only && !asked.has_several &&
-                         (has_watched() || asked.has_watched) &&
+                         (has_watched() || asked.watched == *only) &&
                          (all_answered || copy_age() < kFreshCopy);
   if (is_proved) {
     ++counts_.taken_up_unknown;
@@ -314,9 +314,13 @@
 
 void gateway_core::impl::take(member_address from,
                               const origin_request& message) {
-  do_act(action::send_datagram{
-      from, origin_answer{message.request, origins_.find(message.stream),
-                          !history_.is_mixed(message.service), has_watched()}});
+  const auto only = history_.only_version(message.service);
+  origin_answer answer;
+  answer.request = message.request;
+  answer.origin = origins_.find(message.stream);
+  answer.is_single_version = !history_.is_mixed(message.service);
+  if (has_watched()) answer.watched = only.value_or(0);
+  do_act(action::send_datagram{from, answer});
 }
 
 void gateway_core::impl::take(member_address from,
@@ -332,7 +336,10 @@
     return go_on(x, *message.origin, "told");
   }
   x.tracing.has_several |= !message.is_single_version;
-  x.tracing.has_watched |= message.has_watched;
+  auto& watched = x.tracing.watched;
+  x.tracing.has_several |=
+      watched != 0 && message.watched != 0 && watched != message.watched;
+  if (message.watched != 0) watched = message.watched;
   x.tracing.awaited.erase(from);
   if (x.tracing.awaited.empty() && !x.tracing.lists_from) end_tracing(x);
 }
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -118,8 +118,9 @@
 }
 
 void gateway_core::impl::confirm_copy(time_point at) {
+  // What came and went meanwhile was not seen.
+  if (was_store_away()) watching_since_ = now_;
   copy_confirmed_ = copy_confirmed_ ? std::max(*copy_confirmed_, at) : at;
-  if (!watching_since_) watching_since_ = now_;
 }
 
 bool gateway_view::was_store_away() const { return copy_age() > kStoreAway; }
@@ -254,6 +255,7 @@
         true);
   }
   apply(std::exchange(range_, {}), kFromStore);
+  watching_since_ = now_;
   confirm_copy(now_);
   confirm_keys_by_store(range_sent_);
   next_read_ = now_;
@@ -274,6 +276,7 @@
       e.changes->whole ||
       (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
+  if (e.changes->whole) watching_since_ = now_;
   apply(*e.changes, "peer");
   take_kept(e.changes->kept);
   needs_range_ = false;
--- a/src/process/prompt_memory.h
+++ b/src/process/prompt_memory.h
@@ -33,26 +33,33 @@
 /** Lists of targets by their ids, each kept for a moment. */
 class prompt_memory {
  public:
-  /** All questions of this time share one list. */
+  /** A list counts for so long after it came. */
   static constexpr duration kFresh = 250ms;
 
   /** Notes that a target is asked; `life`: its start, in Unix ms. */
   void asked(time_point now, engine_call_id call, const target_id& target,
              std::uint64_t life);
   /** Takes the answer to a call; none: there was none, or no list. */
-  void answered(engine_call_id call,
+  void answered(time_point now, engine_call_id call,
                 const std::optional<std::vector<prompt_part>>& parts);
-  /** `from`: an older list does not count; `life`: of the target now. */
+  /**
+   * `from`: a list that came before does not count; `life`: of the target now;
+   * `prompt_tokens`: of all parts.
+   */
   part_word word_of(time_point from, const target_id& target,
-                    std::uint64_t life, const prompt_part& part) const;
+                    std::uint64_t life, const prompt_part& part,
+                    std::uint64_t prompt_tokens) const;
   void expire(time_point now);
 
  private:
   struct list {
+    /** The question under way, and the target's life then; 0: none. */
     engine_call_id call = 0;
+    std::uint64_t asked_life = 0;
     time_point asked;
+    /** The last answer stands until the next one is here. */
+    std::optional<time_point> answered;
     std::uint64_t life = 0;
-    bool is_pending = true;
     /** None: the target did not answer. */
     std::optional<std::unordered_map<std::string, std::uint64_t>> parts;
   };
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -77,8 +77,8 @@
     time_point until;
     /** Someone has seen several versions in the service lately. */
     bool has_several = false;
-    /** Someone has watched for as long as a stream may take. */
-    bool has_watched = false;
+    /** Who has watched for long enough saw this version alone; 0: nobody. */
+    software_hash watched = 0;
     /** No instance knows it, and targets are asked; older lists don't count. */
     std::optional<time_point> lists_from;
     /** Also of targets that are not known to hold its adapter. */
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -231,7 +231,7 @@
         peer_message(origin_message{{{5, {6, 7}}, {8, {6, 0}}}}),
         peer_message(origin_request{4, 5, 6}),
         peer_message(origin_answer{4, stream_origin{6, 7}, false}),
-        peer_message(origin_answer{4, std::nullopt, true, true}),
+        peer_message(origin_answer{4, std::nullopt, true, 9}),
         peer_message(
             blame_message{{{{5, 6}, {{7, 20ms}, {8, 1s}}, std::nullopt},
                            {{1, 2}, {}, 3s},
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -39,6 +39,7 @@
   EXPECT_EQ(facts.value().prompt_prefix, "91");
   EXPECT_EQ(facts.value().prompt_parts, (std::vector<std::string>{"5c", "91"}));
   EXPECT_EQ(facts.value().last_part, (prompt_part{"e4", 250}));
+  EXPECT_EQ(facts.value().parts_tokens, 1460U);
   EXPECT_EQ(facts.value().deadline, 15s);
 }
 
--- a/test/stream_restart-test.cc
+++ b/test/stream_restart-test.cc
@@ -510,6 +510,65 @@
   play.expect_refused("v2");
 }
 
+// Two of its requests may leave the same blocks in a target's memory.
+TEST_P(stream_restart, a_session_that_grew_within_a_block_is_not_joined) {
+  restart_play play(fleet(GetParam()));
+  play.play().use_sessions(5);
+  play.remove_version("v2", 6200ms);
+  play.kill_all(6s, 6500ms);
+  play.run();
+  EXPECT_GE(play.play().counts().taken_up, kLeastTakenUp);
+  play.expect_kept();
+}
+
+TEST_P(stream_restart, who_missed_a_version_is_no_witness) {
+  version_play play(fleet(GetParam()));
+  auto& w = play.world();
+  auto newer = w.engines();
+  std::erase_if(newer,
+                [&](const auto& id) { return w.software_of(id) != "v2"; });
+  for (const auto& id : newer) w.lapse_target(id);
+  w.run_for(40s);
+  const auto all = w.instances();
+  w.cut(all[0], true);
+  w.deny_store(all[0], true);
+  w.run_for(4s);
+  for (const auto& id : newer) w.relist_target(id);
+  w.run_for(1s);
+  const auto began = w.now();
+  play.come_back_after(1500ms);
+  w.at(began + kKilled, [&] {
+    for (const auto& id : newer) w.remove_target(id);
+    for (std::size_t i = 1; i < all.size(); ++i) w.kill(all[i]);
+  });
+  w.at(began + kKilled + 200ms, [&] {
+    w.cut(all[0], false);
+    w.deny_store(all[0], false);
+  });
+  w.at(began + kBack, [&] {
+    for (std::size_t i = 1; i < all.size(); ++i) w.start(all[i]);
+  });
+  play.load(kLoad);
+  w.run_for(kLoad + 9s);
+  const auto got = play.counts();
+  EXPECT_GE(got.taken_up, kLeastTakenUp);
+  EXPECT_TRUE(got.joined.empty()) << got.joined.size() << " joined";
+}
+
+TEST_P(stream_restart, a_target_that_gives_no_list_may_have_begun_a_session) {
+  restart_play play(fleet(GetParam()));
+  auto& w = play.world();
+  play.play().use_sessions(5);
+  play.at(6s, [&play, &w] {
+    for (const auto& id : play.of_version("v2")) w.fail_lists(id, true);
+  });
+  play.kill_all(6s, 6500ms);
+  play.run();
+  EXPECT_GE(play.play().counts().taken_up, kLeastTakenUp);
+  EXPECT_GT(play.mixed_sessions(), 20U);
+  play.expect_kept();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, stream_restart,
                          testing::Range<std::uint64_t>(1, 4));
 
