Streams that are taken up without the name of their first request go on, too

Cause: targets were asked only for streams with a key, which is made of that id. The prompt is enough; the key is needed only to note the origin.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -393,7 +393,9 @@
   auto headers = is_plain
                      ? std::vector<http_header>()
                      : engine_headers(earlier.adapter, earlier.prompt_tokens);
-  headers.push_back({"Resumes", earlier.begun_by().id});
+  if (options_.names_resumed) {
+    headers.push_back({"Resumes", earlier.begun_by().id});
+  }
   headers.push_back({"Last-Event-Id", last_event});
   caller_content content;
   content.parts = earlier.parts;
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -69,6 +69,8 @@
   /** How long a key may run that was taken away. */
   duration key_bound = 5s;
   gateway::quota_bounds quota = {8s, 0.25, 11000};
+  /** Callers that take a stream up name the request that began it. */
+  bool names_resumed = true;
   /** Plain targets serve resumable streams, too. */
   bool plain_streams = false;
   /** Requests a second that a cold target bears; 0: none is ever cold. */
--- a/src/process/gateway_evidence.cc
+++ b/src/process/gateway_evidence.cc
@@ -81,7 +81,7 @@
 }
 
 bool gateway_core::impl::ask_targets(exchange& x) {
-  if (x.facts.last_part.id.empty() || x.stream == 0) return false;
+  if (x.facts.last_part.id.empty()) return false;
   x.now = exchange::phase::tracing;
   x.tracing.again_at.reset();
   x.tracing.lists_from = now_ - prompt_memory::kFresh;
@@ -117,9 +117,8 @@
 }
 
 void gateway_core::impl::weigh_evidence(exchange& x) {
-  if (const auto known = origins_.find(x.stream)) {
-    return go_on(x, *known, "told");
-  }
+  const auto known = origins_.find(x.stream);
+  if (x.stream != 0 && known) return go_on(x, *known, "told");
   const auto evidence = evidence_of(x);
   const bool is_over = now_ >= x.tracing.until;
   if (evidence.pending > 0 && !is_over) return;
@@ -139,7 +138,7 @@
     return admit(x);
   }
   ++counts_.taken_up_kept;
-  keep_origin(x);
+  if (x.stream != 0) keep_origin(x);
   go_on(x, *x.origin, "kept");
 }
 
--- a/test/stream_restart-test.cc
+++ b/test/stream_restart-test.cc
@@ -413,6 +413,16 @@
   expect_goes_on(play.counts());
 }
 
+TEST_P(stream_restart, callers_that_name_no_earlier_request_go_on) {
+  auto options = fleet(GetParam(), {"v1"});
+  options.names_resumed = false;
+  restart_play play(options);
+  play.kill_all();
+  play.run();
+  play.expect_kept();
+  expect_goes_on(play.counts());
+}
+
 TEST_P(stream_restart, a_session_goes_on_where_its_last_request_began) {
   restart_play play(fleet(GetParam()));
   play.play().use_sessions(48);
