--- a/test/stream_origin-test.cc
+++ b/test/stream_origin-test.cc
@@ -98,11 +98,12 @@
   EXPECT_TRUE(doubt.is_open(kStart, kStart - 1s));
   // Its entry may be on its way.
   EXPECT_TRUE(doubt.is_open(kStart + 2s, kStart + 500ms));
-  EXPECT_FALSE(doubt.is_open(kStart + 2s, kStart + 1s));
-  doubt.refused(kStart + 3s, kStart + 1s);
-  EXPECT_TRUE(doubt.is_open(kStart + 3s, kStart + 1s));
+  EXPECT_TRUE(doubt.is_open(kStart + 4s, kStart + 3500ms));
+  EXPECT_FALSE(doubt.is_open(kStart + 4s, kStart + 3600ms));
+  doubt.refused(kStart + 5s, kStart + 3600ms);
+  EXPECT_TRUE(doubt.is_open(kStart + 5s, kStart + 3600ms));
   doubt.told();
-  EXPECT_FALSE(doubt.is_open(kStart + 3s, std::nullopt));
+  EXPECT_FALSE(doubt.is_open(kStart + 5s, std::nullopt));
 }
 
 TEST(restart_doubt, a_broken_connection_is_no_restart_if_bytes_go_on_coming) {
