Answers with an impossible status, a folded line or another coding are none

Callers got answers with status 000 to 099 or 600 to 999 from every reader that does not look at the status itself, the bytes of chunks as a body where the coding was named xchunked, gzip or chunked twice, and a folded line joined to the one before. The reader left what an answer is to its library, which allows more than RFC 9112 does. It now refuses them itself, for everything that is read by answer_reader: targets on the direct path, inner calls, the store, orders and reports.

The defect is told in the log with an excerpt: call_broken has fault and excerpt, and answers to orders, reports, lists, the store and copies have a line of their own, answer_malformed.

Ruled out: joining folded lines by blanks, since two readers could disagree about the result.

--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -37,6 +38,28 @@
 
 std::string_view to_string(call_end end);
 
+/** What is wrong with bytes that are no answer. */
+enum class answer_fault : std::uint8_t {
+  none,
+  status_line,  // no status line, or a status outside 100 to 599
+  field,        // a field's name or value holds what it must not
+  folded_line,  // a field goes on in a second line
+  coding,       // a transfer coding other than chunked alone
+  length,       // a length that is no number, or beside another one or chunks
+  chunk,        // a chunk's size, or what follows its data
+  too_long,     // a head, a chunk's size or trailers without end
+  other_call    // what came belongs to no call, or goes on without end
+};
+
+std::string_view to_string(answer_fault fault);
+
+/** Why bytes are no answer. */
+struct answer_defect {
+  answer_fault fault = answer_fault::none;
+  /** Of the bytes that could not be read, at most 64. */
+  std::string excerpt;
+};
+
 /** A process that ends has closed all its sockets within this time. */
 constexpr duration kAllSocketsClosed = 10ms;
 
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -59,6 +59,8 @@
 struct answer_end {
   call_id call = 0;
   call_end end = call_end::complete;
+  /** Of an end as `malformed`. */
+  answer_defect defect = {};
 };
 struct order_answer {
   engine_call_id call = 0;
--- a/src/connection/answer_collector.cc
+++ b/src/connection/answer_collector.cc
@@ -47,11 +47,16 @@
     // The client keeps the handlers of a call until they return.
     if (pending->answer.body.size() > most) pending->give_up();
   };
+  on.defect = [pending](const answer_defect& why) {
+    pending->answer.defect = why;
+  };
   on.end = [pending](call_end end) {
     pending->timer.reset();
     const auto finished = std::exchange(pending->done, {});
-    const bool is_whole = end == call_end::complete;
-    finished(is_whole ? std::move(pending->answer) : collected_answer());
+    if (end == call_end::complete) return finished(std::move(pending->answer));
+    collected_answer none;
+    none.defect = std::move(pending->answer.defect);
+    finished(std::move(none));
   };
   const auto late = [](evutil_socket_t, short, void* arg) {
     static_cast<pending_answer*>(arg)->give_up();
--- a/src/connection/answer_collector.h
+++ b/src/connection/answer_collector.h
@@ -22,6 +22,8 @@
   std::vector<http_header> headers;
   std::string body;
   answer_carrier carrier;
+  /** Why what came is no answer. */
+  answer_defect defect;
 };
 
 /** What an answer may take. */
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -268,7 +268,7 @@
   while (evbuffer_get_length(in) > 0) {
     const auto progress = c.reader->read(in);
     if (progress == parse_progress::failed) {
-      end_call(c, call_end::malformed);
+      end_malformed(c, c.reader->defect());
       return;
     }
     if (c.reader->head_complete() && !c.head_given && !c.skipping) {
@@ -307,7 +307,7 @@
 
 bool call_client::give_head(connection& c) {
   if (c.reader->head().status == kSwitching) {
-    end_call(c, call_end::malformed);
+    end_malformed(c, {answer_fault::status_line, "101"});
     return false;
   }
   if (!belongs_to_call(c)) {
@@ -320,7 +320,7 @@
     const bool has_no_end =
         c.reader->head().framing == body_framing::close_delimited;
     if (has_no_end || ++c.skipped_answers > kMostSkippedAnswers) {
-      end_call(c, call_end::malformed);
+      end_malformed(c, {answer_fault::other_call, {}});
       return false;
     }
     return true;
@@ -342,7 +342,7 @@
   if (c.skipping || !c.head_given) {
     c.skipped_bytes += bytes.size();
     if (c.skipped_bytes <= kMostSkippedBytes) return true;
-    end_call(c, call_end::malformed);
+    end_malformed(c, {answer_fault::other_call, {}});
     return false;
   }
   const auto call = c.call;
@@ -405,6 +405,11 @@
   if (on) on->end(how);
 }
 
+void call_client::end_malformed(connection& c, answer_defect defect) {
+  if (c.on && c.on->defect) c.on->defect(defect);
+  end_call(c, call_end::malformed);
+}
+
 void call_client::cancel(token call) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -48,6 +48,8 @@
 };
 
 using gateway::answer_carrier;
+using gateway::answer_defect;
+using gateway::answer_fault;
 using gateway::body_framing;
 using gateway::call_end;
 
@@ -80,6 +82,8 @@
     std::function<void(const answer_head&, const answer_carrier&)> head;
     std::function<void(std::shared_ptr<const std::string>)> data;
     std::function<void(call_end)> end;
+    /** Before an end as `malformed`: why. Not needed; cancels no call. */
+    std::function<void(const answer_defect&)> defect = {};
   };
 
   struct counters {
@@ -161,6 +165,7 @@
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
+  void end_malformed(connection& c, answer_defect defect);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
   /** Bounds the idle connections that take no further call without a name. */
   void close_surplus(const std::string& address);
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -22,6 +22,10 @@
 constexpr std::uint32_t kAnswerHeaderBytes = 65536;
 /** A line between chunks, or all trailers, may be this long at least. */
 constexpr std::uint32_t kLeastUnparsed = 4096;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+/** Of bytes that could not be read, so many are told. */
+constexpr std::size_t kExcerptBytes = 64;
 
 /**
  * Feeds a parser until the buffer is empty, or it is done or fails. Bytes that
@@ -51,6 +55,44 @@
   return ec;
 }
 
+std::string_view unread_bytes(evbuffer* from) {
+  const auto size = evbuffer_get_length(from);
+  if (size == 0) return {};
+  return {reinterpret_cast<const char*>(evbuffer_pullup(from, -1)), size};
+}
+
+/** Whether a line of a head that is read in part or whole begins with a blank.
+ */
+bool has_folded_line(std::string_view head) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  auto at = head.find(kLineEnd);
+  while (at != std::string_view::npos) {
+    const auto line = head.substr(at + kLineEnd.size());
+    if (line.empty() || line.starts_with(kLineEnd)) return false;
+    if (line.front() == ' ' || line.front() == '\t') return true;
+    at = head.find(kLineEnd, at + kLineEnd.size());
+  }
+  return false;
+}
+
+gateway::answer_fault fault_of(const boost::beast::error_code& ec) {
+  using gateway::answer_fault;
+  if (ec == http::error::bad_transfer_encoding) return answer_fault::coding;
+  if (ec == http::error::bad_content_length) return answer_fault::length;
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return answer_fault::too_long;
+  }
+  if (ec == http::error::bad_chunk || ec == http::error::bad_line_ending ||
+      ec == http::error::bad_chunk_extension) {
+    return answer_fault::chunk;
+  }
+  if (ec == http::error::bad_version || ec == http::error::bad_status ||
+      ec == http::error::bad_reason) {
+    return answer_fault::status_line;
+  }
+  return answer_fault::field;
+}
+
 bool concerns_connection(http::field field) {
   switch (field) {
     case http::field::connection:
@@ -189,12 +231,21 @@
 }
 
 parse_progress answer_reader::read(evbuffer* from) {
-  if (feed<false>(*this, from, kAnswerHeaderBytes)) {
-    return parse_progress::failed;
+  if (!is_header_done() && has_folded_line(unread_bytes(from))) {
+    return fail(gateway::answer_fault::folded_line, unread_bytes(from));
+  }
+  if (const auto ec = feed<false>(*this, from, kAnswerHeaderBytes)) {
+    return fail(fault_of(ec), unread_bytes(from));
   }
   return is_done() ? parse_progress::complete : parse_progress::need_more;
 }
 
+parse_progress answer_reader::fail(gateway::answer_fault fault,
+                                   std::string_view unread) {
+  defect_ = {fault, std::string(unread.substr(0, kExcerptBytes))};
+  return parse_progress::failed;
+}
+
 bool answer_reader::end_of_stream() {
   if (!got_some()) return false;
   error_code ec;
@@ -202,14 +253,20 @@
   return !ec && is_done();
 }
 
-void answer_reader::on_response_impl(int code, string_view reason, int,
-                                     error_code&) {
+void answer_reader::on_response_impl(int code, string_view reason, int version,
+                                     error_code& ec) {
+  if (code < kFirstStatus || code > kLastStatus) ec = http::error::bad_status;
+  version_ = version;
   head_.status = code;
   head_.reason = text(reason);
 }
 
 void answer_reader::on_field_impl(http::field field, string_view name,
-                                  string_view value, error_code&) {
+                                  string_view value, error_code& ec) {
+  const bool is_coded = field == http::field::transfer_encoding;
+  if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
+    ec = http::error::bad_transfer_encoding;
+  }
   if (field == http::field::connection) {
     add_names(connection_names_, {value.data(), value.size()});
   }
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -89,7 +89,12 @@
   gateway::body_framing framing = gateway::body_framing::length;
 };
 
-/** Reads one answer; its body is handed out as it comes. */
+/**
+ * Reads one answer; its body is handed out as it comes.
+ *
+ * Stricter than the library: a status is 100 to 599, no field goes on in a
+ * second line, and `chunked` is the only coding, since no other is decoded.
+ */
 class answer_reader final : private boost::beast::http::basic_parser<false> {
  public:
   /** `bodyless`: an answer to HEAD. */
@@ -102,6 +107,8 @@
   bool head_complete() const { return is_header_done(); }
   bool keeps_connection() const { return keep_alive(); }
   const answer_head& head() const { return head_; }
+  /** Returns why reading failed. */
+  const gateway::answer_defect& defect() const { return defect_; }
   /** Returns the bytes of the body that came since the last call. */
   std::string take_body() { return std::exchange(body_, {}); }
 
@@ -125,7 +132,11 @@
                                  error_code& ec) override;
   void on_finish_impl(error_code& ec) override;
 
+  parse_progress fail(gateway::answer_fault fault, std::string_view unread);
+
   answer_head head_;
+  gateway::answer_defect defect_;
+  int version_ = 11;
   std::vector<std::string> connection_names_;
   std::string body_;
 };
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -182,7 +182,9 @@
 
 void gateway_core::impl::on(event::answer_end&& e) {
   auto* x = by_call(e.call);
-  if (x != nullptr) call_ended(*x, e.end);
+  if (x == nullptr) return;
+  x->defect = std::move(e.defect);
+  call_ended(*x, e.end);
 }
 
 void gateway_core::impl::call_ended(exchange& x, call_end how) {
@@ -323,6 +325,10 @@
        {"status", x.status},
        {"framing", std::string(to_string(x.framing))},
        {"end", std::string(to_string(end))},
+       {"fault", end == call_end::malformed
+                     ? std::string(to_string(x.defect.fault))
+                     : std::string()},
+       {"excerpt", x.defect.excerpt},
        {"connection", connection_of(x.carrier)},
        {"calls_before", x.carrier.calls_before},
        {"unfinished", static_cast<std::int64_t>(x.events.unfinished())},
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -329,9 +329,11 @@
   on.data = [this, id](std::shared_ptr<const std::string> data) {
     post(event::answer_data{id, std::move(data)});
   };
-  on.end = [this, id](call_end end) {
+  auto defect = std::make_shared<answer_defect>();
+  on.defect = [defect](const answer_defect& why) { *defect = why; };
+  on.end = [this, id, defect](call_end end) {
     open_calls_.erase(id);
-    post(event::answer_end{id, end});
+    post(event::answer_end{id, end, *defect});
   };
   open_calls_[id] = {&client, client.start(std::move(call), std::move(on))};
 }
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -32,7 +32,20 @@
 void gateway_shell::ask(call_client& client, outgoing_call call,
                         const answer_bounds& bounds,
                         std::function<void(collected_answer)> done) {
-  collect_answer(base_.get(), client, std::move(call), bounds, std::move(done));
+  const auto collected = [this, address = call.address, path = call.target,
+                          done = std::move(done)](collected_answer got) {
+    if (got.defect.fault != gateway::answer_fault::none) {
+      log_.write(boot_now(),
+                 {"answer_malformed",
+                  {{"address", address},
+                   {"path", path.substr(0, path.find('?'))},
+                   {"fault", std::string(to_string(got.defect.fault))},
+                   {"excerpt", got.defect.excerpt}},
+                  true});
+    }
+    done(std::move(got));
+  };
+  collect_answer(base_.get(), client, std::move(call), bounds, collected);
 }
 
 void gateway_shell::carry_out(action::send_order&& a) {
--- a/src/request/answer_end.cc
+++ b/src/request/answer_end.cc
@@ -39,4 +39,28 @@
   return "within_event";
 }
 
+std::string_view to_string(answer_fault fault) {
+  switch (fault) {
+    case answer_fault::none:
+      return "none";
+    case answer_fault::status_line:
+      return "status_line";
+    case answer_fault::field:
+      return "field";
+    case answer_fault::folded_line:
+      return "folded_line";
+    case answer_fault::coding:
+      return "coding";
+    case answer_fault::length:
+      return "length";
+    case answer_fault::chunk:
+      return "chunk";
+    case answer_fault::too_long:
+      return "too_long";
+    case answer_fault::other_call:
+      break;
+  }
+  return "other_call";
+}
+
 }  // namespace seamglade::gateway
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -160,6 +160,8 @@
   answer_facts answer;
   body_framing framing = body_framing::length;
   answer_carrier carrier;
+  /** What was wrong with the last call's answer, if anything. */
+  answer_defect defect;
   std::string body;
   /** The instance that answered could not help. */
   bool is_no_help = false;
