The end of a connection that has failed is no end of an answer

A caller got 400 bytes as a whole answer: its target had answered a long upload at once, without a length, and reset the connection while the upload was still written. The failed write takes the socket's error, and the read behind it reports an end of file; on_event looked at the end of file alone.

Now a failure in either direction is remembered for the connection, a write that fails ends nothing by itself, and on_last_byte alone decides how a call ended. A success without framing also needs its request to be received: nothing unwritten, and nothing unacknowledged by the target's system. A refusal that closes in order before the request is written is whole.

Ruled out: to take an error beside the end for a reset, since write and read may fail in different turns of the loop; to end the call at the failed write, since an early refusal with a length may still be unread.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -7,7 +7,9 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -19,6 +21,7 @@
 constexpr int kContinue = 100;
 constexpr int kSwitching = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstFailure = 400;
 /** How long a connection is kept where the other side names no time. */
 constexpr duration kDefaultIdle = 8s;
 /** Taken off a named time: a call must not meet the other side's close. */
@@ -36,6 +39,8 @@
  */
 constexpr std::ptrdiff_t kMostIdleNameless = 8;
 
+bool is_failure(int status) { return status >= kFirstFailure; }
+
 /** Two names of one hash are taken for the same: that is always safe. */
 std::size_t hash_of_name(const outgoing_call& call) {
   return std::hash<std::string>()(call.name);
@@ -246,12 +251,29 @@
     case phase::calling:
       break;
   }
-  if ((what & BEV_EVENT_EOF) == 0) {
-    end_call(c, call_end::reset);
-    return;
-  }
-  const bool whole = c.head_given && c.reader->end_of_stream();
-  end_call(c, whole ? call_end::complete : call_end::closed);
+  if ((what & BEV_EVENT_ERROR) != 0) c.has_failed = true;
+  const bool is_read_out = (what & BEV_EVENT_READING) != 0;
+  if (is_read_out) return on_last_byte(c);
+  // Only the way out has failed: what the other side sent before is read yet.
+  shutdown(bufferevent_getfd(c.io.get()), SHUT_RDWR);
+}
+
+void call_client::on_last_byte(connection& c) {
+  // A failed write may have taken the error: the end alone tells nothing.
+  if (c.has_failed) return end_call(c, call_end::reset);
+  const bool is_ended = c.head_given && c.reader->end_of_stream();
+  // A target may refuse an upload early; it can't have served it.
+  const bool may_be_whole = is_ended && (is_failure(c.reader->head().status) ||
+                                         is_request_received(c));
+  end_call(c, may_be_whole ? call_end::complete : call_end::closed);
+}
+
+bool call_client::is_request_received(const connection& c) {
+  const auto* out = bufferevent_get_output(c.io.get());
+  if (evbuffer_get_length(out) > 0) return false;
+  int unacknowledged = 0;
+  const auto fd = bufferevent_getfd(c.io.get());
+  return ioctl(fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
 }
 
 void call_client::on_readable(connection& c) {
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -135,6 +135,8 @@
     std::optional<std::uint64_t> nameless_series;
     bool head_given = false;
     bool skipping = false;
+    /** It failed, in either direction; what came before may be unread. */
+    bool has_failed = false;
     /** Answers before the call's own, and their bodies' bytes. */
     std::size_t skipped_answers = 0;
     std::size_t skipped_bytes = 0;
@@ -154,6 +156,10 @@
   void write_request(connection& c);
   void on_readable(connection& c);
   void on_event(connection& c, short what);
+  /** Nothing more will come on a connection that carries a call. */
+  void on_last_byte(connection& c);
+  /** Whether the other side has received all of a request. */
+  static bool is_request_received(const connection& c);
   void on_timer(connection& c);
   /** Gives out the head; returns false if the connection is gone. */
   bool give_head(connection& c);
