Bytes that are no answer show that their target is reached

An instance whose targets all answered with broken heads took itself for cut off from all of them (targets_lost), handed its callers to others and stopped calling: a call that ended without a status counted as one without a byte. An end as malformed counts as word from the target now; it stays a failure of that target.

broken_answer_processes-test failed before with 'took itself for cut off', and passes now (1 of 1); target_cut-test and target_reach-test pass.

--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -196,7 +196,11 @@
 void gateway_core::impl::settle_call(exchange& x, call_end end) {
   const bool whole = end == call_end::complete;
   note_end(x, whole);
-  if (!whole && x.status == 0) note_unreached(x.target, end);
+  if (end == call_end::malformed) {
+    note_life_of(x.target);
+  } else if (!whole && x.status == 0) {
+    note_unreached(x.target, end);
+  }
   if (!whole) doubt_life(x, end);
   if (x.status != 0) ++counts_.answer_ends[{x.framing, end}];
   if (end == call_end::not_sent) {
--- a/test/broken_answer_processes-test.sh
+++ b/test/broken_answer_processes-test.sh
@@ -53,5 +53,8 @@
 for fault in status_line field folded_line coding length chunk; do
   grep -q "\"fault\":\"$fault\"" "$work/g1.log" || fail "no fault $fault"
 done
+# Bytes that are no answer are bytes: the way to targets is there.
+! grep -q '"event":"targets_lost"' "$work/g1.log" ||
+  fail 'the instance took itself for cut off from its targets'
 kill -0 "${pid_of[g1]}" || fail 'the instance has ended'
 echo 'all checks passed'
