--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -27,6 +27,16 @@
 /** A copy of the store may hold many such pages. */
 constexpr answer_bounds kCopyBounds{1000ms, 32UL << 20U};
 
+/** Returns a question to a target, without headers. */
+outgoing_call question(std::string address, std::string path) {
+  outgoing_call call;
+  call.address = std::move(address);
+  call.method = "GET";
+  call.target = std::move(path);
+  call.connect_timeout = kTargetConnect;
+  return call;
+}
+
 }  // namespace
 
 void gateway_shell::ask(call_client& client, outgoing_call call,
@@ -71,12 +81,8 @@
 }
 
 void gateway_shell::carry_out(action::read_report&& a) {
-  outgoing_call call;
-  call.address = std::move(a.address);
-  call.method = "GET";
-  call.target = platform_->report_path();
+  auto call = question(std::move(a.address), platform_->report_path());
   call.headers = platform_->question_headers(a.target);
-  call.connect_timeout = kTargetConnect;
   ask(target_client_, std::move(call), kReportBounds,
       [this, id = a.call](const collected_answer& got) {
         event::report_answer answer{id, std::nullopt};
@@ -93,12 +99,8 @@
 }
 
 void gateway_shell::carry_out(action::list_contents&& a) {
-  outgoing_call call;
-  call.address = std::move(a.address);
-  call.method = "GET";
-  call.target = platform_->contents_path();
+  auto call = question(std::move(a.address), platform_->contents_path());
   call.headers = platform_->question_headers(a.target);
-  call.connect_timeout = kTargetConnect;
   ask(target_client_, std::move(call), kContentsBounds,
       [this, id = a.call](const collected_answer& got) {
         event::contents_answer answer{id, std::nullopt};
