--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -157,6 +157,53 @@
   EXPECT_FALSE(w.status(who).is_cut_off);
 }
 
+// Only the one target that is called owes a byte: no other shows the cut.
+TEST(target_cut,
+     callers_of_one_service_with_one_target_are_served_like_others) {
+  for (const auto how : {target_cut::accept_and_hang, target_cut::hang}) {
+    for (const std::uint64_t seed : {16, 17, 18}) {
+      auto options = checkout(seed);
+      options.plain_targets = 1;
+      gateway_world w(options);
+      w.run_for(kSettled);
+      const auto all = w.instances();
+      std::size_t turn = 0;
+      for (auto t = 0ms; t < kCutTime + 6s; t += 60ms) {
+        const auto who = all[turn++ % all.size()];
+        const bool is_repeatable = turn % 2 == 0;
+        w.at(w.now() + t,
+             [&w, who, is_repeatable] { w.call_plain(who, is_repeatable); });
+      }
+      w.run_for(3s);
+      const auto began = w.now();
+      w.cut_targets(all.front(), how);
+      w.run_for(kCutTime);
+      w.cut_targets(all.front(), target_cut::none);
+      w.run_for(12s);
+      const auto got =
+          compare(w, {all.front()}, began + kContact, began + kCutTime);
+      ASSERT_GT(got.there.sent, 20U);
+      expect_alike(got);
+      expect_rules_kept(w);
+    }
+  }
+}
+
+TEST(target_cut, one_target_that_is_silent_for_long_is_no_cut) {
+  auto options = checkout(19);
+  options.plain_targets = 1;
+  gateway_world w(options);
+  w.run_for(kSettled);
+  const auto all = w.instances();
+  for (auto t = 0ms; t < 8s; t += 100ms) {
+    w.at(w.now() + t, [&w, who = all.front()] { w.call_plain(who, true); });
+  }
+  w.run_for(1s);
+  w.slow_target(w.plain_targets().front(), 5s);
+  w.run_for(10s);
+  EXPECT_EQ(w.status(all.front()).target_cuts, 0U);
+}
+
 TEST(target_cut, targets_of_a_cut_off_holder_get_another_that_loads) {
   gateway_world w(checkout(9));
   w.run_for(kSettled);
