Other engines are asked for a byte where one target alone is silent

Callers of a service with a single target got 504 at their deadline from an instance whose connections to all targets were accepted and gave nothing back: a cut shows by several silent targets, and only one was ever called.

Where one target has owed a byte for 0.5 s and too few others owe one to tell, the instance asks engines for a report, every 2 s at most. Any byte shows that the way is there; without one they count as silent, too, and the cut is found.

Ruled out: to hand on because of one silent target, since a target that hangs would then cost an inner call for each of its requests.

A fleet of plain targets alone has nobody to ask.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -75,6 +75,8 @@
   std::optional<engine_report> report;
   /** What the answer says of the target beside. */
   target_word word = {};
+  /** Whether any answer came. */
+  bool is_answered = false;
 };
 /** Which parts of prompts a target keeps. */
 struct contents_answer {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -345,6 +345,9 @@
   void try_connection(const target_state* target);
   /** Tries connections to some of the targets, drawn anew each time. */
   void try_some(std::vector<target_state*> targets, std::size_t count);
+  /** Asks engines that owe no byte for one. */
+  void ask_witnesses(std::size_t count);
+  void hear_witness(const target_id& target, bool is_answered);
   void begin_cut();
   void end_cut(time_point since);
   void tell_cut(bool is_cut_off);
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -350,6 +350,7 @@
   const auto call = found->second;
   engine_calls_.erase(found);
   if (e.report) note_life_of(call.target);
+  if (call.is_witness) hear_witness(call.target, e.report || e.is_answered);
   if (auto* target = targets_.find(call.target)) {
     hear_word(*target, {call.life, e.word, call.asked, "report"});
   }
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -58,6 +58,7 @@
   for (const auto hash : reach_.due_probes(now_, targets_.size())) {
     try_connection(targets_.find(hash));
   }
+  ask_witnesses(reach_.take_witnesses(now_, targets_.size()));
   if (reach_.is_cut_off() && !was_cut_off) begin_cut();
   leave_way_trials();
   const auto count = reach_.probes_due_in_cut(now_);
@@ -71,6 +72,35 @@
   for (const auto* target : targets) try_connection(target);
 }
 
+void gateway_core::impl::ask_witnesses(std::size_t count) {
+  if (count == 0 || !config_) return;
+  auto asked = targets_.staying(now_);
+  std::erase_if(asked, [this](const target_state* target) {
+    const auto* service = config_->find_service(target->entry.service);
+    const bool reports = service != nullptr && service->engine;
+    return !reports || reach_.owes_byte(target->hash);
+  });
+  std::shuffle(asked.begin(), asked.end(), random_);
+  asked.resize(std::min(count, asked.size()));
+  for (const auto* target : asked) {
+    const auto call = next_engine_call_++;
+    engine_call witness{target->entry.id, 0, now_, target->entry.started_ms};
+    witness.is_witness = true;
+    engine_calls_[call] = std::move(witness);
+    log("witness_asked", {{"target", target->entry.id}});
+    do_act(action::read_report{call, target->entry.address, target->entry.id});
+  }
+}
+
+void gateway_core::impl::hear_witness(const target_id& target,
+                                      bool is_answered) {
+  if (is_answered) {
+    note_reached(target);
+  } else {
+    note_unreached(target, call_end::closed);
+  }
+}
+
 void gateway_core::impl::try_connection(const target_state* target) {
   if (target == nullptr || target->has_left(now_)) return;
   do_act(action::probe_target{target->entry.id, target->entry.address});
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -86,6 +86,7 @@
   ask(target_client_, std::move(call), kReportBounds,
       [this, id = a.call](const collected_answer& got) {
         event::report_answer answer{id, std::nullopt};
+        answer.is_answered = got.status.has_value();
         if (got.status) {
           answer.word = platform_->read_word(*got.status, got.headers);
         }
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -132,6 +132,8 @@
   time_point asked;
   /** When the target had started that was asked. */
   std::uint64_t life = 0;
+  /** It is asked for a byte: whether this instance reaches it at all. */
+  bool is_witness = false;
 };
 
 /** Returns a connection's number as the log takes it. */
--- a/src/process/target_reach.cc
+++ b/src/process/target_reach.cc
@@ -22,6 +22,8 @@
 constexpr duration kProbePauseInCut = 200ms;
 /** No byte came for so long from any target, though several owe one. */
 constexpr duration kUnanswered = 500ms;
+/** Other targets are asked for a byte this often at most. */
+constexpr duration kWitnessPause = 2s;
 /** A request is tried this often where connections are accepted. */
 constexpr duration kTrialPause = 1s;
 /** That a target took no connection counts so long. */
@@ -157,12 +159,28 @@
 
 bool target_reach::is_unanswered_by_all(time_point now,
                                         std::size_t known) const {
+  return count_owing(now) >= std::min(kLeastLost, known);
+}
+
+std::size_t target_reach::count_owing(time_point now) const {
   const auto owing = std::count_if(
       unanswered_.begin(), unanswered_.end(), [now](const auto& pair) {
         const auto& owed = pair.second;
         return owed.is_accepting && now - owed.since >= kUnanswered;
       });
-  return static_cast<std::size_t>(owing) >= std::min(kLeastLost, known);
+  return static_cast<std::size_t>(owing);
+}
+
+std::size_t target_reach::take_witnesses(time_point now, std::size_t known) {
+  const auto needed = std::min(kLeastLost, known);
+  if (cut_since_ || now < next_witnesses_) return 0;
+  if (count_owing(now) == 0 || unanswered_.size() >= needed) return 0;
+  next_witnesses_ = now + kWitnessPause;
+  return needed - unanswered_.size();
+}
+
+bool target_reach::owes_byte(target_hash target) const {
+  return unanswered_.contains(target);
 }
 
 bool target_reach::take_trial(time_point now) {
--- a/src/process/target_reach.h
+++ b/src/process/target_reach.h
@@ -58,6 +58,14 @@
    * it is taken, and the next is due later.
    */
   bool take_trial(time_point now);
+  /**
+   * Returns how many targets that owe no byte are to be asked for one: too few
+   * are called to tell a silent target from a lost way. Then it is taken, and
+   * the next question is due later.
+   */
+  std::size_t take_witnesses(time_point now, std::size_t known);
+  /** Whether a target owes a byte since one last came from any. */
+  bool owes_byte(target_hash target) const;
   /** Returns how many targets, any of them, are to be tried now in a cut. */
   std::size_t probes_due_in_cut(time_point now);
 
@@ -97,6 +105,8 @@
   bool has_lost_all(std::size_t known) const;
   bool is_refused_by_all(time_point now, std::size_t known) const;
   bool is_unanswered_by_all(time_point now, std::size_t known) const;
+  /** Returns how many targets accept connections and owe a byte for long. */
+  std::size_t count_owing(time_point now) const;
   bool end_cut(time_point now);
 
   std::map<call_id, watched_call> calls_;
@@ -118,6 +128,7 @@
   bool is_unanswered_ = false;
   time_point next_trial_{};
   time_point next_probe_in_cut_{};
+  time_point next_witnesses_{};
 };
 
 }  // namespace seamglade::gateway
