Tests of memory and descriptors that run out, red

A herd of callers that upload at the same time, or that only wait, before a real instance; and a listener without a free descriptor.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -143,7 +143,8 @@
   port=$((20000 + $$ % 20000))
 }
 
-# start_gateway N: starts instance N of the direct path.
+# start_gateway N: starts instance N of the direct path, with the further lines
+# of settings in `gateway_settings`.
 start_gateway() {
   local ip=$net.$1
   cat >"$work/g$1.ini" <<INI
@@ -157,6 +158,7 @@
 store_address = $store
 seeds = $net.1:1,$net.2:1
 grace = 4s
+${gateway_settings:-}
 INI
   "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
   pids+=($!)
--- /dev/null
+++ b/test/herd_processes-test.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# A real instance in a herd of uploads, or of callers that wait, holds less than
+# its settings allow and serves on. Usage: herd_processes-test.sh BUILD_DIR KIND
+set -euo pipefail
+bin=$1
+source "$(dirname "$0")/../scripts/fleet.sh"
+
+readonly limit_mb=96 callers=1200 body_bytes=99000
+ulimit -n 4096
+# Freed memory that the sanitizer keeps is none of the instance's.
+export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=1"
+expect() { [[ $1 == *"$2"* ]] || fail "expected '$2', got '$1'"; }
+
+# metric NAME: prints the value of a metric of the instance.
+metric() {
+  curl -sf "http://$net.1:$((port + 3))/metrics" |
+    awk -v name="$1" '$1 == name { print $2 }'
+}
+# count_of OUTCOME: prints how many callers of the herd had it.
+count_of() {
+  awk -v what="$1" '$1 == what { n = $2 } END { print n + 0 }' "$work/herd.out"
+}
+
+uploads_stay_within_memory() {
+  net=127.0.7
+  start_platform
+  gateway_settings="memory_limit = ${limit_mb}MB" start_gateway 1
+  until_gateway_ready 1
+  "$bin/seamglade-herd-standin" "$net.1:$port" "$callers" "$body_bytes" \
+    >"$work/herd.out" 2>&1 &
+  local herd=$! held refused peak_kb
+  pids+=("$herd")
+  held=$(wait_for "$work/herd.out" '^held' | cut -d' ' -f2)
+  # Small requests are served beside them, and others see how it is.
+  expect "$(call 1 /set/x small -d 'hello')" 'answer to small 200'
+  until_gateway_ready 1
+  refused=$(metric seamglade_room_refusals_total)
+  [ "$refused" = "$((callers - held))" ] ||
+    fail "$held of $callers held, $refused refused"
+  kill -USR1 "$herd"
+  wait_for "$work/herd.out" '^done' >/dev/null || fail 'the herd has not ended'
+  cat "$work/herd.out"
+  [ "$(count_of 200)" -eq "$held" ] || fail 'one let in was not served'
+  [ "$(count_of 503+retry+early)" -eq "$refused" ] ||
+    fail 'one refused was not told when to come back'
+  [ "$(grep -c '^run h' "$work/platform.out")" -eq "$held" ] ||
+    fail 'one refused has run'
+  peak_kb=$(awk '/VmHWM/ { print $2 }' "/proc/${pid_of[g1]}/status")
+  echo "peak: $((peak_kb / 1024)) MB"
+  [ "$peak_kb" -lt $((limit_mb * 1024)) ] || fail "held $peak_kb KB"
+  [ "$(metric seamglade_reserved_bytes)" -eq 0 ] || fail 'room was not given back'
+}
+
+serves_beside_callers_that_wait() {
+  net=127.0.8
+  start_platform
+  gateway_settings="descriptor_limit = 64" start_gateway 1
+  until_gateway_ready 1
+  local n waiting=()
+  for n in $(seq 120); do
+    exec {waiting[n]}<>"/dev/tcp/$net.1/$port" || true
+  done
+  # Calls to targets find descriptors, and others see how it is.
+  expect "$(call 1 /set/x beside -d 'hello')" 'answer to beside 200'
+  until_gateway_ready 1
+  [ "$(find "/proc/${pid_of[g1]}/fd" -type l | wc -l)" -le 64 ] ||
+    fail 'beyond the limit'
+}
+
+case $2 in
+  uploads) uploads_stay_within_memory ;;
+  waiting) serves_beside_callers_that_wait ;;
+esac
+echo 'all checks passed'
