--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -51,6 +51,10 @@
   bool admission = true;
   /** How long the platform waits for a planned stop. */
   duration grace = 8s;
+  /** Bytes of memory that the process may use; 0: its own limit. */
+  std::size_t memory_limit = 0;
+  /** Descriptors that it may have; 0: its own limit. */
+  std::size_t descriptor_limit = 0;
 };
 
 /** Returns the keys of the file's one section, [gateway]. */
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -27,7 +27,15 @@
 constexpr std::string_view kRegions = "regions";
 constexpr std::string_view kColdExcess = "cold_excess";
 constexpr std::string_view kColdSlack = "cold_slack";
+constexpr std::string_view kMemoryLimit = "memory_limit";
+constexpr std::string_view kDescriptorLimit = "descriptor_limit";
 constexpr std::string_view kNone = "none";
+constexpr std::string_view kAuto = "auto";
+constexpr std::string_view kMegabytes = "MB";
+/** Less does not hold an instance, and no machine has more. */
+constexpr std::size_t kLeastMemory = 16UL << 20U;
+constexpr std::size_t kMostMemory = 1UL << 44U;
+constexpr std::size_t kLeastDescriptors = 32;
 
 constexpr key_spec file_key(std::string_view name, value_kind kind,
                             std::string_view fallback, std::string_view help) {
@@ -38,6 +46,9 @@
 
 constexpr std::string_view kNumber = "a number from 0";
 constexpr std::string_view kAddresses = "IP:port, divided by commas";
+constexpr std::string_view kMemory =
+    "bytes, or megabytes such as 260MB, from 16MB; or auto";
+constexpr std::string_view kDescriptors = "a whole number from 32; or auto";
 constexpr std::string_view kRegionPairs = "DOMAIN:REGION, divided by commas";
 
 /** A key whose form is its own. */
@@ -88,6 +99,10 @@
              "whether plain targets get only what they can serve in time"),
     file_key("grace", value_kind::span, "8s",
              "how long the platform waits for a planned stop"),
+    special_key(kMemoryLimit, kMemory, kAuto,
+                "memory that the process may use; auto: its own limit"),
+    special_key(kDescriptorLimit, kDescriptors, kAuto,
+                "descriptors that it may have; auto: its own limit"),
 };
 
 std::string* text_member(gateway_config& config, std::string_view key) {
@@ -116,6 +131,34 @@
   return outcome::success();
 }
 
+result<void> read_memory(gateway_config& config, const std::string& text) {
+  if (text == kAuto) return outcome::success();
+  const bool is_in_megabytes = text.ends_with(kMegabytes);
+  const auto digits =
+      is_in_megabytes ? text.substr(0, text.size() - kMegabytes.size()) : text;
+  const std::size_t unit = is_in_megabytes ? 1UL << 20U : 1;
+  std::size_t value = 0;
+  if (digits.starts_with('-') ||
+      !boost::conversion::try_lexical_convert(digits, value) ||
+      value < kLeastMemory / unit || value > kMostMemory / unit) {
+    return bad(kMemoryLimit, kMemory);
+  }
+  config.memory_limit = value * unit;
+  return outcome::success();
+}
+
+result<void> read_descriptors(gateway_config& config, const std::string& text) {
+  if (text == kAuto) return outcome::success();
+  std::size_t value = 0;
+  if (text.starts_with('-') ||
+      !boost::conversion::try_lexical_convert(text, value) ||
+      value < kLeastDescriptors) {
+    return bad(kDescriptorLimit, kDescriptors);
+  }
+  config.descriptor_limit = value;
+  return outcome::success();
+}
+
 result<void> read_seeds(gateway_config& config, const std::string& text) {
   if (text.empty() || text == kNone) return outcome::success();
   std::vector<std::string> seeds;
@@ -148,6 +191,8 @@
                  const std::string& value) {
   if (key.name == kSeeds) return read_seeds(config, value);
   if (key.name == kRegions) return read_regions(config, value);
+  if (key.name == kMemoryLimit) return read_memory(config, value);
+  if (key.name == kDescriptorLimit) return read_descriptors(config, value);
   if (key.name == kColdExcess) {
     return read_number(config.cold_excess, key.name, value);
   }
