What an instance holds for its callers is bounded

A herd of uploads was read into memory whole, and callers that wait took all descriptors, so that calls to targets found none. Beyond its machine's limits an instance is ended, and nothing bounded it but 3,400 connections a listener.

A request now reserves its length when its head is complete, one in chunks as it comes, until its answer is finished; one that does not fit is refused with 503, Retry-After and the end of its connection before it is read, and where another instance handed it on, with the name of that call. Room is kept for small requests and for other instances. Unsent answers have a part of their own: beyond it the caller with the most unsent is broken off. Listeners have shares of the descriptors; a new connection takes the place of the one idle for longest. Bodies are held once while they are sent, and those of answers that are not whole yet are bounded by the same limit.

Ruled out: holding senders back, since those let in could wait for each other's last bytes.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -308,6 +308,8 @@
   cold_bounds cold;
   /** Places at plain targets are handed out; else all requests go there. */
   bool admission = true;
+  /** Bytes of bodies of answers that are not whole yet, in all. */
+  std::size_t answer_bytes = 32UL << 20U;
 };
 
 /** What an instance believes and has counted; for metrics and status. */
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -212,9 +212,7 @@
   auto* out = bufferevent_get_output(c.io.get());
   const auto head = request_head(c.request);
   evbuffer_add(out, head.data(), head.size());
-  if (c.request.body) {
-    evbuffer_add(out, c.request.body->data(), c.request.body->size());
-  }
+  add_text(out, c.request.body);
 }
 
 void call_client::begin_answer(connection& c) {
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -111,6 +111,7 @@
   /** Ends a call and its connection; no handler runs afterwards. */
   void cancel(token call);
   const counters& counts() const { return counts_; }
+  std::size_t connection_count() const { return connections_.size(); }
 
  private:
   enum class phase : std::uint8_t { connecting, calling, idle };
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -16,6 +17,12 @@
 #include <ctime>
 
 namespace seamglade::detail {
+namespace {
+
+/** A shorter text is copied: that takes less than a reference to it. */
+constexpr std::size_t kShared = 4096;
+
+}  // namespace
 
 std::string endpoint::str() const { return fmt::format("{}:{}", host, port); }
 
@@ -125,6 +132,21 @@
   return text;
 }
 
+void set_receive_buffer(evutil_socket_t fd, int bytes) {
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+std::size_t unread_bytes(evutil_socket_t fd) {
+  int bytes = 0;
+  if (ioctl(fd, FIONREAD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
+void add_text(evbuffer* to, const std::shared_ptr<const std::string>& text) {
+  if (text && text->size() >= kShared) return add_shared(to, text);
+  if (text) evbuffer_add(to, text->data(), text->size());
+}
+
 void add_shared(evbuffer* to, std::shared_ptr<const std::string> text) {
   if (!text || text->empty()) return;
   using holder = std::shared_ptr<const std::string>;
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -86,6 +86,18 @@
 /** Moves all bytes of a buffer into one string. */
 std::shared_ptr<const std::string> take_all(evbuffer* from);
 
+/**
+ * Bounds what the system keeps of bytes that arrive and are not read; it takes
+ * this for half of what it may use.
+ */
+void set_receive_buffer(evutil_socket_t fd, int bytes);
+
+/** Returns the bytes that have arrived and were not read. */
+std::size_t unread_bytes(evutil_socket_t fd);
+
+/** Adds a shared text to a buffer; a large one is not copied. */
+void add_text(evbuffer* to, const std::shared_ptr<const std::string>& text);
+
 /** Adds a shared text to a buffer without copying it. */
 void add_shared(evbuffer* to, std::shared_ptr<const std::string> text);
 
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -21,18 +21,29 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-/** Bytes that a caller may send ahead of its answer. */
+/** Bytes of a request that wait to be read. */
+constexpr std::size_t kReadAtOnce = 65536;
+/** Bytes that a caller may send ahead of its answer: read, and unread. */
 constexpr std::size_t kReadAhead = 65536;
+constexpr int kUnreadAhead = 16384;
 /** Bytes that may wait for a slow caller. */
 constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
 /** How long a closed connection's caller may still send, unread. */
 constexpr duration kLinger = 1s;
 constexpr duration kDeadPeer = 10s;
-constexpr std::size_t kMaxConnections = 3400;
 constexpr int kBacklog = 512;
+/** Without a free descriptor no connection is accepted for so long. */
+constexpr duration kAcceptRest = 100ms;
+/** A connection that is idle for less is about to send its request. */
+constexpr duration kLeastIdle = 1s;
+/** So many idle connections are looked at for one to close. */
+constexpr int kIdleLooks = 8;
+/** A large upload that takes up the room is over by then as a rule. */
+constexpr std::string_view kRetryAfter = "Retry-After: 1\r\n";
 
 int status_of(parse_fault fault) {
   switch (fault) {
@@ -53,6 +64,15 @@
   evbuffer_add(to, text.data(), text.size());
 }
 
+void add_fields(std::string& to, const std::vector<http_header>& headers) {
+  for (const auto& header : headers) {
+    to += header.name;
+    to += ": ";
+    to += header.value;
+    to += "\r\n";
+  }
+}
+
 }  // namespace
 
 std::string_view reason_phrase(int status) {
@@ -61,12 +81,36 @@
   return {phrase.data(), phrase.size()};
 }
 
+gateway_server::counters& gateway_server::counters::operator+=(
+    const counters& other) {
+  room_refusals += other.room_refusals;
+  broken_off += other.broken_off;
+  replaced += other.replaced;
+  closed_unread += other.closed_unread;
+  accept_rests += other.accept_rests;
+  return *this;
+}
+
 gateway_server::gateway_server(event_base* base, handlers on,
-                               caller_id first_caller)
-    : base_(base), on_(std::move(on)), next_caller_(first_caller) {}
+                               caller_id first_caller, listener_bounds bounds)
+    : base_(base),
+      on_(std::move(on)),
+      bounds_(std::move(bounds)),
+      next_caller_(first_caller) {
+  const auto rested = [](evutil_socket_t, short, void* self) {
+    evconnlistener_enable(static_cast<gateway_server*>(self)->listener_.get());
+  };
+  rest_timer_.reset(event_new(base_, -1, 0, rested, this));
+}
 
 gateway_server::~gateway_server() = default;
 
+gateway_server::connection::~connection() {
+  // A buffer outlives its handle while a deferred callback is due.
+  if (counter == nullptr) return;
+  evbuffer_remove_cb_entry(bufferevent_get_output(io.get()), counter);
+}
+
 result<endpoint> gateway_server::listen(const endpoint& where) {
   auto address = to_socket_address(where);
   const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr* from,
@@ -85,7 +129,8 @@
 }
 
 void gateway_server::accept(evutil_socket_t fd, std::uint32_t from) {
-  if (connections_.size() >= kMaxConnections) {
+  if (connections_.size() >= bounds_.connections && !close_longest_idle()) {
+    ++counts_.closed_unread;
     evutil_closesocket(fd);
     return;
   }
@@ -102,6 +147,14 @@
     self->owner->on_timer(*self);
   };
   c.timer.reset(event_new(base_, -1, 0, fired, &c));
+  c.bytes.emplace(*bounds_.bytes, bounds_.use, [&c] { c.owner->break_off(c); });
+  c.counter = evbuffer_add_cb(
+      bufferevent_get_output(c.io.get()),
+      [](evbuffer*, const evbuffer_cb_info* change, void* arg) {
+        static_cast<connection*>(arg)->bytes->set_unsent(
+            change->orig_size + change->n_added - change->n_deleted);
+      },
+      &c);
   bufferevent_setcb(
       c.io.get(),
       [](bufferevent*, void* arg) {
@@ -117,14 +170,47 @@
         self->owner->on_event(*self, what);
       },
       &c);
-  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kReadAhead);
   connections_.emplace(c.number, std::move(made));
   start_reading(c);
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
 }
 
+void gateway_server::rest() {
+  ++counts_.accept_rests;
+  evconnlistener_disable(listener_.get());
+  const auto wait = to_timeval(kAcceptRest);
+  event_add(rest_timer_.get(), &wait);
+}
+
+bool gateway_server::is_idle(const connection& c) {
+  return evbuffer_get_length(bufferevent_get_input(c.io.get())) == 0 &&
+         evbuffer_get_length(bufferevent_get_output(c.io.get())) == 0 &&
+         unread_bytes(bufferevent_getfd(c.io.get())) == 0;
+}
+
+bool gateway_server::close_longest_idle() {
+  const auto latest = boot_now() - kLeastIdle;
+  int looks = 0;
+  for (auto& c : idle_) {
+    if (c.since > latest || ++looks > kIdleLooks) return false;
+    if (!is_idle(c)) continue;
+    ++counts_.replaced;
+    erase(c);
+    return true;
+  }
+  return false;
+}
+
+void gateway_server::break_off(connection& c) {
+  ++counts_.broken_off;
+  on_event(c, BEV_EVENT_ERROR);
+}
+
 void gateway_server::start_reading(connection& c) {
   c.now = phase::reading;
+  c.bytes->release();
+  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kReadAtOnce);
+  idle_.push_back(c);
   c.caller = 0;
   c.told_continue = false;
   c.reader = std::make_unique<request_reader>(limits_.header_bytes,
@@ -144,18 +230,37 @@
     evbuffer_drain(in, evbuffer_get_length(in));
     return;
   }
-  if (c.now == phase::reading) read_request(c);
+  if (c.now == phase::reading) {
+    read_request(c);
+  } else {
+    read_ahead(c);
+  }
+}
+
+void gateway_server::read_ahead(connection& c) {
+  if (std::exchange(c.sends_ahead, true)) return;
+  set_receive_buffer(bufferevent_getfd(c.io.get()), kUnreadAhead);
+}
+
+bool gateway_server::reserve(connection& c) {
+  const auto unread = evbuffer_get_length(bufferevent_get_input(c.io.get()));
+  return c.bytes->reserve(c.reader->size() + unread);
 }
 
 void gateway_server::read_request(connection& c) {
   auto* in = bufferevent_get_input(c.io.get());
   if (evbuffer_get_length(in) == 0) return;
   const bool first = !c.reader->started();
+  c.idle_hook::unlink();
   const auto progress = c.reader->read(in);
   if (progress == parse_progress::failed) {
     refuse(c, status_of(c.reader->fault()));
     return;
   }
+  if (!reserve(c)) {
+    refuse_for_room(c);
+    return;
+  }
   if (progress == parse_progress::complete) {
     request_complete(c);
     return;
@@ -177,20 +282,35 @@
   message.caller_address = c.caller_address;
   c.bodyless = message.method == "HEAD";
   c.now = phase::answering;
+  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kReadAhead);
   c.caller = next_caller_++;
   by_caller_[c.caller] = &c;
   on_.request(c.caller, std::move(message));
 }
 
-void gateway_server::refuse(connection& c, int status) {
+void gateway_server::refuse(connection& c, int status,
+                            std::string_view headers) {
   on_.refused(status);
-  append(bufferevent_get_output(c.io.get()),
-         fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\n"
-                     "Connection: close\r\n\r\n",
-                     status, reason_phrase(status)));
+  std::string text =
+      fmt::format("HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
+  text += headers;
+  if (on_.refusal_headers) {
+    add_fields(text, on_.refusal_headers(c.reader->headers()));
+  }
+  text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  append(bufferevent_get_output(c.io.get()), text);
   close_after_flush(c);
 }
 
+void gateway_server::refuse_for_room(connection& c) {
+  if (!bounds_.bytes->can_ever_hold(bounds_.use, c.reader->size())) {
+    refuse(c, kBodyTooLarge);
+    return;
+  }
+  ++counts_.room_refusals;
+  refuse(c, kUnavailable, kRetryAfter);
+}
+
 void gateway_server::on_timer(connection& c) {
   if (c.now == phase::closing) {
     erase(c);
@@ -235,6 +355,8 @@
   if (c.caller != 0) by_caller_.erase(c.caller);
   c.caller = 0;
   c.now = phase::closing;
+  c.bytes->release();
+  c.reader.reset();
   arm(c, kLinger);
   auto* in = bufferevent_get_input(c.io.get());
   evbuffer_drain(in, evbuffer_get_length(in));
@@ -278,12 +400,7 @@
   const auto phrase =
       head.reason.empty() ? reason_phrase(head.status) : head.reason;
   std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, phrase);
-  for (const auto& header : head.headers) {
-    text += header.name;
-    text += ": ";
-    text += header.value;
-    text += "\r\n";
-  }
+  add_fields(text, head.headers);
   if (!has_no_body(head.status) && head.length) {
     text += fmt::format("Content-Length: {}\r\n", *head.length);
   } else if (c.body == body_framing::chunked) {
@@ -309,8 +426,9 @@
   if (c->body == body_framing::chunked) {
     append(out, fmt::format("{:x}\r\n", data->size()));
   }
-  evbuffer_add(out, data->data(), data->size());
+  add_text(out, data);
   if (c->body == body_framing::chunked) append(out, "\r\n");
+  bounds_.bytes->relieve();
 }
 
 std::size_t gateway_server::unsent_bytes() const {
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -6,11 +6,13 @@
 #ifndef SEAMGLADE_SRC_CONNECTION_GATEWAY_SERVER_H_
 #define SEAMGLADE_SRC_CONNECTION_GATEWAY_SERVER_H_
 
+#include <boost/intrusive/list.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
+#include "connection/byte_budget.h"
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
 #include "seamglade/answer_end.h"
@@ -30,6 +32,15 @@
   bool close_delimited = false;
 };
 
+/** What a listener may have of an instance's resources. */
+struct listener_bounds {
+  /** Shared with other listeners. */
+  std::shared_ptr<byte_budget> bytes =
+      std::make_shared<byte_budget>(128UL << 20U);
+  listener_use use = listener_use::callers;
+  std::size_t connections = 1024;
+};
+
 /** Returns the usual phrase for a status. */
 std::string_view reason_phrase(int status);
 
@@ -37,8 +48,11 @@
  * Listens for callers, reads whole requests and writes answers.
  *
  * A connection carries one request at a time; what a caller sends ahead waits
- * in its buffer. A request that cannot be read is answered here and never
- * leaves this class.
+ * in its buffer. A request that cannot be read, or that there is no room for,
+ * is answered here and never leaves this class.
+ *
+ * A connection beyond the bound takes the place of the one that has been idle
+ * for longest, or else is closed unread.
  */
 class gateway_server {
  public:
@@ -48,10 +62,29 @@
     std::function<void(caller_id)> gone;
     /** A request that could not be read was answered with this status. */
     std::function<void(int)> refused;
+    /** Returns what such an answer has to bear. Not needed. */
+    std::function<std::vector<http_header>(const std::vector<http_header>&)>
+        refusal_headers = {};
+  };
+
+  struct counters {
+    /** Requests refused for want of room. */
+    std::uint64_t room_refusals = 0;
+    /** Answers broken off since too much was unsent. */
+    std::uint64_t broken_off = 0;
+    /** Idle connections that gave their place to a new one. */
+    std::uint64_t replaced = 0;
+    /** Connections closed unread since there was no place. */
+    std::uint64_t closed_unread = 0;
+    /** Times that it rested since there was no free descriptor. */
+    std::uint64_t accept_rests = 0;
+
+    counters& operator+=(const counters& other);
   };
 
   /** `first_caller`: names its first caller; the next ones count on. */
-  gateway_server(event_base* base, handlers on, caller_id first_caller = 1);
+  gateway_server(event_base* base, handlers on, caller_id first_caller = 1,
+                 listener_bounds bounds = {});
   ~gateway_server();
   gateway_server(const gateway_server&) = delete;
   gateway_server& operator=(const gateway_server&) = delete;
@@ -66,6 +99,7 @@
   std::size_t connection_count() const { return connections_.size(); }
   /** Returns the bytes of answers that no caller has taken yet. */
   std::size_t unsent_bytes() const;
+  const counters& counts() const { return counts_; }
 
   void begin(caller_id caller, const reply_head& head);
   void write(caller_id caller, const std::shared_ptr<const std::string>& data);
@@ -76,12 +110,23 @@
  private:
   enum class phase : std::uint8_t { reading, answering, closing };
 
-  struct connection {
+  using idle_hook = boost::intrusive::list_base_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+  struct connection : idle_hook {
+    connection() = default;
+    ~connection();
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
     gateway_server* owner = nullptr;
     std::uint64_t number = 0;
     std::uint32_t caller_address = 0;
     bufferevent_handle io;
     event_handle timer;
+    std::optional<byte_budget::share> bytes;
+    /** Counts its unsent bytes. */
+    evbuffer_cb_entry* counter = nullptr;
     std::unique_ptr<request_reader> reader;
     phase now = phase::reading;
     caller_id caller = 0;
@@ -89,6 +134,8 @@
     bool old_version = false;
     bool bodyless = false;
     bool told_continue = false;
+    /** The caller sent bytes while a request was under way. */
+    bool sends_ahead = false;
     gateway::body_framing body = gateway::body_framing::length;
     time_point since;
   };
@@ -101,7 +148,17 @@
   void on_written(connection& c);
   void read_request(connection& c);
   void request_complete(connection& c);
-  void refuse(connection& c, int status);
+  void refuse(connection& c, int status, std::string_view headers = {});
+  /** Answers a request that there is no room for. */
+  void refuse_for_room(connection& c);
+  /** Sets room aside for what is known of a request; false: there is none. */
+  static bool reserve(connection& c);
+  void read_ahead(connection& c);
+  /** Closes the connection that has been idle for longest; false: none is. */
+  bool close_longest_idle();
+  static bool is_idle(const connection& c);
+  void rest();
+  void break_off(connection& c);
   void start_reading(connection& c);
   void close_after_flush(connection& c);
   static gateway::body_framing framing_of(const connection& c,
@@ -115,11 +172,19 @@
 
   event_base* base_;
   handlers on_;
+  listener_bounds bounds_;
   listener_handle listener_;
+  event_handle rest_timer_;
+  counters counts_;
   gateway::caller_limits limits_;
   bool draining_ = false;
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
+  /** Those that have sent nothing of a request; the longest idle comes first.
+   */
+  boost::intrusive::list<connection, boost::intrusive::base_hook<idle_hook>,
+                         boost::intrusive::constant_time_size<false>>
+      idle_;
   std::map<caller_id, connection*> by_caller_;
   caller_id next_caller_;
 };
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -162,6 +162,15 @@
   return is_done() ? parse_progress::complete : parse_progress::need_more;
 }
 
+std::size_t request_reader::size() const {
+  std::size_t body = body_.size();
+  if (is_header_done()) {
+    const auto length = content_length();
+    if (length) body = std::max<std::size_t>(body, *length);
+  }
+  return head_size_ + body;
+}
+
 gateway::caller_message request_reader::take() {
   drop_named(message_.headers, connection_names_);
   message_.body = std::make_shared<const std::string>(std::move(body_));
@@ -173,6 +182,7 @@
                                      error_code& ec) {
   message_.method = text(method);
   message_.target = text(target);
+  head_size_ += target.size();
   version_ = version;
   if (version < 10 || target.empty() || target.front() != '/') {
     ec = http::error::bad_target;
@@ -181,6 +191,7 @@
 
 void request_reader::on_field_impl(http::field field, string_view name,
                                    string_view value, error_code& ec) {
+  head_size_ += name.size() + value.size();
   if (field == http::field::host) {
     message_.host = text(value);
     if (++host_count_ > 1) ec = http::error::bad_field;
@@ -204,8 +215,10 @@
   if (host_count_ == 0 && version_ >= 11) ec = http::error::bad_field;
 }
 
-void request_reader::on_body_init_impl(const boost::optional<std::uint64_t>&,
-                                       error_code&) {}
+void request_reader::on_body_init_impl(
+    const boost::optional<std::uint64_t>& length, error_code&) {
+  if (length) body_.reserve(*length);
+}
 
 std::size_t request_reader::on_body_impl(string_view body, error_code&) {
   body_.append(body.data(), body.size());
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -46,6 +46,11 @@
   bool head_complete() const { return is_header_done(); }
   bool keeps_connection() const { return keep_alive(); }
   bool is_old_version() const { return version_ < 11; }
+  /** Returns the bytes of its head, and of its body as far as they are known.
+   */
+  std::size_t size() const;
+  /** Returns the headers as far as they came. */
+  const std::vector<http_header>& headers() const { return message_.headers; }
   /** Returns the request; valid once complete. */
   gateway::caller_message take();
 
@@ -70,6 +75,8 @@
   void on_finish_impl(error_code& ec) override;
 
   std::uint32_t header_bytes_;
+  /** Of its start line and fields. */
+  std::size_t head_size_ = 0;
   gateway::caller_message message_;
   std::string body_;
   std::vector<std::string> connection_names_;
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -18,9 +18,12 @@
 /** An event, and a body that is passed on whole, may be this large. */
 constexpr std::size_t kMostEvent = 1UL << 20U;
 constexpr std::size_t kMostBody = 8UL << 20U;
-/** All bodies that are not whole yet, once one of them is not small. */
-constexpr std::size_t kMostBodies = 32UL << 20U;
 constexpr std::size_t kSmallBody = 1UL << 20U;
+/** Of what all bodies may have, so much is for one, and so much is small. */
+constexpr std::size_t kBodyPart = 4;
+constexpr std::size_t kSmallPart = 32;
+/** Beyond twice what all may have, only those up to this size grow. */
+constexpr std::size_t kLeastBody = 64UL << 10U;
 
 bool promises_not_run(int status) {
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
@@ -124,11 +127,14 @@
 }
 
 bool gateway_core::impl::is_too_large(const exchange& x) const {
-  if (x.body.size() <= kSmallBody) return false;
-  if (x.body.size() > kMostBody) return true;
+  const auto most = options_.answer_bytes;
+  if (x.body.size() <= kLeastBody) return false;
+  if (x.body.size() > std::min(kMostBody, most / kBodyPart)) return true;
   std::size_t total = 0;
   for (const auto& [caller, other] : exchanges_) total += other.body.size();
-  return total > kMostBodies;
+  const bool is_small =
+      x.body.size() <= std::min(kSmallBody, most / kSmallPart);
+  return total > (is_small ? 2 * most : most);
 }
 
 void gateway_core::impl::end_too_large(exchange& x) {
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -45,6 +45,22 @@
   return out;
 }
 
+/** `bounds`: what they may be, else what they are. */
+prometheus::MetricFamily connection_family(const resource_status& resources,
+                                           bool bounds) {
+  prometheus::MetricFamily out;
+  out.name = bounds ? "seamglade_connection_bound" : "seamglade_connections";
+  out.help = bounds ? "Connections kept for a use" : "Connections, by use";
+  out.type = prometheus::MetricType::Gauge;
+  for (const auto& share : resources.connections) {
+    prometheus::ClientMetric metric;
+    metric.label = {{"use", share.use}};
+    metric.gauge.value = static_cast<double>(bounds ? share.bound : share.open);
+    out.metric.push_back(std::move(metric));
+  }
+  return out;
+}
+
 prometheus::MetricFamily answer_end_family(
     const gateway::answer_end_counts& counts) {
   prometheus::MetricFamily out;
@@ -139,7 +155,8 @@
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
-                         const datagram_bytes& datagrams) {
+                         const datagram_bytes& datagrams,
+                         const resource_status& resources) {
   std::vector<prometheus::MetricFamily> out;
   const auto counter = [&](const char* name, const char* help,
                            std::uint64_t value) {
@@ -150,6 +167,29 @@
     out.push_back(family(name, help, prometheus::MetricType::Gauge, value));
   };
   counter("seamglade_requests_total", "Requests read", status.requests);
+  counter("seamglade_room_refusals_total", "Requests refused for want of room",
+          resources.counts.room_refusals);
+  counter("seamglade_broken_off_total",
+          "Answers broken off since too much was unsent",
+          resources.counts.broken_off);
+  counter("seamglade_replaced_connections_total",
+          "Idle connections that gave their place to a new one",
+          resources.counts.replaced);
+  counter("seamglade_unplaced_connections_total",
+          "Connections closed unread since there was no place",
+          resources.counts.closed_unread);
+  counter("seamglade_accept_rests_total",
+          "Times that a listener rested for want of a descriptor",
+          resources.counts.accept_rests);
+  gauge("seamglade_reserved_bytes", "Bytes set aside for requests",
+        static_cast<double>(resources.reserved_bytes));
+  gauge("seamglade_unsent_bytes", "Bytes of answers that nobody has taken yet",
+        static_cast<double>(resources.unsent_bytes));
+  gauge("seamglade_held_bytes_bound",
+        "What bytes set aside and unsent may be together",
+        static_cast<double>(resources.held_bound));
+  gauge("seamglade_descriptor_limit", "Descriptors that the process may have",
+        static_cast<double>(resources.descriptor_limit));
   counter("seamglade_answered_total", "Answers passed on whole",
           status.answered);
   counter("seamglade_store_restores_total",
@@ -256,6 +296,8 @@
           status.grant_unanswered);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
+  out.push_back(connection_family(resources, false));
+  out.push_back(connection_family(resources, true));
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
   out.push_back(begun_streams_family(status.begun_streams));
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -8,8 +8,10 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 #include "connection/call_client.h"
+#include "connection/gateway_server.h"
 #include "seamglade/gateway.h"
 
 namespace seamglade::detail {
@@ -38,11 +40,28 @@
   call_client::counters to_relays;
 };
 
+/** What an instance holds for others, and how much it may. */
+struct resource_status {
+  struct connection_share {
+    const char* use = "";
+    std::size_t open = 0;
+    std::size_t bound = 0;
+  };
+
+  std::size_t reserved_bytes = 0;
+  std::size_t unsent_bytes = 0;
+  std::size_t held_bound = 0;
+  std::size_t descriptor_limit = 0;
+  std::vector<connection_share> connections;
+  gateway_server::counters counts;
+};
+
 /** Returns the counters in Prometheus' text form. */
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
-                         const datagram_bytes& datagrams = {});
+                         const datagram_bytes& datagrams = {},
+                         const resource_status& resources = {});
 
 /** Returns what the instance believes, as JSON. */
 std::string status_page(const gateway::gateway_status& status);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <random>
 
 #include "connection/peer_paths.h"
@@ -83,23 +84,44 @@
   out.quota.slack = from.quota_slack;
   out.cold.excess = from.cold_excess;
   out.cold.slack = from.cold_slack;
+  out.answer_bytes = divide_memory(limits_of(from).memory).answers;
   return out;
 }
 
+/** Returns what an answer has to bear that ends before a request is read. */
+std::vector<http_header> relay_name(const std::vector<http_header>& request) {
+  for (const auto& header : request) {
+    if (boost::algorithm::iequals(header.name, kRelayCall)) {
+      return {{std::string(kRelayCall), header.value}};
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 gateway_server gateway_shell::make_server(
-    std::function<void(caller_id, caller_message)> request) {
+    std::function<void(caller_id, caller_message)> request,
+    std::size_t connections) {
   gateway_server::handlers on;
   on.request = std::move(request);
   on.gone = [](caller_id) {};
   on.refused = [](int) {};
-  return gateway_server(base_.get(), std::move(on));
+  return gateway_server(base_.get(), std::move(on), 1,
+                        bounds_of(listener_use::fleet, connections));
+}
+
+listener_bounds gateway_shell::bounds_of(listener_use use,
+                                         std::size_t connections) const {
+  return {bytes_, use, connections};
 }
 
 gateway_shell::gateway_shell(gateway_config config, std::string config_file)
     : config_(std::move(config)),
       config_file_(std::move(config_file)),
+      limits_(limits_of(config_)),
+      descriptors_(divide_descriptors(limits_.descriptors)),
+      bytes_(std::make_shared<byte_budget>(divide_memory(limits_.memory).held)),
       base_(event_base_new()),
       platform_(gateway::make_platform_dialect()),
       log_(base_.get(), STDOUT_FILENO, config_.id),
@@ -109,13 +131,17 @@
                   post(event::request{caller, std::move(message)});
                 },
                 [this](caller_id caller) { post(event::caller_gone{caller}); },
-                [this](int status) { ++refused_unread_[status]; }}),
-      ready_(make_server([this](caller_id caller, const caller_message&) {
-        answer_ready(caller);
-      })),
-      metrics_(make_server([this](caller_id caller, const caller_message& m) {
-        answer_metrics(caller, m.target);
-      })),
+                [this](int status) { ++refused_unread_[status]; }},
+               1, bounds_of(listener_use::callers, descriptors_.callers)),
+      ready_(
+          make_server([this](caller_id caller,
+                             const caller_message&) { answer_ready(caller); },
+                      descriptors_.ready)),
+      metrics_(make_server(
+          [this](caller_id caller, const caller_message& m) {
+            answer_metrics(caller, m.target);
+          },
+          descriptors_.metrics)),
       peers_(base_.get(),
              {[this](caller_id caller, caller_message message) {
                 answer_peer(caller, std::move(message));
@@ -124,8 +150,9 @@
                 if (relayed_.erase(caller) == 0) return;
                 post(event::caller_gone{caller});
               },
-              [this](int status) { ++refused_unread_[status]; }},
-             kFirstPeerCaller),
+              [this](int status) { ++refused_unread_[status]; }, relay_name},
+             kFirstPeerCaller,
+             bounds_of(listener_use::fleet, descriptors_.peers)),
       datagrams_(base_.get(),
                  [this](member_address from, std::string_view bytes) {
                    auto message = gateway::decode_peer_message(bytes);
@@ -170,6 +197,7 @@
     auto* shell = static_cast<gateway_shell*>(self);
     shell->post(event::tick{});
     shell->tick_drain();
+    shell->log_room();
     if (boot_now() >= shell->next_file_look_) shell->reload();
     shell->arm_timer();
   };
@@ -387,7 +415,7 @@
                 metrics_page(status,
                              {target_client_.counts(), fleet_client_.counts(),
                               relay_client_.counts()},
-                             log_.dropped(), datagram_bytes_));
+                             log_.dropped(), datagram_bytes_, resources()));
   } else if (path == kStatusPath) {
     reply_whole(metrics_, caller, kOk, status_page(status));
   } else {
@@ -395,6 +423,50 @@
   }
 }
 
+resource_status gateway_shell::resources() const {
+  resource_status out;
+  out.reserved_bytes = bytes_->reserved();
+  out.unsent_bytes = bytes_->unsent();
+  out.held_bound = bytes_->bound();
+  out.descriptor_limit = limits_.descriptors;
+  out.connections = {
+      {"callers", callers_.connection_count(), descriptors_.callers},
+      {"ready", ready_.connection_count(), descriptors_.ready},
+      {"metrics", metrics_.connection_count(), descriptors_.metrics},
+      {"peers", peers_.connection_count(), descriptors_.peers},
+      {"calls",
+       target_client_.connection_count() + fleet_client_.connection_count() +
+           relay_client_.connection_count(),
+       descriptors_.calls}};
+  for (const auto* server : {&callers_, &ready_, &metrics_, &peers_}) {
+    out.counts += server->counts();
+  }
+  return out;
+}
+
+void gateway_shell::log_room() {
+  const auto now = boot_now();
+  auto counts = callers_.counts();
+  counts += peers_.counts();
+  const auto turned_away = counts.room_refusals + counts.broken_off +
+                           counts.closed_unread + counts.accept_rests;
+  const auto told = room_watch_.look(now, turned_away);
+  if (!told) return;
+  log_.write(
+      now, {told->has_ended ? "room_back" : "no_room",
+            {{"turned_away", static_cast<std::int64_t>(told->turned_away)},
+             {"for_ms", told->lasted / 1ms},
+             {"room_refusals", static_cast<std::int64_t>(counts.room_refusals)},
+             {"broken_off", static_cast<std::int64_t>(counts.broken_off)},
+             {"closed_unread", static_cast<std::int64_t>(counts.closed_unread)},
+             {"accept_rests", static_cast<std::int64_t>(counts.accept_rests)},
+             {"reserved", static_cast<std::int64_t>(bytes_->reserved())},
+             {"unsent", static_cast<std::int64_t>(bytes_->unsent())},
+             {"connections",
+              static_cast<std::int64_t>(callers_.connection_count())}},
+            true});
+}
+
 void gateway_shell::answer_peer(caller_id caller, caller_message message) {
   auto call = take_relay_call(message.headers, message.caller_address);
   if (!call) {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -19,6 +19,8 @@
 #include "connection/gateway_server.h"
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
+#include "process/process_limits.h"
+#include "process/room_watch.h"
 #include "seamglade/gateway.h"
 #include "seamglade/gateway_config.h"
 
@@ -82,11 +84,18 @@
   /** Returns the server that a caller's connection belongs to. */
   gateway_server& server_of(caller_id caller);
   gateway_server make_server(
-      std::function<void(caller_id, gateway::caller_message)> request);
+      std::function<void(caller_id, gateway::caller_message)> request,
+      std::size_t connections);
+  listener_bounds bounds_of(listener_use use, std::size_t connections) const;
+  resource_status resources() const;
+  void log_room();
 
   gateway_config config_;
   std::string config_file_;
   std::string config_text_;
+  process_limits limits_;
+  descriptor_shares descriptors_;
+  std::shared_ptr<byte_budget> bytes_;
   base_handle base_;
   std::unique_ptr<gateway::dialect> platform_;
   event_log log_;
@@ -119,6 +128,7 @@
   time_point next_file_look_{};
   std::uint16_t peer_port_ = 0;
   std::map<int, std::uint64_t> refused_unread_;
+  room_watch room_watch_;
 };
 
 }  // namespace seamglade::detail
