A listener without a free descriptor rests

Without a free descriptor libevent asked the listener again at once, 0.99 of a core until one was free.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -125,6 +125,9 @@
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
       kBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
   if (!listener_) return failure{errc::cannot_listen, where.str(), 0};
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
+    static_cast<gateway_server*>(self)->rest();
+  });
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
