--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -77,9 +77,14 @@
    * a `framing`, and are truncated behind `cut` bytes with an `ending`; events
    * are `event_ms` apart. It is of a `software` version, which its entry and
    * its events name; empty: none. While it is `gone` it has left for good;
-   * what comes back has another id.
+   * what comes back has another id. With `restart` it ends and is back at the
+   * same address.
    */
   void take_word(const json& word) {
+    if (word.value("restart", false)) {
+      restart();
+      return;
+    }
     set_gone(word.value("gone", false));
     says_leaving_ = word.value("leaving", false);
     rest_s_ = word.value("rest", 0);
@@ -129,7 +134,7 @@
     server_ = std::make_unique<gateway_server>(
         world_.base(),
         on_request([this](auto c, const auto& m) { serve(c, m); }));
-    const auto where = server_->listen({"127.0.0.1", 0}).value();
+    const auto where = server_->listen({"127.0.0.1", port_}).value();
     if (relay_) relay_->connect_to(where);
     address_ = relay_ ? relay_->address() : where.str();
     publish();
@@ -177,6 +182,17 @@
     });
   }
 
+  /** It stops and comes back anew, with its former port. */
+  void restart() {
+    if (!relay_) port_ = parse_endpoint(address_).value().port;
+    stop();
+    while_alive(kSoonBack, [this] {
+      store_.erase("servers/" + id_);
+      id_ += "+";
+      start();
+    });
+  }
+
   /** Runs a task later, unless the target has ended by then. */
   void while_alive(duration wait, std::function<void()> task) {
     world_.after(wait, [this, life = life_, task = std::move(task)] {
@@ -344,6 +360,8 @@
   std::uint64_t life_ = 0;
   bool is_gone_ = false;
   std::string address_;
+  /** 0: any that is free. */
+  std::uint16_t port_ = 0;
   std::set<std::string> adapters_;
   std::set<std::string> pending_;
   kept_prompts kept_;
@@ -369,7 +387,8 @@
   return route;
 }
 
-json configuration(std::uint64_t version) {
+/** `more`: so many routes that no caller asks for. */
+json configuration(std::uint64_t version, std::uint64_t more = 0) {
   const json engine{{"slots", 8},
                     {"weights_mb", 1000},
                     {"lora_slots", kAdapterSlots},
@@ -378,20 +397,23 @@
                                              {"weights_mb", 500},
                                              {"lora_mb", 1},
                                              {"load_s", 0.5}}})}};
-  return {
-      {"cfg_ver", version},
-      {"routes", json::array({route("/draft/", "stream", "llm"),
-                              resumable(route("/chat/", "stream", "llm")),
-                              resumable(route(kPlainStreams, "stream", "desk")),
-                              route("/get/", "idempotent", "desk"),
-                              route("/set/", "mutating", "desk")})},
-      {"svcs", json::array({{{"name", "llm"}, {"engine", engine}},
-                            {{"name", "desk"}}})},
-      {"limits",
-       {{"max_header_bytes", 8192},
-        {"max_body_bytes", 100000},
-        {"header_timeout_ms", 2000},
-        {"idle_timeout_ms", 5000}}}};
+  auto routes = json::array({route("/draft/", "stream", "llm"),
+                             resumable(route("/chat/", "stream", "llm")),
+                             resumable(route(kPlainStreams, "stream", "desk")),
+                             route("/get/", "idempotent", "desk"),
+                             route("/set/", "mutating", "desk")});
+  for (std::uint64_t i = 0; i < more; ++i) {
+    routes.push_back(route(fmt::format("/more/{}/", i), "idempotent", "desk"));
+  }
+  return {{"cfg_ver", version},
+          {"routes", std::move(routes)},
+          {"svcs", json::array({{{"name", "llm"}, {"engine", engine}},
+                                {{"name", "desk"}}})},
+          {"limits",
+           {{"max_header_bytes", 8192},
+            {"max_body_bytes", 100000},
+            {"header_timeout_ms", 2000},
+            {"idle_timeout_ms", 5000}}}};
 }
 
 }  // namespace
@@ -424,6 +446,10 @@
   s.on_version = [&s](std::uint64_t version) {
     s.put("op/config", configuration(version));
   };
+  s.on_routes = [&s](std::uint64_t more) {
+    constexpr std::uint64_t kVersion = 2;
+    s.put("op/config", configuration(kVersion, more));
+  };
   s.on_restored = [&all] {
     for (const auto& each : all) each->publish();
   };
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -23,6 +23,9 @@
 /** Targets write again so long after the store is restored. */
 inline constexpr duration kRewritten = 500ms;
 
+/** An answer has left by then. */
+inline constexpr duration kAnswered = 5ms;
+
 inline std::string encode_base64(const std::string& text) {
   using namespace boost::archive::iterators;
   using encoder =
@@ -35,19 +38,19 @@
 /** The store: items by key with revisions; watches are held. */
 class store {
  public:
-  explicit store(world& w)
-      : world_(w),
-        server_(w.base(),
-                on_request([this](auto c, const auto& m) { serve(c, m); })) {}
+  explicit store(world& w) : world_(w), server_(make_server()) {}
 
   endpoint listen(const endpoint& where) {
-    return server_.listen(where).value();
+    where_ = server_->listen(where).value();
+    return where_;
   }
 
   /** The operator publishes a version: PUT /version/NUMBER. */
   std::function<void(std::uint64_t)> on_version;
   /** Called when the store is back from a copy: what was lost is written. */
   std::function<void()> on_restored;
+  /** Operators publish so many routes more: PUT /routes/NUMBER. */
+  std::function<void(std::uint64_t)> on_routes;
   /** The tests tell a target what to say of itself: PUT /word/NUMBER. */
   std::function<void(std::size_t, const json&)> on_word;
 
@@ -78,30 +81,53 @@
       if (m.target.starts_with(kWord)) {
         on_word(std::stoul(m.target.substr(kWord.size())),
                 json::parse(*m.body, nullptr, false));
-        reply(server_, caller, 200, "");
+        reply(*server_, caller, 200, "");
         return;
       }
       constexpr std::string_view kVersion = "/version/";
       if (m.target.starts_with(kVersion)) {
         on_version(std::stoull(m.target.substr(kVersion.size())));
-        reply(server_, caller, 200, "");
+        reply(*server_, caller, 200, "");
+        return;
+      }
+      constexpr std::string_view kRoutes = "/routes/";
+      if (m.target.starts_with(kRoutes)) {
+        on_routes(std::stoull(m.target.substr(kRoutes.size())));
+        reply(*server_, caller, 200, "");
+        return;
+      }
+      // For so many milliseconds it refuses all connections.
+      constexpr std::string_view kAway = "/away/";
+      if (m.target.starts_with(kAway)) {
+        const std::chrono::milliseconds time(
+            std::stoul(m.target.substr(kAway.size())));
+        reply(*server_, caller, 200, "");
+        world_.after(kAnswered, [this, time] { go_away(time); });
+        return;
+      }
+      // From now on each answer takes so many milliseconds.
+      constexpr std::string_view kSlow = "/slow/";
+      if (m.target.starts_with(kSlow)) {
+        answer_time_ = std::chrono::milliseconds(
+            std::stoul(m.target.substr(kSlow.size())));
+        reply(*server_, caller, 200, "");
         return;
       }
       if (m.target == "/copy") {
         copy_ = items_;
         copied_revision_ = revision_;
-        reply(server_, caller, 200, "");
+        reply(*server_, caller, 200, "");
         return;
       }
       if (m.target == "/restore") {
         restore();
-        reply(server_, caller, 200, "");
+        reply(*server_, caller, 200, "");
         return;
       }
       // The operator of the tests: PUT /put/KEY writes a body.
       put(m.target.substr(std::string("/put/").size()),
           json::parse(*m.body, nullptr, false));
-      reply(server_, caller, 200, "");
+      reply(*server_, caller, 200, "");
       return;
     }
     if (m.target.starts_with("/kv-range")) {
@@ -145,9 +171,35 @@
     world_.after(kRewritten, [this] { on_restored(); });
   }
 
+  std::unique_ptr<gateway_server> make_server() {
+    // No caller is named as one of a former server is.
+    first_caller_ += caller_id{1} << 32U;
+    return std::make_unique<gateway_server>(
+        world_.base(),
+        on_request([this](auto c, const auto& m) { serve(c, m); }),
+        first_caller_);
+  }
+
+  void go_away(duration time) {
+    watches_.clear();
+    server_.reset();
+    world_.after(time, [this] {
+      server_ = make_server();
+      listen(where_);
+    });
+  }
+
   void answer(caller_id caller, int status, const std::string& body) {
-    reply(server_, caller, status, body,
-          {{"Store-Era", std::to_string(epoch_)}});
+    const auto send = [this, caller, status, body, epoch = epoch_] {
+      if (!server_) return;
+      reply(*server_, caller, status, body,
+            {{"Store-Era", std::to_string(epoch)}});
+    };
+    if (answer_time_ > duration{}) {
+      world_.after(answer_time_, send);
+    } else {
+      send();
+    }
   }
 
   json list(std::uint64_t after) const {
@@ -173,7 +225,10 @@
   }
 
   world& world_;
-  gateway_server server_;
+  caller_id first_caller_ = 0;
+  std::unique_ptr<gateway_server> server_;
+  endpoint where_;
+  duration answer_time_{};
   std::map<std::string, item> items_;
   std::map<caller_id, std::uint64_t> watches_;
   std::uint64_t revision_ = 1;
