--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -323,6 +323,44 @@
   EXPECT_EQ(config.find_service("s")->engine->adapter_slots, 21U);
   EXPECT_EQ(config.limits.body_bytes, 100U);
 }
+// Guards against casts that wrap: a version of -1 was above any other.
+TEST_F(platform, numbers_that_do_not_fit_make_an_item_unreadable) {
+  const auto is_read = [&](const char* key, std::string text,
+                           std::string_view number) {
+    text.replace(text.find('#'), 1, number);
+    return bool(d_->read_item({key, 1, text}));
+  };
+  const std::string routes =
+      R"({"cfg_ver":1,"svcs":[],"routes":[{"host":"h","prefix":"/",)"
+      R"("type":"stream","svc":"s",)";
+  const std::string target = R"({"svc":"s","addr":"10.1.0.9:80",)";
+  const std::vector<std::pair<const char*, std::string>> items{
+      {"op/config", R"({"cfg_ver":#,"routes":[],"svcs":[]})"},
+      {"op/config", routes + R"("timeout_ms":#}]})"},
+      {"op/config", routes + R"("timeout_ms":1,"slo_ms":#}]})"},
+      {"op/config", routes + R"("timeout_ms":1,"prio":#}]})"},
+      {"op/config", routes + R"("timeout_ms":1,"attempts":#}]})"},
+      {"op/config", R"({"cfg_ver":1,"routes":[],"svcs":[{"name":"s",)"
+                    R"("cold_start_s":#}]})"},
+      {"op/config", R"({"cfg_ver":1,"routes":[],"svcs":[],)"
+                    R"("limits":{"max_header_bytes":#}})"},
+      {"op/config", R"({"cfg_ver":1,"routes":[],"svcs":[],)"
+                    R"("tenants":[{"name":"t","raw_tokens":#}]})"},
+      {"servers/i", target + R"("slots":#})"},
+      {"servers/i", target + R"("seq":#})"},
+      {"servers/i", target + R"("cold_left_ms":#})"},
+      {"op/version/a", R"({"model":"m","adapter":"a","cfg_ver":#})"}};
+  for (const auto& [key, text] : items) {
+    EXPECT_TRUE(is_read(key, text, "3")) << text;
+    EXPECT_TRUE(is_read(key, text, "3.0")) << text;
+    for (const auto* number : {"1e30", "1e300", "-1e300"}) {
+      EXPECT_FALSE(is_read(key, text, number)) << text << " " << number;
+    }
+    const bool may_be_negative = text.find("_ms\":#") != std::string::npos ||
+                                 text.find("_s\":#") != std::string::npos;
+    EXPECT_EQ(is_read(key, text, "-1"), may_be_negative) << text;
+  }
+}
 
 TEST_F(platform, reads_the_software_version_of_a_target) {
   const auto software = [&](const std::string& field) {
