What a message says does not depend on how it was split on its way

A head that came field by field had no limit: 32,802 bytes were taken where 8,192 are allowed. A bad head was refused where it came whole and waited for where it came in pieces.

Cause: the library's parser is fed what has come, and keeps places in what it could not use yet: once it has looked for the end of a head it parses no line before that end comes, and a last chunk's line that is whole is taken to have five bytes. Its limit holds for unused bytes only.

Now message_framer finds heads, lines of chunks and trailers that have come whole, checks the lines of a head as they come and counts it as one; the parser is fed one of these at a time. What can be no message is refused by its first byte (requests), its first letters (answers), or a line feed by itself. Read through: of the 21 assertions in basic_parser.ipp and detail/basic_parser.ipp none is reached by input that is fed so.

Ruled out: feeding the last chunk's line late, by itself: the limit and the verdicts would still depend on pieces. A head that is bad in a later line is now refused when it is whole, not before.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -20,63 +20,44 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kAnswerHeaderBytes = 65536;
-/** A line between chunks, or all trailers, may be this long at least. */
-constexpr std::uint32_t kLeastUnparsed = 4096;
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
 /** Of bytes that could not be read, so many are told. */
 constexpr std::size_t kExcerptBytes = 64;
 
-/**
- * Feeds a parser until the buffer is empty, or it is done or fails. Bytes that
- * it cannot use yet, of a head, a chunk's size or trailers, may be so many.
- */
-template <bool IsRequest>
-boost::beast::error_code feed(http::basic_parser<IsRequest>& parser,
-                              evbuffer* from, std::uint32_t most_unparsed) {
-  boost::beast::error_code ec;
-  while (!parser.is_done()) {
-    const auto size = evbuffer_get_length(from);
-    if (size == 0) break;
-    const auto* bytes = evbuffer_pullup(from, -1);
-    const auto used = parser.put(boost::asio::const_buffer(bytes, size), ec);
-    evbuffer_drain(from, used);
-    if (ec == http::error::need_more) {
-      ec = {};
-      if (used == 0) break;
-      continue;
-    }
-    if (ec) break;
-  }
-  const bool is_overfull =
-      !parser.is_done() &&
-      evbuffer_get_length(from) > std::max(most_unparsed, kLeastUnparsed);
-  if (!ec && is_overfull) ec = http::error::buffer_overflow;
-  return ec;
-}
-
 std::string_view unread_bytes(evbuffer* from) {
   const auto size = evbuffer_get_length(from);
   if (size == 0) return {};
   return {reinterpret_cast<const char*>(evbuffer_pullup(from, -1)), size};
 }
 
-/** Whether a line of a head that is read in part or whole begins with a blank.
- */
-bool has_folded_line(std::string_view head) {
-  constexpr std::string_view kLineEnd = "\r\n";
-  auto at = head.find(kLineEnd);
-  while (at != std::string_view::npos) {
-    const auto line = head.substr(at + kLineEnd.size());
-    if (line.empty() || line.starts_with(kLineEnd)) return false;
-    if (line.front() == ' ' || line.front() == '\t') return true;
-    at = head.find(kLineEnd, at + kLineEnd.size());
+/** Feeds a parser until the buffer is empty, or it is done or fails. */
+template <bool IsRequest>
+boost::beast::error_code feed(http::basic_parser<IsRequest>& parser,
+                              message_framer& framer, evbuffer* from) {
+  boost::beast::error_code ec;
+  while (!ec && !parser.is_done()) {
+    const auto unread = unread_bytes(from);
+    if (unread.empty()) break;
+    const bool in_head = !parser.is_header_done();
+    const bool at_line = !in_head && parser.chunked() && !framer.in_chunk();
+    message_piece piece{unread.size(), {}};
+    if (in_head) piece = framer.next_head(unread);
+    if (at_line) piece = framer.next_chunk_line(unread);
+    if (piece.ec || piece.size == 0) return piece.ec;
+    const boost::asio::const_buffer whole(unread.data(), piece.size);
+    evbuffer_drain(from, parser.put(whole, ec));
+    // What has come whole, and is too short all the same, stays so.
+    if (ec == http::error::need_more) {
+      ec = in_head ? http::error::bad_version : http::error::bad_chunk;
+    }
   }
-  return false;
+  return ec;
 }
 
 gateway::answer_fault fault_of(const boost::beast::error_code& ec) {
   using gateway::answer_fault;
+  if (ec == http::error::bad_obs_fold) return answer_fault::folded_line;
   if (ec == http::error::bad_transfer_encoding) return answer_fault::coding;
   if (ec == http::error::bad_content_length) return answer_fault::length;
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
@@ -142,15 +123,15 @@
 
 request_reader::request_reader(std::uint32_t header_bytes,
                                std::uint64_t body_bytes)
-    : header_bytes_(header_bytes) {
-  eager(true);
+    : framer_(true, header_bytes) {
   header_limit(header_bytes);
   body_limit(body_bytes);
 }
 
 parse_progress request_reader::read(evbuffer* from) {
   if (fault_ != parse_fault::none) return parse_progress::failed;
-  const auto ec = feed<true>(*this, from, header_bytes_);
+  started_ = started_ || evbuffer_get_length(from) > 0;
+  const auto ec = feed<true>(*this, framer_, from);
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     fault_ = parse_fault::headers_too_large;
   } else if (ec == http::error::body_limit) {
@@ -212,18 +193,21 @@
   return body.size();
 }
 
-void request_reader::on_chunk_header_impl(std::uint64_t, string_view,
-                                          error_code&) {}
+void request_reader::on_chunk_header_impl(std::uint64_t size, string_view,
+                                          error_code&) {
+  framer_.begin_chunk(size);
+}
 
 std::size_t request_reader::on_chunk_body_impl(std::uint64_t, string_view body,
                                                error_code& ec) {
+  framer_.take_from_chunk(body.size());
   return on_body_impl(body, ec);
 }
 
 void request_reader::on_finish_impl(error_code&) {}
 
-answer_reader::answer_reader(bool bodyless) {
-  eager(true);
+answer_reader::answer_reader(bool bodyless)
+    : framer_(false, kAnswerHeaderBytes) {
   skip(bodyless);
   header_limit(kAnswerHeaderBytes);
   // Boost 1.74 takes "no limit" for less than any length.
@@ -231,10 +215,7 @@
 }
 
 parse_progress answer_reader::read(evbuffer* from) {
-  if (!is_header_done() && has_folded_line(unread_bytes(from))) {
-    return fail(gateway::answer_fault::folded_line, unread_bytes(from));
-  }
-  if (const auto ec = feed<false>(*this, from, kAnswerHeaderBytes)) {
+  if (const auto ec = feed<false>(*this, framer_, from)) {
     return fail(fault_of(ec), unread_bytes(from));
   }
   return is_done() ? parse_progress::complete : parse_progress::need_more;
@@ -301,11 +282,14 @@
   return body.size();
 }
 
-void answer_reader::on_chunk_header_impl(std::uint64_t, string_view,
-                                         error_code&) {}
+void answer_reader::on_chunk_header_impl(std::uint64_t size, string_view,
+                                         error_code&) {
+  framer_.begin_chunk(size);
+}
 
 std::size_t answer_reader::on_chunk_body_impl(std::uint64_t, string_view body,
                                               error_code& ec) {
+  framer_.take_from_chunk(body.size());
   return on_body_impl(body, ec);
 }
 
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "connection/message_framer.h"
 #include "seamglade/answer_end.h"
 #include "seamglade/gateway_types.h"
 
@@ -41,8 +42,8 @@
   parse_fault fault() const { return fault_; }
   /** Whether the head is complete and the caller waits for a go-ahead. */
   bool wants_continue() const { return expects_continue_ && is_header_done(); }
-  /** Whether any byte of the request was taken. */
-  bool started() const { return got_some(); }
+  /** Whether any byte of the request has come. */
+  bool started() const { return started_; }
   bool head_complete() const { return is_header_done(); }
   bool keeps_connection() const { return keep_alive(); }
   bool is_old_version() const { return version_ < 11; }
@@ -69,7 +70,8 @@
                                  error_code& ec) override;
   void on_finish_impl(error_code& ec) override;
 
-  std::uint32_t header_bytes_;
+  message_framer framer_;
+  bool started_ = false;
   gateway::caller_message message_;
   std::string body_;
   std::vector<std::string> connection_names_;
@@ -134,6 +136,7 @@
 
   parse_progress fail(gateway::answer_fault fault, std::string_view unread);
 
+  message_framer framer_;
   answer_head head_;
   gateway::answer_defect defect_;
   int version_ = 11;
--- a/standin/callers.cc
+++ b/standin/callers.cc
@@ -69,7 +69,8 @@
   }
 
   void connect() {
-    io_.reset(bufferevent_socket_new(herd_.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    io_.reset(bufferevent_socket_new(
+        herd_.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
     bufferevent_setcb(
         io_.get(),
         [](bufferevent*, void* self) { static_cast<caller*>(self)->read(); },
