--- a/test/broken_answer-test.cc
+++ b/test/broken_answer-test.cc
@@ -36,6 +36,7 @@
     what.address = address;
     what.method = "POST";
     what.target = "/x";
+    what.series = series_;
     what.body = std::make_shared<const std::string>(upload, 'u');
     call_outcome out;
     call_client::handlers on;
@@ -64,6 +65,8 @@
 
   base_handle base_;
   call_client client_;
+  /** Of all calls; 0: no two share a connection. */
+  std::uint64_t series_ = 0;
 };
 
 TEST_F(broken_answer_test, what_breaks_the_protocol_is_no_answer) {
@@ -151,6 +154,55 @@
   }
 }
 
+/** Reads nothing, and answers once a request is in the system's buffers. */
+class unread_target {
+ public:
+  unread_target(event_base* base, std::string answer)
+      : base_(base),
+        answer_(std::move(answer)),
+        listener_(base, [this](evutil_socket_t fd) { accept(fd); }) {}
+  ~unread_target() {
+    if (fd_ >= 0) close(fd_);
+  }
+  unread_target(const unread_target&) = delete;
+  unread_target& operator=(const unread_target&) = delete;
+
+  std::string address() const { return listener_.address(); }
+
+ private:
+  static constexpr duration kRequestWritten = 300ms;
+
+  void accept(evutil_socket_t fd) {
+    if (fd_ >= 0) close(fd_);
+    fd_ = fd;
+    const auto due = [](evutil_socket_t, short, void* arg) {
+      const auto* self = static_cast<unread_target*>(arg);
+      send(self->fd_, self->answer_.data(), self->answer_.size(), MSG_NOSIGNAL);
+    };
+    timer_.reset(event_new(base_, -1, 0, due, this));
+    const auto wait = to_timeval(kRequestWritten);
+    event_add(timer_.get(), &wait);
+  }
+
+  event_base* base_;
+  std::string answer_;
+  evutil_socket_t fd_ = -1;
+  event_handle timer_;
+  loopback_listener listener_;
+};
+
+// The rest of the request would go before the next one.
+TEST_F(early_answer, whose_request_is_not_received_ends_its_connection) {
+  constexpr std::size_t kFitsIntoBuffers = 1UL << 20U;
+  unread_target target(base_.get(), with_length("503 Busy"));
+  series_ = 1;
+  for (int i = 0; i < 2; ++i) {
+    const auto got = call(target.address(), kFitsIntoBuffers);
+    EXPECT_EQ(got.end, call_end::complete);
+  }
+  EXPECT_EQ(client_.counts().reused, 0U);
+}
+
 TEST_F(early_answer, whose_request_was_read_is_whole_at_its_close) {
   const auto got = upload_to(close_delimited("200 OK"),
                              early_target::ending::read_and_close, 0ms);
