Heads that come field by field are bounded, too

A sender of endless fields, each sent with the first byte of the next one, was read on for as long as its time lasted, and all was kept in memory: the library applies its limit to what it has not read yet, and takes each field whose next byte is there. Answers are bounded by 64 KB and requests by max_header_bytes, whichever way they come; the readers now count names and values themselves.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -95,6 +95,12 @@
   return answer_fault::field;
 }
 
+/** Returns how many bytes of a head a field takes at least. */
+std::size_t size_of_field(std::string_view name, std::string_view value) {
+  constexpr std::string_view kAround = ":\r\n";
+  return name.size() + value.size() + kAround.size();
+}
+
 bool concerns_connection(http::field field) {
   switch (field) {
     case http::field::connection:
@@ -183,6 +189,9 @@
 
 void request_reader::on_field_impl(http::field field, string_view name,
                                    string_view value, error_code& ec) {
+  field_bytes_ +=
+      size_of_field({name.data(), name.size()}, {value.data(), value.size()});
+  if (field_bytes_ > header_bytes_) ec = http::error::header_limit;
   if (field == http::field::host) {
     message_.host = text(value);
     if (++host_count_ > 1) ec = http::error::bad_field;
@@ -265,6 +274,9 @@
 
 void answer_reader::on_field_impl(http::field field, string_view name,
                                   string_view value, error_code& ec) {
+  field_bytes_ +=
+      size_of_field({name.data(), name.size()}, {value.data(), value.size()});
+  if (field_bytes_ > kAnswerHeaderBytes) ec = http::error::header_limit;
   const bool is_coded = field == http::field::transfer_encoding;
   if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -70,6 +70,8 @@
   void on_finish_impl(error_code& ec) override;
 
   std::uint32_t header_bytes_;
+  /** The library bounds only what it has not read yet. */
+  std::size_t field_bytes_ = 0;
   gateway::caller_message message_;
   std::string body_;
   std::vector<std::string> connection_names_;
@@ -136,6 +138,8 @@
 
   answer_head head_;
   gateway::answer_defect defect_;
+  /** The library bounds only what it has not read yet. */
+  std::size_t field_bytes_ = 0;
   int version_ = 11;
   std::vector<std::string> connection_names_;
   std::string body_;
