Trailers are no headers

What a target sent behind its last chunk counted as headers if it was read at once with the head, and was dropped if it came later: the id and the mark that make an answer its request's own, words of leaving and limits, and anything else to the caller. Trailers of a request were handed on as headers, whenever they came, beside those of the head and past what the head had been checked for. RFC 9110, 6.5.1, allows no such merge; both readers drop trailers now. A broken trailer still breaks its message.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -189,6 +189,7 @@
 
 void request_reader::on_field_impl(http::field field, string_view name,
                                    string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
   field_bytes_ +=
       size_of_field({name.data(), name.size()}, {value.data(), value.size()});
   if (field_bytes_ > header_bytes_) ec = http::error::header_limit;
@@ -274,6 +275,7 @@
 
 void answer_reader::on_field_impl(http::field field, string_view name,
                                   string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
   field_bytes_ +=
       size_of_field({name.data(), name.size()}, {value.data(), value.size()});
   if (field_bytes_ > kAnswerHeaderBytes) ec = http::error::header_limit;
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -31,7 +31,7 @@
 
 enum class parse_progress : std::uint8_t { need_more, complete, failed };
 
-/** Reads one request, whole. */
+/** Reads one request, whole; trailers are dropped. */
 class request_reader final : private boost::beast::http::basic_parser<true> {
  public:
   request_reader(std::uint32_t header_bytes, std::uint64_t body_bytes);
@@ -92,7 +92,7 @@
 };
 
 /**
- * Reads one answer; its body is handed out as it comes.
+ * Reads one answer; its body is handed out as it comes, trailers are dropped.
  *
  * Stricter than the library: a status is 100 to 599, no field goes on in a
  * second line, and `chunked` is the only coding, since no other is decoded.
