A 204 that names a body is the last answer of its connection

A 204 has no body, so what a target sends behind one that names a length or chunks was left to the connection. If it came late, behind the next call's request, that call got it as the beginning of its answer and broke.

The late bytes themselves were not played. 304 is left as it is: it may name the length of the body that it stands for.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -24,6 +24,7 @@
 constexpr std::uint32_t kLeastUnparsed = 4096;
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr int kNoContent = 204;
 /** Of bytes that could not be read, so many are told. */
 constexpr std::size_t kExcerptBytes = 64;
 
@@ -302,6 +303,8 @@
 
 void answer_reader::on_header_impl(error_code&) {
   drop_named(head_.headers, connection_names_);
+  const bool names_body = chunked() || content_length().value_or(0) > 0;
+  has_stray_body_ = head_.status == kNoContent && names_body;
   if (chunked()) {
     head_.framing = gateway::body_framing::chunked;
   } else if (need_eof()) {
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -107,7 +107,8 @@
   /** The connection ended in order; returns whether that ends the answer. */
   bool end_of_stream();
   bool head_complete() const { return is_header_done(); }
-  bool keeps_connection() const { return keep_alive(); }
+  /** Whether the next answer can be told from what follows this one. */
+  bool keeps_connection() const { return keep_alive() && !has_stray_body_; }
   const answer_head& head() const { return head_; }
   /** Returns why reading failed. */
   const gateway::answer_defect& defect() const { return defect_; }
@@ -141,6 +142,8 @@
   /** The library bounds only what it has not read yet. */
   std::size_t field_bytes_ = 0;
   int version_ = 11;
+  /** It names a body that it can't have. */
+  bool has_stray_body_ = false;
   std::vector<std::string> connection_names_;
   std::string body_;
 };
