A connection with a request that is not received carries no other

A target that refused an upload early, with a length and without a close, kept its connection, and the next call was written behind the rest of the upload, which nobody read: that call waited until its caller's time was up, and what may not be repeated ended in 502. Only the unwritten part of a request was asked for, not what the system still held. complete() asks now what the end of a close-delimited answer asks: nothing unwritten, nothing unacknowledged. A target that has read a request acknowledges it with its answer at the latest, so sound connections are kept as before.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -375,10 +375,10 @@
 
 void call_client::complete(connection& c) {
   const auto* in = bufferevent_get_input(c.io.get());
-  const auto* out = bufferevent_get_output(c.io.get());
   const bool has_more = evbuffer_get_length(in) > 0;
   if (has_more) ++counts_.skipped_behind_answer;
-  const bool clean = !has_more && evbuffer_get_length(out) == 0;
+  // What is left of a request would go before the next one.
+  const bool clean = !has_more && is_request_received(c);
   if (!clean || !may_be_kept(c)) {
     end_call(c, call_end::complete);
     return;
