--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -22,6 +22,7 @@
 constexpr std::uint32_t kAnswerHeaderBytes = 65536;
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr int kNoContent = 204;
 /** Of bytes that could not be read, so many are told. */
 constexpr std::size_t kExcerptBytes = 64;
 
@@ -172,6 +173,7 @@
 
 void request_reader::on_field_impl(http::field field, string_view name,
                                    string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
   head_size_ += name.size() + value.size();
   if (field == http::field::host) {
     message_.host = text(value);
@@ -257,6 +259,7 @@
 
 void answer_reader::on_field_impl(http::field field, string_view name,
                                   string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
   const bool is_coded = field == http::field::transfer_encoding;
   if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
@@ -280,6 +283,8 @@
 
 void answer_reader::on_header_impl(error_code&) {
   drop_named(head_.headers, connection_names_);
+  const bool names_body = chunked() || content_length().value_or(0) > 0;
+  has_stray_body_ = head_.status == kNoContent && names_body;
   if (chunked()) {
     head_.framing = gateway::body_framing::chunked;
   } else if (need_eof()) {
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -32,7 +32,7 @@
 
 enum class parse_progress : std::uint8_t { need_more, complete, failed };
 
-/** Reads one request, whole. */
+/** Reads one request, whole; trailers are dropped. */
 class request_reader final : private boost::beast::http::basic_parser<true> {
  public:
   request_reader(std::uint32_t header_bytes, std::uint64_t body_bytes);
@@ -99,7 +99,7 @@
 };
 
 /**
- * Reads one answer; its body is handed out as it comes.
+ * Reads one answer; its body is handed out as it comes, trailers are dropped.
  *
  * Stricter than the library: a status is 100 to 599, no field goes on in a
  * second line, and `chunked` is the only coding, since no other is decoded.
@@ -114,7 +114,8 @@
   /** The connection ended in order; returns whether that ends the answer. */
   bool end_of_stream();
   bool head_complete() const { return is_header_done(); }
-  bool keeps_connection() const { return keep_alive(); }
+  /** Whether the next answer can be told from what follows this one. */
+  bool keeps_connection() const { return keep_alive() && !has_stray_body_; }
   const answer_head& head() const { return head_; }
   /** Returns why reading failed. */
   const gateway::answer_defect& defect() const { return defect_; }
@@ -147,6 +148,8 @@
   answer_head head_;
   gateway::answer_defect defect_;
   int version_ = 11;
+  /** It names a body that it can't have. */
+  bool has_stray_body_ = false;
   std::vector<std::string> connection_names_;
   std::string body_;
 };
