A head that breaks off shows that its target is reached

An instance whose targets all closed in order within a head, or behind interim answers alone, took itself for cut off (targets_lost) and handed its callers to others: an end without a status counted as one without a byte. The client tells now that a head was cut (fault cut_head), and the call counts as word from its target; it stays a failure of that target. A reset within a head is left as it is: it may come long behind the last byte.

broken_answer_processes-test, which now calls such targets alone for over 1 s, failed 1 of 1 with 'took itself for cut off', and passes 1 of 1.

--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -47,6 +47,7 @@
   coding,       // a transfer coding other than chunked alone
   length,       // a length that is no number, or beside another one or chunks
   chunk,        // a chunk's size, or what follows its data
+  cut_head,     // the connection ended in order before the head did
   too_long,     // a head, a chunk's size or trailers without end
   other_call    // what came belongs to no call, or goes on without end
 };
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -59,7 +59,7 @@
 struct answer_end {
   call_id call = 0;
   call_end end = call_end::complete;
-  /** Of an end as `malformed`. */
+  /** Why what came is no answer, if anything came. */
   answer_defect defect = {};
 };
 struct order_answer {
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -262,6 +262,10 @@
   // A failed write may have taken the error: the end alone tells nothing.
   if (c.has_failed) return end_call(c, call_end::reset);
   const bool is_ended = c.head_given && c.reader->end_of_stream();
+  const bool has_begun = c.reader->has_begun() || c.skipped_answers > 0;
+  if (!c.head_given && has_begun && c.on->defect) {
+    c.on->defect({answer_fault::cut_head, {}});
+  }
   // A target may refuse an upload early; it can't have served it.
   const bool may_be_whole = is_ended && (is_failure(c.reader->head().status) ||
                                          is_request_received(c));
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -82,7 +82,10 @@
     std::function<void(const answer_head&, const answer_carrier&)> head;
     std::function<void(std::shared_ptr<const std::string>)> data;
     std::function<void(call_end)> end;
-    /** Before an end as `malformed`: why. Not needed; cancels no call. */
+    /**
+     * Why what came is no answer, before an end as `malformed` or, within a
+     * head, as `closed`. Not needed; cancels no call.
+     */
     std::function<void(const answer_defect&)> defect = {};
   };
 
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -104,6 +104,8 @@
 
   /** Takes what belongs to this answer from a buffer. */
   parse_progress read(evbuffer* from);
+  /** Whether any byte of the answer was taken. */
+  bool has_begun() const { return got_some(); }
   /** The connection ended in order; returns whether that ends the answer. */
   bool end_of_stream();
   bool head_complete() const { return is_header_done(); }
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -196,7 +196,8 @@
 void gateway_core::impl::settle_call(exchange& x, call_end end) {
   const bool whole = end == call_end::complete;
   note_end(x, whole);
-  if (end == call_end::malformed) {
+  const bool has_sent_bytes = x.defect.fault != answer_fault::none;
+  if (end == call_end::malformed || has_sent_bytes) {
     note_life_of(x.target);
   } else if (!whole && x.status == 0) {
     note_unreached(x.target, end);
@@ -329,9 +330,7 @@
        {"status", x.status},
        {"framing", std::string(to_string(x.framing))},
        {"end", std::string(to_string(end))},
-       {"fault", end == call_end::malformed
-                     ? std::string(to_string(x.defect.fault))
-                     : std::string()},
+       {"fault", std::string(to_string(x.defect.fault))},
        {"excerpt", x.defect.excerpt},
        {"connection", connection_of(x.carrier)},
        {"calls_before", x.carrier.calls_before},
@@ -369,6 +368,7 @@
 
 void gateway_core::impl::retry(exchange& x, std::string_view reason) {
   ++counts_.retries;
+  x.defect = {};
   log("retry", {{"request", x.facts.id}, {"reason", std::string(reason)}});
   place_again(x);
 }
--- a/src/request/answer_end.cc
+++ b/src/request/answer_end.cc
@@ -55,6 +55,8 @@
       return "length";
     case answer_fault::chunk:
       return "chunk";
+    case answer_fault::cut_head:
+      return "cut_head";
     case answer_fault::too_long:
       return "too_long";
     case answer_fault::other_call:
--- a/test/broken_answer_processes-test.sh
+++ b/test/broken_answer_processes-test.sh
@@ -28,6 +28,13 @@
   fi
 }
 
+# For longer than an instance waits for a first byte, heads alone that break off.
+for _ in {1..10}; do
+  for name in $(names broken | grep '^cut_'); do
+    expect_failure broken i "$name" -d ''
+  done
+  sleep 0.1
+done
 for name in $(names broken); do
   for way in m i; do expect_failure broken "$way" "$name" -d ''; done
   grep -q "\"event\":\"call_broken\",\"request\":\"m-$name\"" \
