--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -82,7 +82,10 @@
     std::function<void(const answer_head&, const answer_carrier&)> head;
     std::function<void(std::shared_ptr<const std::string>)> data;
     std::function<void(call_end)> end;
-    /** Before an end as `malformed`: why. Not needed; cancels no call. */
+    /**
+     * Why what came is no answer, before an end as `malformed` or, within a
+     * head, as `closed`. Not needed; cancels no call.
+     */
     std::function<void(const answer_defect&)> defect = {};
   };
 
@@ -172,7 +175,7 @@
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
-  void end_malformed(connection& c, answer_defect defect);
+  void end_malformed(connection& c, const answer_defect& defect);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
   /** Bounds the idle connections that take no further call without a name. */
   void close_surplus(const std::string& address);
