Tests of the other readers before raw sockets, red

The operators' client moves out of main.cc so that it can be tested; it does what it did.

broken_answers.h names the literal that it uses, so that it compiles behind any other header.

--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -10,8 +10,8 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
-#include "connection/http_client.h"
 #include "process/gateway_shell.h"
+#include "process/operator_client.h"
 #include "process/reference.h"
 #include "process/shell.h"
 #include "seamglade/fleet.h"
@@ -229,29 +229,10 @@
   return kDone;
 }
 
-/** Makes one call to an operator address; fails with service_unreachable. */
 result<std::string> ask(const std::string& address, const char* method,
                         const char* path) {
   const detail::base_handle base(event_base_new());
-  detail::http_client client(base.get(), detail::repeated_answers::never);
-  result<std::string> answer = failure{errc::service_unreachable, address, 0};
-  std::string text;
-  detail::http_call call;
-  call.address = address;
-  call.method = method;
-  call.path = path;
-  call.timeout = 5s;
-  client.start(std::move(call),
-               {[&](int, const std::vector<http_header>&,
-                    const std::shared_ptr<const std::string>& data, bool last) {
-                  if (data) text += *data;
-                  if (!last) return;
-                  answer = text;
-                  event_base_loopbreak(base.get());
-                },
-                [&](detail::http_end) { event_base_loopbreak(base.get()); }});
-  event_base_dispatch(base.get());
-  return answer;
+  return detail::ask_operator(base.get(), address, method, path);
 }
 
 int status(const std::vector<std::string>& words) {
--- a/test/broken_answers.h
+++ b/test/broken_answers.h
@@ -43,7 +43,7 @@
 
 /** Returns answers of which none may be taken for one. */
 inline std::vector<broken_answer> broken_answers() {
-  using namespace std::string_literals;
+  using std::string_literals::operator""s;
   const auto chunks = "2\r\nok\r\n0\r\n\r\n"s;
   return {
       with_status_line("status_000", "HTTP/1.1 000 Trouble"),
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -399,6 +399,58 @@
   EXPECT_TRUE(seen_.empty());
 }
 
+TEST_F(gateway_http, refuses_folded_lines_and_chunks_of_an_old_version) {
+  for (const std::string bad :
+       {"POST /c HTTP/1.1\r\nHost: h\r\nX-Y: 1\r\n Z: 2\r\n\r\n",
+        "POST /c HTTP/1.1\r\nHost: h\r\nX-Y: 1\r\n\tContent-Length: 3\r\n\r\n"
+        "abc",
+        "POST /c HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+    seen_.clear();
+    const auto back = raw(bad);
+    EXPECT_TRUE(seen_.empty()) << bad;
+    EXPECT_TRUE(back.starts_with("HTTP/1.1 400")) << bad << back;
+  }
+}
+
+// What was unsent 1 s behind an answer that ends its connection was dropped.
+TEST_F(gateway_http, a_slow_caller_gets_the_whole_of_a_last_answer) {
+  constexpr int kSmallBuffer = 65536;
+  const std::string large(24UL << 20U, 'x');
+  on_request_ = [&](caller_id caller, const gateway::caller_message&) {
+    answer(caller, 200, large);
+  };
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSmallBuffer, sizeof(kSmallBuffer));
+  auto where = to_socket_address(address_);
+  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)), 0);
+  evutil_make_socket_nonblocking(fd);
+  const bufferevent_handle slow(
+      bufferevent_socket_new(base_.get(), fd, BEV_OPT_CLOSE_ON_FREE));
+  struct {
+    event_base* base;
+    std::size_t bytes = 0;
+  } got{base_.get()};
+  bufferevent_setcb(
+      slow.get(),
+      [](bufferevent* from, void* arg) {
+        auto* in = bufferevent_get_input(from);
+        static_cast<decltype(got)*>(arg)->bytes += evbuffer_get_length(in);
+        evbuffer_drain(in, evbuffer_get_length(in));
+      },
+      nullptr,
+      [](bufferevent*, short, void* arg) {
+        event_base_loopbreak(static_cast<decltype(got)*>(arg)->base);
+      },
+      &got);
+  const std::string request =
+      "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  bufferevent_write(slow.get(), request.data(), request.size());
+  run(1500ms);
+  bufferevent_enable(slow.get(), EV_READ);
+  run(30s);
+  EXPECT_GT(got.bytes, large.size());
+}
+
 TEST_F(gateway_http, drops_headers_that_concern_the_connection_only) {
   raw("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, Foo, X-Kept\r\n"
       "Foo: 1\r\nX-Kept: 2\r\nKeep-Alive: 3\r\nTE: trailers\r\n\r\n");
