A slow caller gets the whole of an answer that ends its connection

A caller that reads nothing for 1.5 s got 2,883,584 of 25,165,824 bytes of an answer behind which its connection ends: 1 s behind the answer's last byte the connection was dropped, with all that its system had not taken yet. So also at a planned stop, where every answer ends its connection.

The second now counts from when all is written. Until then the connection goes on as long as its caller takes bytes, and for 10 s without any, as long as the system waits for a dead peer. Ruled out: no limit, since a caller that reads nothing would hold its bytes until the process ends.

Two settings for the path through owners come along: the most bytes that may wait for a caller, and an end of listening.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -26,10 +26,10 @@
 
 /** Bytes that a caller may send ahead of its answer. */
 constexpr std::size_t kReadAhead = 65536;
-/** Bytes that may wait for a slow caller. */
-constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
 /** How long a closed connection's caller may still send, unread. */
 constexpr duration kLinger = 1s;
+/** A caller that takes none of its last answer's bytes for so long is gone. */
+constexpr duration kStalled = 10s;
 constexpr duration kDeadPeer = 10s;
 constexpr std::size_t kMaxConnections = 3400;
 constexpr int kBacklog = 512;
@@ -192,10 +192,7 @@
 }
 
 void gateway_server::on_timer(connection& c) {
-  if (c.now == phase::closing) {
-    erase(c);
-    return;
-  }
+  if (c.now == phase::closing) return look_at_unsent(c);
   if (c.now != phase::reading) return;
   auto* in = bufferevent_get_input(c.io.get());
   const bool started = c.reader->started() || evbuffer_get_length(in) > 0;
@@ -229,18 +226,26 @@
   const auto fd = bufferevent_getfd(c.io.get());
   if (c.body == body_framing::close_delimited) set_reset_on_close(fd, false);
   shutdown(fd, SHUT_WR);
+  c.unsent = 0;
+  arm(c, kLinger);
+}
+
+void gateway_server::look_at_unsent(connection& c) {
+  const auto left = evbuffer_get_length(bufferevent_get_output(c.io.get()));
+  if (left >= c.unsent) return erase(c);
+  c.unsent = left;
+  arm(c, kStalled);
 }
 
 void gateway_server::close_after_flush(connection& c) {
   if (c.caller != 0) by_caller_.erase(c.caller);
   c.caller = 0;
   c.now = phase::closing;
-  arm(c, kLinger);
   auto* in = bufferevent_get_input(c.io.get());
   evbuffer_drain(in, evbuffer_get_length(in));
-  if (evbuffer_get_length(bufferevent_get_output(c.io.get())) == 0) {
-    end_output(c);
-  }
+  c.unsent = evbuffer_get_length(bufferevent_get_output(c.io.get()));
+  if (c.unsent == 0) return end_output(c);
+  arm(c, kStalled);
 }
 
 void gateway_server::erase(connection& c) {
@@ -302,7 +307,7 @@
   auto* c = find(caller);
   if (c == nullptr || !data || data->empty() || c->bodyless) return;
   auto* out = bufferevent_get_output(c->io.get());
-  if (evbuffer_get_length(out) > kMaxUnsent) {
+  if (evbuffer_get_length(out) > max_unsent_) {
     on_event(*c, BEV_EVENT_ERROR);
     return;
   }
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -59,6 +59,10 @@
   /** Fails with cannot_listen. */
   result<endpoint> listen(const endpoint& where);
   void set_limits(const gateway::caller_limits& limits) { limits_ = limits; }
+  /** Callers that leave more bytes unread than this are cut off. */
+  void set_max_unsent(std::size_t bytes) { max_unsent_ = bytes; }
+  /** Takes no new connections. */
+  void stop_listening() { listener_.reset(); }
   /** From now on every answer ends its connection. */
   void drain() { draining_ = true; }
   /** Closes the connections on which no request is under way. */
@@ -74,6 +78,8 @@
   void abort(caller_id caller);
 
  private:
+  static constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
+
   enum class phase : std::uint8_t { reading, answering, closing };
 
   struct connection {
@@ -90,6 +96,8 @@
     bool bodyless = false;
     bool told_continue = false;
     gateway::body_framing body = gateway::body_framing::length;
+    /** While closing: bytes that the caller had not taken at the last look. */
+    std::size_t unsent = 0;
     time_point since;
   };
 
@@ -109,6 +117,8 @@
   static std::string head_text(const connection& c, const reply_head& head);
   /** Closes the way out once all is written. */
   void end_output(connection& c);
+  /** While closing, drops a connection whose caller takes no more bytes. */
+  void look_at_unsent(connection& c);
   void arm(connection& c, duration wait);
   void erase(connection& c);
   connection* find(caller_id caller);
@@ -117,6 +127,7 @@
   handlers on_;
   listener_handle listener_;
   gateway::caller_limits limits_;
+  std::size_t max_unsent_ = kMaxUnsent;
   bool draining_ = false;
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
