--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -331,7 +331,7 @@
   if (on) on->end(how);
 }
 
-void call_client::end_malformed(connection& c, answer_defect defect) {
+void call_client::end_malformed(connection& c, const answer_defect& defect) {
   if (c.on && c.on->defect) c.on->defect(defect);
   end_call(c, call_end::malformed);
 }
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -181,7 +181,7 @@
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
-  void end_malformed(connection& c, answer_defect defect);
+  void end_malformed(connection& c, const answer_defect& defect);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
   /** Bounds the idle connections that take no further call without a name. */
   void close_surplus(const std::string& address);
