A head that is larger than the read-ahead is read

A request whose head is over 64 KB hung until its time limit and was refused as 408, where its limit allowed it: the connection stopped reading at 64 KB, and a head is read once it is there whole. Heads over their limit got no 431 either. The connection now reads as many bytes of a head as its limit allows, and 64 KB.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -24,7 +24,7 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-/** Bytes that a caller may send ahead of its answer. */
+/** Bytes that a caller may send ahead of its answer, beside a head. */
 constexpr std::size_t kReadAhead = 65536;
 /** How long a closed connection's caller may still send, unread. */
 constexpr duration kLinger = 1s;
@@ -117,7 +117,6 @@
         self->owner->on_event(*self, what);
       },
       &c);
-  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kReadAhead);
   connections_.emplace(c.number, std::move(made));
   start_reading(c);
   bufferevent_enable(c.io.get(), EV_READ | EV_WRITE);
@@ -129,6 +128,9 @@
   c.told_continue = false;
   c.reader = std::make_unique<request_reader>(limits_.header_bytes,
                                               limits_.body_bytes);
+  // A head is read once it is there whole.
+  bufferevent_setwatermark(c.io.get(), EV_READ, 0,
+                           limits_.header_bytes + kReadAhead);
   c.since = boot_now();
   arm(c, limits_.idle_timeout);
 }
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -389,6 +389,21 @@
   EXPECT_TRUE(seen_.empty());
 }
 
+// A head that does not fit into what is read ahead was never read.
+TEST_F(gateway_http, reads_heads_up_to_their_bound) {
+  gateway::caller_limits limits;
+  limits.header_bytes = 200000;
+  server_.set_limits(limits);
+  const auto with_field_of = [this](std::size_t size) {
+    return raw("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-A: " +
+               std::string(size, 'a') + "\r\n\r\n");
+  };
+  EXPECT_TRUE(with_field_of(150000).starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(seen_.size(), 1U);
+  EXPECT_TRUE(with_field_of(400000).starts_with("HTTP/1.1 431"));
+  EXPECT_EQ(seen_.size(), 1U);
+}
+
 TEST_F(gateway_http, bounds_the_time_for_a_head_and_for_rest) {
   gateway::caller_limits limits;
   limits.header_timeout = 100ms;
