Requests with folded lines, chunks of HTTP/1.0 or listed lengths are refused

The direct path joined a folded line to the one before, took chunks in a request of HTTP/1.0, and "3, 3" for the length 3, which RFC 9112 lets a reader refuse: two readers could disagree about the request's end. They get 400 now, as an answer with such a head is none.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -150,6 +150,10 @@
 
 parse_progress request_reader::read(evbuffer* from) {
   if (fault_ != parse_fault::none) return parse_progress::failed;
+  if (!is_header_done() && has_folded_line(unread_bytes(from))) {
+    fault_ = parse_fault::malformed;
+    return parse_progress::failed;
+  }
   const auto ec = feed<true>(*this, from, header_bytes_);
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     fault_ = parse_fault::headers_too_large;
@@ -191,10 +195,15 @@
   if (field == http::field::expect) {
     expects_continue_ = boost::beast::iequals(value, "100-continue");
   }
-  if (field == http::field::transfer_encoding &&
-      !boost::beast::iequals(value, "chunked")) {
+  const bool is_coded = field == http::field::transfer_encoding;
+  if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
   }
+  // The library takes a list of equal lengths for one.
+  if (field == http::field::content_length &&
+      !boost::algorithm::all(value, boost::algorithm::is_digit())) {
+    ec = http::error::bad_content_length;
+  }
   if (!concerns_connection(field)) {
     message_.headers.push_back({text(name), text(value)});
   }
