Callers on the path through owners are read by the one reader of requests

18 of 26 requests that could smuggle another were handed on to targets, with all four targets that hold blanks or control bytes: `Content-Length : 3` was no length, two lengths were one, and folded lines were joined. caller_server read with evhttp.

What is no request gets 400, 408, 413, 431 or, for an unknown method, 501, and one `refuse` line with reason unreadable_STATUS.

Weighed: a check of what evhttp read.

HTTP/1.1 without a Host and lines that end in a bare line feed are refused.

--- a/src/connection/caller_server.h
+++ b/src/connection/caller_server.h
@@ -10,6 +10,7 @@
 
 #include "connection/caller_protocol.h"
 #include "connection/event_handles.h"
+#include "connection/gateway_server.h"
 #include "seamglade/controller.h"
 
 namespace seamglade::detail {
@@ -19,18 +20,19 @@
   std::function<void(caller_id, raw_request)> on_request;
   /** The caller closed its connection before the answer was complete. */
   std::function<void(caller_id)> on_gone;
+  /** What came is no request, and was answered with this status. */
+  std::function<void(int status)> on_unreadable = [](int) {};
 };
 
 /** Takes callers' requests and gives them their answers. */
 class caller_server {
  public:
   caller_server(event_base* base, caller_observer observer);
-  ~caller_server();
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
 
   /** Listens; fails with cannot_listen. Returns the bound address. */
-  result<endpoint> listen(const endpoint& at);
+  result<endpoint> listen(const endpoint& at) { return http_.listen(at); }
   /** Takes no new connections; open ones are told to close. */
   void stop_listening();
 
@@ -39,23 +41,16 @@
               std::string_view detail = {});
   /** Breaks the connection off, so that no short answer looks complete. */
   void abort(caller_id caller);
-  std::size_t open() const { return requests_.size(); }
+  std::size_t open() const { return streaming_.size(); }
 
  private:
-  struct caller_request;
-
-  void on_request(evhttp_request* request);
-  void finish(caller_id caller);
-  void watch_close(evhttp_connection* connection, caller_request* watched);
-  evhttp_request* begin_reply(caller_request& caller,
-                              const std::vector<http_header>& headers);
+  void on_request(caller_id caller, gateway::caller_message message);
+  void on_gone(caller_id caller);
 
   caller_observer observer_;
-  http_handle http_;
-  evhttp_bound_socket* socket_ = nullptr;
-  bool stopping_ = false;
-  caller_id last_caller_ = 0;
-  std::unordered_map<caller_id, std::unique_ptr<caller_request>> requests_;
+  gateway_server http_;
+  /** Requests without a whole answer, and whether theirs has begun. */
+  std::unordered_map<caller_id, bool> streaming_;
 };
 
 }  // namespace seamglade::detail
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -6,8 +6,6 @@
 
 #include "connection/http_client.h"
 
-#include <event2/keyvalq_struct.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/classification.hpp>
@@ -82,14 +80,6 @@
   std::string gathered;
 };
 
-std::vector<http_header> end_to_end_headers(evkeyvalq* headers) {
-  std::vector<http_header> kept;
-  for (auto* at = headers->tqh_first; at != nullptr; at = at->next.tqe_next) {
-    if (!is_single_hop(at->key)) kept.push_back({at->key, at->value});
-  }
-  return kept;
-}
-
 http_client::http_client(event_base* base, repeated_answers repeats)
     : base_(base), repeats_(repeats), prober_(base), client_(base, {}) {}
 
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -97,9 +97,6 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-/** Returns the headers of a message, without those of a single hop. */
-std::vector<http_header> end_to_end_headers(evkeyvalq* headers);
-
 }  // namespace seamglade::detail
 
 #endif  // SEAMGLADE_SRC_CONNECTION_HTTP_CLIENT_H_
--- a/src/process/shell.cc
+++ b/src/process/shell.cc
@@ -43,12 +43,12 @@
       log_(config_.id),
       base_(event_base_new()),
       decisions_(options_for(config_, incarnation_)),
-      callers_(base_.get(), {[this](caller_id caller, const raw_request& raw) {
-                               on_caller_request(caller, raw);
-                             },
-                             [this](caller_id caller) {
-                               post(event::caller_gone{caller});
-                             }}),
+      callers_(base_.get(),
+               {[this](caller_id caller, const raw_request& raw) {
+                  on_caller_request(caller, raw);
+                },
+                [this](caller_id caller) { post(event::caller_gone{caller}); },
+                [this](int status) { on_unreadable(status); }}),
       peers_(base_.get(), {kProtocolVersion, config_.id, incarnation_},
              {[this](const instance_id& peer, std::uint64_t incarnation) {
                 post(event::peer_up{peer, incarnation});
@@ -172,6 +172,15 @@
   post(event::caller_request{caller, std::move(*parsed.spec)});
 }
 
+void shell::on_unreadable(int status) {
+  log_.decision({action::decision_kind::refuse,
+                 {},
+                 {},
+                 {},
+                 fmt::format("unreadable_{}", status),
+                 {}});
+}
+
 void shell::carry_out(action::reply_part&& a) {
   callers_.reply(a.caller, a.piece);
 }
--- a/src/process/shell.h
+++ b/src/process/shell.h
@@ -63,6 +63,8 @@
   void carry_out(action::finished&& a);
 
   void on_caller_request(caller_id caller, const raw_request& raw);
+  /** What a caller sent is no request, and was answered with this status. */
+  void on_unreadable(int status);
   void on_target_piece(call_id call, int status,
                        std::vector<http_header> headers,
                        std::shared_ptr<const std::string> data, bool last);
