--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -30,10 +30,10 @@
 /** Bytes that a caller may send ahead of its answer: read, and unread. */
 constexpr std::size_t kReadAhead = 4096;
 constexpr int kUnreadAhead = 16384;
-/** Bytes that may wait for a slow caller. */
-constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
 /** How long a closed connection's caller may still send, unread. */
 constexpr duration kLinger = 1s;
+/** A caller that takes none of its last answer's bytes for so long is gone. */
+constexpr duration kStalled = 10s;
 constexpr duration kDeadPeer = 10s;
 constexpr int kBacklog = 512;
 /** Without a free descriptor no connection is accepted for so long. */
@@ -324,10 +324,7 @@
 }
 
 void gateway_server::on_timer(connection& c) {
-  if (c.now == phase::closing) {
-    erase(c);
-    return;
-  }
+  if (c.now == phase::closing) return look_at_unsent(c);
   if (c.now != phase::reading) return;
   auto* in = bufferevent_get_input(c.io.get());
   const bool started = c.reader->started() || evbuffer_get_length(in) > 0;
@@ -361,6 +358,15 @@
   const auto fd = bufferevent_getfd(c.io.get());
   if (c.body == body_framing::close_delimited) set_reset_on_close(fd, false);
   shutdown(fd, SHUT_WR);
+  c.unsent = 0;
+  arm(c, kLinger);
+}
+
+void gateway_server::look_at_unsent(connection& c) {
+  const auto left = evbuffer_get_length(bufferevent_get_output(c.io.get()));
+  if (left >= c.unsent) return erase(c);
+  c.unsent = left;
+  arm(c, kStalled);
 }
 
 void gateway_server::close_after_flush(connection& c) {
@@ -371,12 +377,11 @@
   c.reader.reset();
   // Unread bytes would turn the close into a reset.
   if (c.sends_ahead) bufferevent_enable(c.io.get(), EV_READ);
-  arm(c, kLinger);
   auto* in = bufferevent_get_input(c.io.get());
   evbuffer_drain(in, evbuffer_get_length(in));
-  if (evbuffer_get_length(bufferevent_get_output(c.io.get())) == 0) {
-    end_output(c);
-  }
+  c.unsent = evbuffer_get_length(bufferevent_get_output(c.io.get()));
+  if (c.unsent == 0) return end_output(c);
+  arm(c, kStalled);
 }
 
 void gateway_server::erase(connection& c) {
@@ -433,7 +438,7 @@
   auto* c = find(caller);
   if (c == nullptr || !data || data->empty() || c->bodyless) return;
   auto* out = bufferevent_get_output(c->io.get());
-  if (evbuffer_get_length(out) > kMaxUnsent) {
+  if (evbuffer_get_length(out) > max_unsent_) {
     on_event(*c, BEV_EVENT_ERROR);
     return;
   }
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -185,10 +185,15 @@
   if (field == http::field::expect) {
     expects_continue_ = boost::beast::iequals(value, "100-continue");
   }
-  if (field == http::field::transfer_encoding &&
-      !boost::beast::iequals(value, "chunked")) {
+  const bool is_coded = field == http::field::transfer_encoding;
+  if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
   }
+  // The library takes a list of equal lengths for one.
+  if (field == http::field::content_length &&
+      !boost::algorithm::all(value, boost::algorithm::is_digit())) {
+    ec = http::error::bad_content_length;
+  }
   if (!concerns_connection(field)) {
     message_.headers.push_back({text(name), text(value)});
   }
--- a/src/connection/message_framer.cc
+++ b/src/connection/message_framer.cc
@@ -62,7 +62,7 @@
     if (next == kLineEnd) return {at + 1 + kLineEnd.size(), {}};
     scanned_ = at;
     if (next.empty() || next == "\r") break;
-    if (!is_request_ && is_blank(next.front())) {
+    if (is_blank(next.front())) {
       return {0, http::error::bad_obs_fold};
     }
     scanned_ = at + 1;
