A start waits for settings that are missing or being written

An instance whose settings file was missing, empty or cut when it started ended by itself with code 2, and where nobody starts it again service does not come back; a file that was cut between two keys was taken for whole, with defaults for the rest. The file was read once, and whatever it held was checked.

Now it is read every 100 ms until it is whole: its last line is [end], or it has not changed for a second (its time of change; by the instance's own watch where that time is ahead of the clock). settings_wait says so at once and every 10 s, SIGTERM and SIGINT end the wait in order, and the path is chosen from a whole file alone. A reload of a file that is cut changes nothing.

Ruled out: to wait on a whole file with a fault, which would never come right; to take a file for whole by its time alone, which would delay each start.

--- a/include/seamglade/failure.h
+++ b/include/seamglade/failure.h
@@ -27,6 +27,7 @@
   frame_too_large,     // a frame above the size limit
   protocol_version,    // a peer that speaks another protocol version
   unreadable_file,     // a file that cannot be opened or read
+  unfinished_file,     // a file that is empty or still being written
   cannot_listen,       // an address that cannot be bound
   bad_address,         // a text that is no IP number and port
   service_unreachable  // the other side of a command did not answer
--- a/include/seamglade/instance_config.h
+++ b/include/seamglade/instance_config.h
@@ -28,6 +28,12 @@
 /** Returns the keys of the file's one section, [instance]. */
 std::span<const key_spec> instance_schema();
 
+/**
+ * Returns whether a section of an instance's file is [end], which has no keys
+ * and shows as its last one that the file is whole.
+ */
+bool is_end(const ini_section& section);
+
 struct instance_config_check {
   instance_config config;
   std::vector<failure> failures;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -54,6 +54,7 @@
 peer_address = ${3:-127.0.0.1:0}
 operator_address = 127.0.0.1:0
 config_service = ${address[config]}
+[end]
 INI
   "$bin/seamglade" serve --config "$work/$1.ini" >"$work/$1.log" 2>&1 &
   pids+=($!)
@@ -157,6 +158,7 @@
 store_address = $store
 seeds = $net.1:1,$net.2:1
 grace = 4s
+[end]
 INI
   "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
   pids+=($!)
--- a/src/process/gateway_config.cc
+++ b/src/process/gateway_config.cc
@@ -14,6 +14,8 @@
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <set>
 
+#include "seamglade/instance_config.h"
+
 namespace seamglade {
 namespace {
 
@@ -211,6 +213,7 @@
     outcome.failures.push_back(std::move(why));
   };
   for (const auto& section : read_ini(text, outcome.failures)) {
+    if (is_end(section)) continue;
     if (section.name != kSection) {
       fail({errc::unknown_key, "section: accepted: [gateway]", 0}, section.name,
            {});
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -139,7 +139,8 @@
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
-                         const datagram_bytes& datagrams) {
+                         const datagram_bytes& datagrams,
+                         const start_counters& start) {
   std::vector<prometheus::MetricFamily> out;
   const auto counter = [&](const char* name, const char* help,
                            std::uint64_t value) {
@@ -256,6 +257,11 @@
           status.grant_unanswered);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
+  counter("seamglade_settings_waits_total",
+          "Times that the settings file was missing or unfinished",
+          start.settings.waits);
+  counter("seamglade_settings_retries_total", "Looks that found it so",
+          start.settings.retries);
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
   out.push_back(begun_streams_family(status.begun_streams));
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "connection/call_client.h"
+#include "process/settings_file.h"
 #include "seamglade/gateway.h"
 
 namespace seamglade::detail {
@@ -38,11 +39,17 @@
   call_client::counters to_relays;
 };
 
+/** What an instance waited for that it needs to start. */
+struct start_counters {
+  settings_file::counters settings;
+};
+
 /** Returns the counters in Prometheus' text form. */
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
-                         const datagram_bytes& datagrams = {});
+                         const datagram_bytes& datagrams = {},
+                         const start_counters& start = {});
 
 /** Returns what the instance believes, as JSON. */
 std::string status_page(const gateway::gateway_status& status);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -97,9 +97,11 @@
   return gateway_server(base_.get(), std::move(on));
 }
 
-gateway_shell::gateway_shell(gateway_config config, std::string config_file)
+gateway_shell::gateway_shell(gateway_config config, settings_file file,
+                             std::string text)
     : config_(std::move(config)),
-      config_file_(std::move(config_file)),
+      config_file_(std::move(file)),
+      config_text_(std::move(text)),
       base_(event_base_new()),
       platform_(gateway::make_platform_dialect()),
       log_(base_.get(), STDOUT_FILENO, config_.id),
@@ -135,9 +137,7 @@
       target_client_(base_.get(), std::string(platform_->request_id_header())),
       fleet_client_(base_.get(), {}),
       relay_client_(base_.get(), std::string(kRelayCall)),
-      prober_(base_.get()) {
-  if (auto text = read_file(config_file_)) config_text_ = text.value();
-}
+      prober_(base_.get()) {}
 
 gateway_shell::~gateway_shell() = default;
 
@@ -214,15 +214,20 @@
 
 void gateway_shell::reload() {
   next_file_look_ = boot_now() + kFileLook;
-  const auto text = read_file(config_file_);
-  if (!text || text.value() == config_text_) return;
+  const auto text = config_file_.read(boot_now());
+  if (!text) {
+    on_unfinished_settings(text.error());
+    return;
+  }
+  said_unfinished_ = false;
+  if (text.value() == config_text_) return;
   config_text_ = text.value();
   const auto checked = check_gateway_config(config_text_);
   if (!checked.failures.empty()) {
     // The settings before stay in force; the same text is not refused twice.
     const auto& why = checked.failures.front();
     log_.write(boot_now(), {"settings_refused",
-                            {{"file", config_file_},
+                            {{"file", config_file_.path()},
                              {"line", why.line},
                              {"type", std::string(to_string(why.code))},
                              {"detail", why.detail}},
@@ -233,6 +238,14 @@
   post(event::new_seeds{options_of(config_).seeds});
 }
 
+void gateway_shell::on_unfinished_settings(const failure& why) {
+  if (std::exchange(said_unfinished_, true)) return;
+  log_.write(boot_now(), {"settings_wait",
+                          {{"type", std::string(to_string(why.code))},
+                           {"detail", why.detail}},
+                          true});
+}
+
 void gateway_shell::begin_drain() {
   if (draining_) return;
   draining_ = true;
@@ -383,11 +396,12 @@
 void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
   const auto status = decisions_.status(boot_now());
   if (path == kMetricsPath) {
-    reply_whole(metrics_, caller, kOk,
-                metrics_page(status,
-                             {target_client_.counts(), fleet_client_.counts(),
-                              relay_client_.counts()},
-                             log_.dropped(), datagram_bytes_));
+    reply_whole(
+        metrics_, caller, kOk,
+        metrics_page(status,
+                     {target_client_.counts(), fleet_client_.counts(),
+                      relay_client_.counts()},
+                     log_.dropped(), datagram_bytes_, {config_file_.counts()}));
   } else if (path == kStatusPath) {
     reply_whole(metrics_, caller, kOk, status_page(status));
   } else {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -19,6 +19,7 @@
 #include "connection/gateway_server.h"
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
+#include "process/settings_file.h"
 #include "seamglade/gateway.h"
 #include "seamglade/gateway_config.h"
 
@@ -30,8 +31,11 @@
 /** One instance of the direct path, on one loop. */
 class gateway_shell {
  public:
-  /** `config_file` is read again on SIGHUP and when it changes. */
-  gateway_shell(gateway_config config, std::string config_file);
+  /**
+   * `config` comes of `text`; `file` is read again on SIGHUP and when it
+   * changes.
+   */
+  gateway_shell(gateway_config config, settings_file file, std::string text);
   ~gateway_shell();
   gateway_shell(const gateway_shell&) = delete;
   gateway_shell& operator=(const gateway_shell&) = delete;
@@ -49,6 +53,7 @@
   void begin_drain();
   void tick_drain();
   void reload();
+  void on_unfinished_settings(const failure& why);
 
   void carry_out(gateway::action::reply_head&& a);
   void carry_out(gateway::action::reply_data&& a);
@@ -85,7 +90,7 @@
       std::function<void(caller_id, gateway::caller_message)> request);
 
   gateway_config config_;
-  std::string config_file_;
+  settings_file config_file_;
   std::string config_text_;
   base_handle base_;
   std::unique_ptr<gateway::dialect> platform_;
@@ -114,6 +119,7 @@
   std::map<caller_id, std::string> relayed_;
   std::deque<gateway::any_event> events_;
   bool pumping_ = false;
+  bool said_unfinished_ = false;
   bool draining_ = false;
   time_point drain_started_{};
   time_point next_file_look_{};
--- a/src/process/instance_config.cc
+++ b/src/process/instance_config.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::string_view kSection = "instance";
+constexpr std::string_view kEndSection = "end";
 
 constexpr key_spec file_key(std::string_view name, value_kind kind,
                             std::string_view fallback, std::string_view help) {
@@ -52,6 +53,10 @@
 
 std::span<const key_spec> instance_schema() { return kSchema; }
 
+bool is_end(const ini_section& section) {
+  return section.name == kEndSection && section.entries.empty();
+}
+
 instance_config_check check_instance_config(const std::string& text) {
   instance_config_check outcome;
   std::set<std::string> seen;
@@ -61,6 +66,7 @@
         {code, std::move(detail), find_line(text, section, key)});
   };
   for (const auto& section : read_ini(text, outcome.failures)) {
+    if (is_end(section)) continue;
     if (section.name != kSection) {
       fail(errc::unknown_key, "section: accepted: [instance]", section.name,
            {});
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -4,6 +4,7 @@
 // SPDX-License-Identifier: MIT
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <boost/program_options.hpp>
 #include <filesystem>
@@ -11,8 +12,10 @@
 #include <nlohmann/json.hpp>
 
 #include "connection/http_client.h"
+#include "process/event_log.h"
 #include "process/gateway_shell.h"
 #include "process/reference.h"
+#include "process/settings_file.h"
 #include "process/shell.h"
 #include "seamglade/fleet.h"
 #include "seamglade/gateway_config.h"
@@ -103,41 +106,63 @@
   po::variables_map values_;
 };
 
-int serve_gateway(const std::string& file, const std::string& text) {
-  auto checked = check_gateway_config(text);
-  for (const auto& f : checked.failures) print_failure(file, f);
-  if (!checked.failures.empty()) return kBadInput;
-  detail::gateway_shell instance(std::move(checked.config), file);
+/** Says why a start has failed. */
+int refuse_start(const std::string& file, const std::vector<failure>& why) {
+  for (const auto& f : why) print_failure(file, f);
+  return kBadInput;
+}
+
+template <typename Instance>
+int run(Instance& instance, const std::string& file) {
   if (const auto started = instance.start(); !started) {
-    print_failure(file, started.error());
-    return kBadInput;
+    return refuse_start(file, {started.error()});
   }
   instance.run();
   return kDone;
 }
 
+int serve_gateway(detail::settings_file file, std::string text) {
+  auto checked = check_gateway_config(text);
+  const auto path = file.path();
+  if (!checked.failures.empty()) return refuse_start(path, checked.failures);
+  detail::gateway_shell instance(std::move(checked.config), std::move(file),
+                                 std::move(text));
+  return run(instance, path);
+}
+
+int serve_owner(const std::string& file, const std::string& text) {
+  auto checked = check_instance_config(text);
+  if (!checked.failures.empty()) return refuse_start(file, checked.failures);
+  detail::shell instance(std::move(checked.config));
+  return run(instance, file);
+}
+
+/** Returns the settings once they are whole, or nothing after a stop. */
+std::optional<std::string> settings_of(detail::settings_file& file) {
+  const detail::base_handle base(event_base_new());
+  detail::event_log log(base.get(), STDOUT_FILENO, {});
+  auto text = detail::await_settings(file, [&](const failure& why,
+                                               duration waited) {
+    log.write(detail::boot_now(), {"settings_wait",
+                                   {{"type", std::string(to_string(why.code))},
+                                    {"detail", why.detail},
+                                    {"waited_ms", waited / 1ms}},
+                                   true});
+  });
+  if (!text) log.write(detail::boot_now(), {"stopped", {}, true});
+  return text;
+}
+
 int serve(const std::vector<std::string>& words) {
   command c("serve", "Runs an instance until it is drained or terminated.");
   c.add()("config", po::value<std::string>()->required(),
           "INI file of the instance");
   if (const auto over = c.parse(words)) return *over;
-  const auto file = c.text("config");
-  const auto text = read_file(file);
-  if (!text) {
-    print_failure(file, text.error());
-    return kBadInput;
-  }
-  if (is_gateway_config(text.value())) return serve_gateway(file, text.value());
-  auto checked = check_instance_config(text.value());
-  for (const auto& f : checked.failures) print_failure(file, f);
-  if (!checked.failures.empty()) return kBadInput;
-  detail::shell instance(std::move(checked.config));
-  if (const auto bound = instance.start(); !bound) {
-    print_failure(file, bound.error());
-    return kBadInput;
-  }
-  instance.run();
-  return kDone;
+  detail::settings_file file(c.text("config"));
+  auto text = settings_of(file);
+  if (!text) return kDone;
+  if (!is_gateway_config(*text)) return serve_owner(file.path(), *text);
+  return serve_gateway(std::move(file), std::move(*text));
 }
 
 std::vector<failure> check_text(const std::string& kind,
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -348,7 +348,8 @@
         &config.metrics_address, &config.store_address}) {
     *address = "127.0.0.1:0";
   }
-  detail::gateway_shell shell(config, "/nonexistent");
+  detail::gateway_shell shell(config, detail::settings_file("/nonexistent"),
+                              "");
   ASSERT_TRUE(shell.start());
   struct sigaction now {};
   sigaction(SIGPIPE, nullptr, &now);
--- /dev/null
+++ b/test/start-test.cc
@@ -0,0 +1,105 @@
+// seamglade - the parts of a start: addresses, settings, last words
+//
+// Copyright (c) 2026 seamglade contributors
+// SPDX-License-Identifier: MIT
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "process/settings_file.h"
+#include "process/wait_notice.h"
+#include "seamglade/instance_config.h"
+
+namespace seamglade::detail {
+namespace {
+
+namespace fs = std::filesystem;
+
+const failure kHeld{errc::cannot_listen_yet, "held", 0};
+
+/** An addressTEST(start_wait, is_said_at_once_and_every_ten_seconds) {
+  wait_notice notice;
+  EXPECT_TRUE(notice.is_due(time_point(1s)));
+  EXPECT_FALSE(notice.is_due(time_point(10s)));
+  EXPECT_TRUE(notice.is_due(time_point(11s)));
+}
+
+/** A settings file of the test's own. */
+class written_settings : public testing::Test {
+ protected:
+  written_settings() {
+    std::string name =
+        (fs::temp_directory_path() / "seamglade-XXXXXX").string();
+    close(mkstemp(name.data()));
+    path_ = name;
+    file_.emplace(name);
+  }
+  ~written_settings() override { fs::remove(path_); }
+  written_settings(const written_settings&) = delete;
+  written_settings& operator=(const written_settings&) = delete;
+
+  /** Writes a text whose time of change is so far from now. */
+  void write(std::string_view text, duration age) {
+    std::ofstream(path_) << text;
+    fs::last_write_time(path_, fs::file_time_type::clock::now() - age);
+  }
+  errc fault(duration now) {
+    const auto text = file_->read(time_point(now));
+    return text ? errc::bad_ini : text.error().code;
+  }
+
+  fs::path path_;
+  std::optional<settings_file> file_;
+};
+
+TEST_F(written_settings, with_an_end_are_whole_at_once) {
+  write("[gateway]\nid = a\n\n [end] \r\n\n", 0s);
+  EXPECT_TRUE(file_->read(time_point(1s)));
+  EXPECT_EQ(file_->counts().waits, 0U);
+}
+
+TEST_F(written_settings, without_an_end_are_whole_once_they_have_settled) {
+  write("[gateway]\nid = a\n", 2s);
+  EXPECT_TRUE(file_->read(time_point(1s)));
+}
+
+TEST_F(written_settings, that_just_changed_are_not_whole) {
+  write("[gateway]\nid = a\n[en", -1h);
+  EXPECT_EQ(fault(1s), errc::unfinished_file);
+  EXPECT_EQ(fault(1900ms), errc::unfinished_file);
+  EXPECT_EQ(file_->counts().waits, 1U);
+  EXPECT_EQ(file_->counts().retries, 2U);
+}
+
+TEST_F(written_settings, of_a_clock_that_is_ahead_settle_too) {
+  write("[gateway]\nid = a\n", -1h);
+  EXPECT_EQ(fault(1s), errc::unfinished_file);
+  EXPECT_TRUE(file_->read(time_point(2s)));
+}
+
+TEST_F(written_settings, that_are_empty_or_missing_are_never_whole) {
+  write(" \n", 1h);
+  EXPECT_EQ(fault(1s), errc::unfinished_file);
+  EXPECT_EQ(fault(1h), errc::unfinished_file);
+  fs::remove(path_);
+  EXPECT_EQ(fault(2h), errc::unreadable_file);
+}
+
+TEST(settings_end, has_no_keys) {
+  const std::string instance =
+      "[instance]\nid = i1\nzone = z\ncaller_address = 127.0.0.1:1\n"
+      "peer_address = 127.0.0.1:2\noperator_address = 127.0.0.1:3\n"
+      "config_service = 127.0.0.1:4\n";
+  EXPECT_TRUE(check_instance_config(instance).failures.empty());
+  EXPECT_TRUE(check_instance_config(instance + "[end]\n").failures.empty());
+  const auto checked = check_instance_config(instance + "[end]\nid = i2\n");
+  ASSERT_EQ(checked.failures.size(), 1U);
+  EXPECT_EQ(checked.failures[0].code, errc::unknown_key);
+  EXPECT_EQ(checked.failures[0].line, 8);
+}
+
+}  // namespace
+}  // namespace seamglade::detail
--- a/test/start_processes-test.sh
+++ b/test/start_processes-test.sh
@@ -172,10 +172,10 @@
 
 # cut_at BYTES: keeps writing the first bytes of the settings.
 cut_at() {
-  local part
-  part=$(settings | head -c "$1" && echo .)
+  local whole
+  whole=$(settings)
   while true; do
-    printf '%s' "${part%.}" >"$ini"
+    printf '%s' "${whole:0:$1}" >"$ini"
     sleep 0.05
   done
 }
@@ -183,7 +183,7 @@
 # behind TEXT: prints how many bytes the settings have up to the end of TEXT.
 behind() {
   local before
-  before=$(settings && echo .)
+  before=$(settings)
   before=${before%%"$1"*}$1
   echo ${#before}
 }
@@ -274,9 +274,9 @@
   caller=127.0.0.300 settings >"$ini"
   serve
   ends_with 2
-  grep -q "^$ini:[0-9]*: bad_address: 127.0.0.300:$port" "$log" ||
-    fail 'no file and address'
-  grep -q '"event":"ended","reason":"failed_start".*"type":"bad_address"' \
+  grep -q "^$ini:4: bad_value: caller_address" "$log" ||
+    fail 'no file and line'
+  grep -q '"event":"ended","reason":"failed_start".*"type":"bad_value"' \
     "$log" || fail 'no last words'
 }
 
