A start waits for addresses that are held or not there yet

An instance ended by itself with code 2, cannot_listen, where one of its own addresses was held when it started: by a listener, a connected socket or its own former life that stood still. All errors of bind counted as one, and the first ended the process.

Now a passing lack (EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOMEM, ENOBUFS) is an error of its own, cannot_listen_yet. All addresses are tried side by side, every 100 ms from the loop; listen_wait says what is missing at once and every 10 s, listening that all is bound, and the metrics page counts waits and retries. Any other error still ends the start. The decisions begin once the peers' address and the datagrams are bound: an instance that cannot hear its peers would take their targets for its own. Until then callers get 503 at once. Readiness needs the addresses of callers, readiness and peers. A stop ends the wait in order. An address that is none is now found by the check of the file, with its line: 127.0.0.300:1 passed it, and failed without one.

Ruled out: SO_REUSEPORT, with which a former life that stands still would share the callers; to bind the callers last, which leaves their port to others.

--- a/include/seamglade/failure.h
+++ b/include/seamglade/failure.h
@@ -29,6 +29,7 @@
   unreadable_file,     // a file that cannot be opened or read
   unfinished_file,     // a file that is empty or still being written
   cannot_listen,       // an address that cannot be bound
+  cannot_listen_yet,   // one that is held or not there, which may pass
   bad_address,         // a text that is no IP number and port
   service_unreachable  // the other side of a command did not answer
 };
--- a/src/connection/caller_server.cc
+++ b/src/connection/caller_server.cc
@@ -8,7 +8,10 @@
 #include <event2/http_struct.h>
 #include <sys/socket.h>
 
+#include <boost/outcome/try.hpp>
+
 #include "connection/http_client.h"
+#include "connection/listening.h"
 
 namespace seamglade::detail {
 namespace {
@@ -93,9 +96,8 @@
 }
 
 result<endpoint> caller_server::listen(const endpoint& at) {
-  socket_ =
-      evhttp_bind_socket_with_handle(http_.get(), at.host.c_str(), at.port);
-  if (socket_ == nullptr) return failure{errc::cannot_listen, at.str(), 0};
+  BOOST_OUTCOME_TRY(bound, listen_with(http_.get(), at));
+  socket_ = bound;
   return bound_endpoint(evhttp_bound_socket_get_fd(socket_));
 }
 
--- a/src/connection/datagram_socket.cc
+++ b/src/connection/datagram_socket.cc
@@ -10,6 +10,9 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
+
+#include "connection/listening.h"
 
 namespace seamglade::detail {
 namespace {
@@ -38,22 +41,23 @@
 datagram_socket::datagram_socket(event_base* base, receiver on)
     : base_(base), on_(std::move(on)) {}
 
-datagram_socket::~datagram_socket() {
+datagram_socket::~datagram_socket() { close(); }
+
+void datagram_socket::close() {
   readable_.reset();
   if (fd_ >= 0) evutil_closesocket(fd_);
+  fd_ = -1;
 }
 
 result<void> datagram_socket::bind(const endpoint& where) {
-  const auto bad = failure{errc::cannot_listen, where.str(), 0};
   fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0) return bad;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(where.port);
-  inet_pton(AF_INET, where.host.c_str(), &address.sin_addr);
-  if (::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
-      0) {
-    return bad;
+  if (fd_ < 0) return listen_failure(where, errno);
+  const auto address = to_socket_address(where);
+  if (::bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) != 0) {
+    const int error = errno;
+    close();
+    return listen_failure(where, error);
   }
   port_ = where.port;
   const auto ready = [](evutil_socket_t, short, void* self) {
--- a/src/connection/datagram_socket.h
+++ b/src/connection/datagram_socket.h
@@ -28,13 +28,14 @@
   datagram_socket(const datagram_socket&) = delete;
   datagram_socket& operator=(const datagram_socket&) = delete;
 
-  /** Fails with cannot_listen. */
+  /** Fails with cannot_listen or cannot_listen_yet. */
   result<void> bind(const endpoint& where);
   /** Sends or drops: a full buffer is the network's loss. */
   void send(gateway::member_address to, std::string_view bytes);
 
  private:
   void receive();
+  void close();
 
   event_base* base_;
   receiver on_;
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -11,6 +11,9 @@
 #include <sys/socket.h>
 
 #include <boost/beast/http/status.hpp>
+#include <boost/outcome/try.hpp>
+
+#include "connection/listening.h"
 
 namespace seamglade::detail {
 namespace {
@@ -68,7 +71,6 @@
 gateway_server::~gateway_server() = default;
 
 result<endpoint> gateway_server::listen(const endpoint& where) {
-  auto address = to_socket_address(where);
   const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr* from,
                            int, void* self) {
     // The listener is bound to an IPv4 address.
@@ -76,11 +78,9 @@
     static_cast<gateway_server*>(self)->accept(fd,
                                                ntohl(peer->sin_addr.s_addr));
   };
-  listener_.reset(evconnlistener_new_bind(
-      base_, accepted, this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-      kBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
-  if (!listener_) return failure{errc::cannot_listen, where.str(), 0};
+  BOOST_OUTCOME_TRY(made,
+                    make_listener(base_, where, kBacklog, accepted, this));
+  listener_ = std::move(made);
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -56,7 +56,7 @@
   gateway_server(const gateway_server&) = delete;
   gateway_server& operator=(const gateway_server&) = delete;
 
-  /** Fails with cannot_listen. */
+  /** Fails with cannot_listen or cannot_listen_yet. */
   result<endpoint> listen(const endpoint& where);
   void set_limits(const gateway::caller_limits& limits) { limits_ = limits; }
   /** From now on every answer ends its connection. */
--- a/src/connection/peer_network.cc
+++ b/src/connection/peer_network.cc
@@ -10,6 +10,9 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <boost/outcome/try.hpp>
+
+#include "connection/listening.h"
 
 namespace seamglade::detail {
 namespace {
@@ -21,6 +24,8 @@
 constexpr duration kHelloWait = 3s;
 /** A peer that does not read is cut off above this many waiting bytes. */
 constexpr std::size_t kMaxBacklog = 256 << 20;
+/** Connections that wait to be accepted. */
+constexpr int kBacklog = 128;
 
 sockaddr_in to_sockaddr(const endpoint& at) {
   sockaddr_in address{};
@@ -55,15 +60,12 @@
 peer_network::~peer_network() = default;
 
 result<endpoint> peer_network::listen(const endpoint& at) {
-  const auto address = to_sockaddr(at);
-  listener_.reset(evconnlistener_new_bind(
-      base_,
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
-        static_cast<peer_network*>(arg)->accept(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
-  if (!listener_) return failure{errc::cannot_listen, at.str(), 0};
+  const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                           void* self) {
+    static_cast<peer_network*>(self)->accept(fd);
+  };
+  BOOST_OUTCOME_TRY(made, make_listener(base_, at, kBacklog, accepted, this));
+  listener_ = std::move(made);
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
--- a/src/connection/peer_network.h
+++ b/src/connection/peer_network.h
@@ -43,7 +43,7 @@
   peer_network(const peer_network&) = delete;
   peer_network& operator=(const peer_network&) = delete;
 
-  /** Listens; fails with cannot_listen. Returns the bound address. */
+  /** Fails with cannot_listen or cannot_listen_yet. */
   result<endpoint> listen(const endpoint& at);
   /** Sets the instances to keep links with. */
   void set_peers(std::vector<instance_entry> peers);
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -257,6 +257,11 @@
           status.grant_unanswered);
   counter("seamglade_log_lines_dropped_total", "Lines left out of the log",
           log_lines_dropped);
+  counter("seamglade_listen_waits_total",
+          "Own addresses that could not be bound at the first try",
+          start.addresses.waits);
+  counter("seamglade_listen_retries_total", "Later tries to bind them",
+          start.addresses.retries);
   counter("seamglade_settings_waits_total",
           "Times that the settings file was missing or unfinished",
           start.settings.waits);
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "connection/call_client.h"
+#include "process/address_binder.h"
 #include "process/settings_file.h"
 #include "seamglade/gateway.h"
 
@@ -41,6 +42,7 @@
 
 /** What an instance waited for that it needs to start. */
 struct start_counters {
+  address_binder::counters addresses;
   settings_file::counters settings;
 };
 
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -108,7 +108,7 @@
       decisions_(options_of(config_), *platform_),
       callers_(base_.get(),
                {[this](caller_id caller, caller_message message) {
-                  post(event::request{caller, std::move(message)});
+                  on_caller(caller, std::move(message));
                 },
                 [this](caller_id caller) { post(event::caller_gone{caller}); },
                 [this](int status) { ++refused_unread_[status]; }}),
@@ -137,35 +137,21 @@
       target_client_(base_.get(), std::string(platform_->request_id_header())),
       fleet_client_(base_.get(), {}),
       relay_client_(base_.get(), std::string(kRelayCall)),
-      prober_(base_.get()) {}
+      prober_(base_.get()),
+      addresses_(base_.get(),
+                 {[this](const address_wait& wait) { on_listen_wait(wait); },
+                  [this] { on_bound(); },
+                  [this](const failure& why) {
+                    ended_by_ = why;
+                    event_base_loopbreak(base_.get());
+                  }}) {}
 
 gateway_shell::~gateway_shell() = default;
 
 result<void> gateway_shell::start() {
   // A peer that has closed its end shows as a failed write.
   signal(SIGPIPE, SIG_IGN);
-  const auto listen = [](gateway_server& server,
-                         const std::string& address) -> result<void> {
-    const auto where = parse_endpoint(address);
-    if (!where) return where.error();
-    if (auto bound = server.listen(where.value()); !bound) return bound.error();
-    return outcome::success();
-  };
-  if (auto done = listen(callers_, config_.caller_address); !done) return done;
-  if (auto done = listen(ready_, config_.ready_address); !done) return done;
-  if (auto done = listen(metrics_, config_.metrics_address); !done) return done;
-  if (auto done = listen(peers_, config_.peer_address); !done) return done;
-  const auto peer = parse_endpoint(config_.peer_address);
-  peer_port_ = peer.value().port;
-  if (auto done = datagrams_.bind(peer.value()); !done) return done;
-  const auto fired = [](evutil_socket_t number, short, void* self) {
-    static_cast<gateway_shell*>(self)->on_signal(static_cast<int>(number));
-  };
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-    signals_.emplace_back(
-        event_new(base_.get(), number, EV_SIGNAL | EV_PERSIST, fired, this));
-    event_add(signals_.back().get(), nullptr);
-  }
+  watch_signals();
   const auto tick = [](evutil_socket_t, short, void* self) {
     auto* shell = static_cast<gateway_shell*>(self);
     shell->post(event::tick{});
@@ -174,12 +160,86 @@
     shell->arm_timer();
   };
   timer_.reset(event_new(base_.get(), -1, 0, tick, this));
+  return addresses_.start(own_addresses());
+}
+
+std::vector<own_address> gateway_shell::own_addresses() {
+  using enum listen_role;
+  const auto listener = [](gateway_server& server) {
+    return [&server](const endpoint& where) -> result<void> {
+      if (auto bound = server.listen(where); !bound) return bound.error();
+      return outcome::success();
+    };
+  };
+  const auto datagram_port = [this](const endpoint& where) {
+    peer_port_ = where.port;
+    return datagrams_.bind(where);
+  };
+  return {{callers, config_.caller_address, listener(callers_)},
+          {ready, config_.ready_address, listener(ready_)},
+          {metrics, config_.metrics_address, listener(metrics_)},
+          {peers, config_.peer_address, listener(peers_)},
+          {datagrams, config_.peer_address, datagram_port}};
+}
+
+void gateway_shell::on_listen_wait(const address_wait& wait) {
+  log_.write(boot_now(), {"listen_wait",
+                          {{"role", std::string(to_string(wait.role))},
+                           {"address", std::string(wait.address)},
+                           {"type", std::string(to_string(wait.why.code))},
+                           {"detail", wait.why.detail},
+                           {"waited_ms", wait.waited / 1ms}},
+                          true});
+}
+
+void gateway_shell::on_bound() {
+  using enum listen_role;
+  if (!has_joined_ && addresses_.is_bound(peers) &&
+      addresses_.is_bound(datagrams)) {
+    join();
+  }
+  if (!addresses_.all_bound() || std::exchange(said_listening_, true)) return;
+  log_.write(boot_now(), {"listening",
+                          {{"callers", config_.caller_address},
+                           {"peers", config_.peer_address},
+                           {"waited_ms", addresses_.waited() / 1ms}},
+                          true});
+}
+
+void gateway_shell::join() {
+  has_joined_ = true;
   post(event::tick{});
   arm_timer();
-  return outcome::success();
 }
 
-void gateway_shell::run() { event_base_dispatch(base_.get()); }
+bool gateway_shell::has_needed_addresses() const {
+  using enum listen_role;
+  return has_joined_ && addresses_.is_bound(callers) &&
+         addresses_.is_bound(ready);
+}
+
+gateway::gateway_status gateway_shell::status() const {
+  auto out = decisions_.status(boot_now());
+  out.ready = out.ready && has_needed_addresses();
+  return out;
+}
+
+void gateway_shell::watch_signals() {
+  const auto fired = [](evutil_socket_t number, short, void* self) {
+    static_cast<gateway_shell*>(self)->on_signal(static_cast<int>(number));
+  };
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    signals_.emplace_back(
+        event_new(base_.get(), number, EV_SIGNAL | EV_PERSIST, fired, this));
+    event_add(signals_.back().get(), nullptr);
+  }
+}
+
+result<void> gateway_shell::run() {
+  event_base_dispatch(base_.get());
+  if (ended_by_) return *ended_by_;
+  return outcome::success();
+}
 
 void gateway_shell::arm_timer() {
   const auto wait = to_timeval(
@@ -250,6 +310,12 @@
   if (draining_) return;
   draining_ = true;
   drain_started_ = boot_now();
+  addresses_.stop();
+  if (!has_joined_) {
+    say_stopped();
+    event_base_loopbreak(base_.get());
+    return;
+  }
   callers_.drain();
   post(event::drain{});
 }
@@ -262,11 +328,15 @@
   const bool over = passed > config_.grace - kStopMargin;
   const bool is_busy = callers_.connection_count() > 0 || !relayed_.empty();
   if (is_busy && !over) return;
+  say_stopped();
+  event_base_loopbreak(base_.get());
+}
+
+void gateway_shell::say_stopped() {
   log_.write(boot_now(), {"stopped",
                           {{"connections", static_cast<std::int64_t>(
                                                callers_.connection_count())}},
                           true});
-  event_base_loopbreak(base_.get());
 }
 
 gateway_server& gateway_shell::server_of(caller_id caller) {
@@ -389,27 +459,45 @@
 }  // namespace
 
 void gateway_shell::answer_ready(caller_id caller) {
-  const bool ready = decisions_.status(boot_now()).ready;
+  const bool ready = status().ready;
   reply_whole(ready_, caller, ready ? kOk : kUnavailable, "");
 }
 
 void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
-  const auto status = decisions_.status(boot_now());
+  const auto now = status();
   if (path == kMetricsPath) {
-    reply_whole(
-        metrics_, caller, kOk,
-        metrics_page(status,
-                     {target_client_.counts(), fleet_client_.counts(),
-                      relay_client_.counts()},
-                     log_.dropped(), datagram_bytes_, {config_file_.counts()}));
+    reply_whole(metrics_, caller, kOk,
+                metrics_page(now,
+                             {target_client_.counts(), fleet_client_.counts(),
+                              relay_client_.counts()},
+                             log_.dropped(), datagram_bytes_,
+                             {addresses_.counts(), config_file_.counts()}));
   } else if (path == kStatusPath) {
-    reply_whole(metrics_, caller, kOk, status_page(status));
+    reply_whole(metrics_, caller, kOk, status_page(now));
   } else {
     reply_whole(metrics_, caller, kNotFound, "");
   }
 }
 
+void gateway_shell::on_caller(caller_id caller, caller_message message) {
+  if (has_joined_) {
+    post(event::request{caller, std::move(message)});
+    return;
+  }
+  log_.write(boot_now(),
+             {"refuse",
+              {{"status", kUnavailable}, {"reason", std::string("no_peers")}},
+              false});
+  callers_.begin(caller,
+                 {kUnavailable, "", {{"Retry-After", "1"}}, std::size_t{0}});
+  callers_.finish(caller);
+}
+
 void gateway_shell::answer_peer(caller_id caller, caller_message message) {
+  if (!has_joined_) {
+    reply_whole(peers_, caller, kUnavailable, "");
+    return;
+  }
   auto call = take_relay_call(message.headers, message.caller_address);
   if (!call) {
     answer_copy(caller, message.target);
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -17,6 +17,7 @@
 #include "connection/connect_probe.h"
 #include "connection/datagram_socket.h"
 #include "connection/gateway_server.h"
+#include "process/address_binder.h"
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
 #include "process/settings_file.h"
@@ -40,18 +41,30 @@
   gateway_shell(const gateway_shell&) = delete;
   gateway_shell& operator=(const gateway_shell&) = delete;
 
-  /** Binds the listeners; fails with cannot_listen or bad_address. */
+  /**
+   * Binds the listeners; run() goes on trying those that can't be bound yet.
+   * Fails with cannot_listen or bad_address.
+   */
   result<void> start();
-  /** Runs until a stop is finished. */
-  void run();
+  /** Runs until a stop is finished; fails with cannot_listen. */
+  result<void> run();
 
  private:
   void post(gateway::any_event event);
   void pump();
   void arm_timer();
+  void watch_signals();
+  std::vector<own_address> own_addresses();
+  void on_bound();
+  void join();
+  bool has_needed_addresses() const;
+  void on_listen_wait(const address_wait& wait);
+  void on_caller(caller_id caller, gateway::caller_message message);
+  gateway::gateway_status status() const;
   void on_signal(int number);
   void begin_drain();
   void tick_drain();
+  void say_stopped();
   void reload();
   void on_unfinished_settings(const failure& why);
 
@@ -108,6 +121,7 @@
   /** For requests that are handed on to other instances. */
   call_client relay_client_;
   connect_prober prober_;
+  address_binder addresses_;
   event_handle timer_;
   std::vector<event_handle> signals_;
   struct open_call {
@@ -119,7 +133,11 @@
   std::map<caller_id, std::string> relayed_;
   std::deque<gateway::any_event> events_;
   bool pumping_ = false;
+  /** Its peers can reach it, so the decisions are at work. */
+  bool has_joined_ = false;
+  bool said_listening_ = false;
   bool said_unfinished_ = false;
+  std::optional<failure> ended_by_;
   bool draining_ = false;
   time_point drain_started_{};
   time_point next_file_look_{};
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -117,7 +117,9 @@
   if (const auto started = instance.start(); !started) {
     return refuse_start(file, {started.error()});
   }
-  instance.run();
+  if (const auto ended = instance.run(); !ended) {
+    return refuse_start(file, {ended.error()});
+  }
   return kDone;
 }
 
--- a/src/process/operator_server.cc
+++ b/src/process/operator_server.cc
@@ -11,9 +11,12 @@
 #include <prometheus/text_serializer.h>
 #include <sys/resource.h>
 
+#include <boost/outcome/try.hpp>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "connection/listening.h"
+
 namespace seamglade::detail {
 namespace {
 
@@ -52,9 +55,7 @@
 }
 
 result<endpoint> operator_server::listen(const endpoint& at) {
-  auto* socket =
-      evhttp_bind_socket_with_handle(http_.get(), at.host.c_str(), at.port);
-  if (socket == nullptr) return failure{errc::cannot_listen, at.str(), 0};
+  BOOST_OUTCOME_TRY(socket, listen_with(http_.get(), at));
   return bound_endpoint(evhttp_bound_socket_get_fd(socket));
 }
 
--- a/src/process/operator_server.h
+++ b/src/process/operator_server.h
@@ -26,7 +26,7 @@
   operator_server(event_base* base, instance_id instance,
                   operator_observer observer);
 
-  /** Listens; fails with cannot_listen. Returns the bound address. */
+  /** Fails with cannot_listen or cannot_listen_yet. */
   result<endpoint> listen(const endpoint& at);
 
  private:
--- a/src/process/shell.cc
+++ b/src/process/shell.cc
@@ -59,10 +59,22 @@
               },
               [this](const failure& why) { log_.failed("bad_peer", why); }}),
       operators_(base_.get(), config_.id,
-                 {[this] { return decisions_.status(); },
+                 {[this] { return status(); },
                   [this] { return peers_.traffic(); }, [this] { drain(); }}),
       targets_(base_.get(), repeated_answers::possible),
-      service_(base_.get(), repeated_answers::never) {
+      service_(base_.get(), repeated_answers::never),
+      addresses_(base_.get(),
+                 {[this](const address_wait& wait) {
+                    log_.process(
+                        log_level::warning, "listen_wait",
+                        fmt::format("{} {}, waited {} ms", to_string(wait.role),
+                                    wait.why.detail, wait.waited / 1ms));
+                  },
+                  [this] { on_bound(); },
+                  [this](const failure& why) {
+                    ended_by_ = why;
+                    event_base_loopbreak(base_.get());
+                  }}) {
   timer_.reset(event_new(
       base_.get(), -1, 0,
       [](evutil_socket_t, short, void* arg) {
@@ -81,28 +93,47 @@
 
 shell::~shell() = default;
 
-result<bound_addresses> shell::start() {
-  bound_addresses bound;
-  const auto bind = [](const std::string& address, auto& server,
-                       endpoint& to) -> result<void> {
-    BOOST_OUTCOME_TRY(at, parse_endpoint(address));
-    BOOST_OUTCOME_TRY(given, server.listen(at));
-    to = given;
-    return outcome::success();
-  };
-  BOOST_OUTCOME_TRY(bind(config_.caller_address, callers_, bound.callers));
-  BOOST_OUTCOME_TRY(bind(config_.peer_address, peers_, bound.peers));
-  BOOST_OUTCOME_TRY(
-      bind(config_.operator_address, operators_, bound.operators));
+result<void> shell::start() {
   handle_signals();
-  const auto interval = to_timeval(kWallInterval);
-  event_add(wall_timer_.get(), &interval);
+  return addresses_.start(own_addresses());
+}
+
+std::vector<own_address> shell::own_addresses() {
+  const auto with = [this](listen_role role, auto& server) {
+    return [this, role, &server](const endpoint& where) -> result<void> {
+      BOOST_OUTCOME_TRY(given, server.listen(where));
+      bound_[role] = std::move(given);
+      return outcome::success();
+    };
+  };
+  using enum listen_role;
+  return {{callers, config_.caller_address, with(callers, callers_)},
+          {peers, config_.peer_address, with(peers, peers_)},
+          {operators, config_.operator_address, with(operators, operators_)}};
+}
+
+void shell::on_bound() {
+  using enum listen_role;
+  if (!has_begun_ && addresses_.is_bound(peers)) begin();
+  if (!addresses_.all_bound() || std::exchange(said_listening_, true)) return;
   log_.process(
       log_level::info, "listening",
-      fmt::format("callers={} peers={} operators={}", bound.callers.str(),
-                  bound.peers.str(), bound.operators.str()));
+      fmt::format("callers={} peers={} operators={}", bound_[callers].str(),
+                  bound_[peers].str(), bound_[operators].str()));
+}
+
+void shell::begin() {
+  has_begun_ = true;
+  const auto interval = to_timeval(kWallInterval);
+  event_add(wall_timer_.get(), &interval);
   post(event::wall_time{unix_now_ms()});
-  return bound;
+}
+
+controller_status shell::status() const {
+  auto out = decisions_.status();
+  out.ready =
+      out.ready && has_begun_ && addresses_.is_bound(listen_role::callers);
+  return out;
 }
 
 void shell::handle_signals() {
@@ -116,10 +147,20 @@
   event_add(on_int_.get(), nullptr);
 }
 
-void shell::run() { event_base_dispatch(base_.get()); }
+result<void> shell::run() {
+  event_base_dispatch(base_.get());
+  if (ended_by_) return *ended_by_;
+  return outcome::success();
+}
 
 void shell::drain() {
   log_.process(log_level::info, "drain", {});
+  addresses_.stop();
+  if (!has_begun_) {
+    log_.process(log_level::info, "finished", {});
+    event_base_loopbreak(base_.get());
+    return;
+  }
   post(event::drain{});
 }
 
--- a/src/process/shell.h
+++ b/src/process/shell.h
@@ -11,6 +11,7 @@
 #include "connection/caller_server.h"
 #include "connection/http_client.h"
 #include "connection/peer_network.h"
+#include "process/address_binder.h"
 #include "process/log.h"
 #include "process/operator_server.h"
 #include "seamglade/controller.h"
@@ -18,13 +19,6 @@
 
 namespace seamglade::detail {
 
-/** Addresses that a started instance was given. */
-struct bound_addresses {
-  endpoint callers;
-  endpoint peers;
-  endpoint operators;
-};
-
 /**
  * One instance: moves bytes between its sockets and the decisions.
  *
@@ -38,10 +32,13 @@
   shell(const shell&) = delete;
   shell& operator=(const shell&) = delete;
 
-  /** Binds the listeners; fails with cannot_listen or bad_address. */
-  result<bound_addresses> start();
-  /** Runs until a drain is finished. */
-  void run();
+  /**
+   * Binds the listeners; run() goes on trying those that can't be bound yet.
+   * Fails with cannot_listen or bad_address.
+   */
+  result<void> start();
+  /** Runs until a drain is finished; fails with cannot_listen. */
+  result<void> run();
 
  private:
   void post(any_event event);
@@ -49,6 +46,10 @@
   void arm_timer();
   void drain();
   void handle_signals();
+  std::vector<own_address> own_addresses();
+  void on_bound();
+  void begin();
+  controller_status status() const;
 
   void carry_out(action::reply_part&& a);
   void carry_out(action::reply_refusal&& a);
@@ -86,6 +87,12 @@
   operator_server operators_;
   http_client targets_;
   http_client service_;
+  address_binder addresses_;
+  /** Addresses that it was given, by what they are for. */
+  std::map<listen_role, endpoint> bound_;
+  bool has_begun_ = false;
+  bool said_listening_ = false;
+  std::optional<failure> ended_by_;
   std::map<call_id, call_record> calls_;
   std::deque<any_event> events_;
   bool pumping_ = false;
--- a/src/request/types.cc
+++ b/src/request/types.cc
@@ -42,12 +42,15 @@
 }
 
 std::string_view to_string(errc code) {
-  static constexpr std::array<std::string_view, 16> names{
-      "bad_model_name",     "bad_ini",          "unknown_key",
-      "bad_value",          "wrong_level",      "missing_key",
-      "outside_branch",     "older_document",   "bad_frame",
-      "frame_too_large",    "protocol_version", "unreadable_file",
-      "unfinished_file",    "cannot_listen",    "bad_address",
+  static constexpr std::array<std::string_view, 17> names{
+      "bad_model_name",     "bad_ini",
+      "unknown_key",        "bad_value",
+      "wrong_level",        "missing_key",
+      "outside_branch",     "older_document",
+      "bad_frame",          "frame_too_large",
+      "protocol_version",   "unreadable_file",
+      "unfinished_file",    "cannot_listen",
+      "cannot_listen_yet",  "bad_address",
       "service_unreachable"};
   return names.at(static_cast<std::size_t>(code));
 }
--- a/src/version/settings_schema.cc
+++ b/src/version/settings_schema.cc
@@ -147,6 +147,28 @@
   return std::regex_match(text.begin(), text.end(), std::regex(pattern));
 }
 
+/** Returns whether a text is a whole number without leading zeros. */
+bool is_number_up_to(std::string_view text, std::int64_t most) {
+  std::int64_t number = 0;
+  const bool is_padded = text.size() > 1 && text[0] == '0';
+  return !is_padded && parse_integer(text, number) && number >= 0 &&
+         number <= most;
+}
+
+bool is_address(std::string_view text) {
+  constexpr std::int64_t kMostOctet = 255;
+  constexpr std::int64_t kMostPort = 65535;
+  for (const char behind : {'.', '.', '.', ':'}) {
+    const auto end = text.find(behind);
+    if (end == std::string_view::npos ||
+        !is_number_up_to(text.substr(0, end), kMostOctet)) {
+      return false;
+    }
+    text.remove_prefix(end + 1);
+  }
+  return is_number_up_to(text, kMostPort);
+}
+
 bool is_versions(std::string_view text) {
   const auto digits = [](char c) { return c >= '0' && c <= '9'; };
   std::size_t at = 0;
@@ -186,7 +208,7 @@
              matches(text,
                      "([01]\\d|2[0-3]):[0-5]\\d-([01]\\d|2[0-3]):[0-5]\\d");
     case address:
-      return matches(text, "(\\d{1,3}\\.){3}\\d{1,3}:\\d{1,5}");
+      return is_address(text);
   }
   return false;
 }
--- a/test/start-test.cc
+++ b/test/start-test.cc
@@ -9,8 +9,10 @@
 #include <filesystem>
 #include <fstream>
 
+#include "process/address_binder.h"
 #include "process/settings_file.h"
 #include "process/wait_notice.h"
+#include "seamglade/gateway_config.h"
 #include "seamglade/instance_config.h"
 
 namespace seamglade::detail {
@@ -20,7 +22,67 @@
 
 const failure kHeld{errc::cannot_listen_yet, "held", 0};
 
-/** An addressTEST(start_wait, is_said_at_once_and_every_ten_seconds) {
+/** An address whose first tries fail. */
+own_address held_for(int tries, listen_role role, const failure& why = kHeld) {
+  auto left = std::make_shared<int>(tries);
+  return {role, "127.0.0.1:1", [left, why](const endpoint&) -> result<void> {
+            if ((*left)-- > 0) return why;
+            return outcome::success();
+          }};
+}
+
+class binder : public testing::Test {
+ protected:
+  base_handle base_{event_base_new()};
+  std::vector<listen_role> waits_;
+  std::optional<failure> failed_;
+  int bound_ = 0;
+  address_binder addresses_{
+      base_.get(),
+      {[this](const address_wait& wait) { waits_.push_back(wait.role); },
+       [this] { ++bound_; }, [this](const failure& why) { failed_ = why; }}};
+};
+
+TEST_F(binder, binds_the_others_while_one_is_held) {
+  ASSERT_TRUE(addresses_.start(
+      {held_for(2, listen_role::callers), held_for(0, listen_role::peers)}));
+  EXPECT_TRUE(addresses_.is_bound(listen_role::peers));
+  EXPECT_FALSE(addresses_.is_bound(listen_role::callers));
+  event_base_dispatch(base_.get());
+  EXPECT_TRUE(addresses_.all_bound());
+  EXPECT_EQ(waits_, std::vector{listen_role::callers});
+  EXPECT_EQ(addresses_.counts().waits, 1U);
+  EXPECT_EQ(addresses_.counts().retries, 2U);
+  EXPECT_EQ(bound_, 2);
+}
+
+TEST_F(binder, gives_up_what_will_never_be_right) {
+  const failure lasting{errc::cannot_listen, "not allowed", 0};
+  const auto started =
+      addresses_.start({held_for(1, listen_role::callers, lasting)});
+  ASSERT_FALSE(started);
+  EXPECT_EQ(started.error(), lasting);
+}
+
+TEST_F(binder, tells_a_failure_that_comes_later) {
+  const failure lasting{errc::cannot_listen, "not allowed", 0};
+  auto tries = std::make_shared<int>(0);
+  const auto bind = [tries, lasting](const endpoint&) -> result<void> {
+    return (*tries)++ == 0 ? kHeld : lasting;
+  };
+  ASSERT_TRUE(addresses_.start({{listen_role::callers, "127.0.0.1:1", bind}}));
+  event_base_dispatch(base_.get());
+  EXPECT_EQ(failed_, lasting);
+}
+
+TEST_F(binder, makes_no_more_tries_after_a_stop) {
+  ASSERT_TRUE(addresses_.start({held_for(1, listen_role::callers)}));
+  addresses_.stop();
+  event_base_dispatch(base_.get());
+  EXPECT_FALSE(addresses_.all_bound());
+}
+
+TEST(start_wait, is_said_at_once_and_every_ten_seconds) {
   wait_notice notice;
   EXPECT_TRUE(notice.is_due(time_point(1s)));
   EXPECT_FALSE(notice.is_due(time_point(10s)));
@@ -101,5 +163,22 @@
   EXPECT_EQ(checked.failures[0].line, 8);
 }
 
+TEST(gateway_settings, refuse_an_address_that_is_none) {
+  const std::string before =
+      "[gateway]\nid = a\nfailure_domain = z\nready_address = 127.0.0.1:1\n"
+      "peer_address = 127.0.0.1:2\nmetrics_address = 127.0.0.1:3\n"
+      "store_address = 127.0.0.1:4\ncaller_address = ";
+  EXPECT_TRUE(
+      check_gateway_config(before + "127.0.0.1:5\n[end]\n").failures.empty());
+  for (const auto* address :
+       {"127.0.0.300:5", "127.0.0.1:65536", "127.0.01:5", "127.0.0.01:5",
+        "127.0.0.1", "127.0.0.1:", "127.0.0.1:-5", "1.2.3.4.5:6"}) {
+    const auto checked = check_gateway_config(before + address + "\n[end]\n");
+    ASSERT_EQ(checked.failures.size(), 1U) << address;
+    EXPECT_EQ(checked.failures[0].code, errc::bad_value) << address;
+    EXPECT_EQ(checked.failures[0].line, 8) << address;
+  }
+}
+
 }  // namespace
 }  // namespace seamglade::detail
