A process that ends by itself says why in its last line

A process that a signal, an exception or a failed start ended left nothing in its log: the failure of a start stood on standard error alone.

Now it writes one JSON line, ended, with the reason: the typed failure and its line, the signal's name or the exception's text.

--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -14,6 +14,7 @@
 #include "connection/http_client.h"
 #include "process/event_log.h"
 #include "process/gateway_shell.h"
+#include "process/last_words.h"
 #include "process/reference.h"
 #include "process/settings_file.h"
 #include "process/shell.h"
@@ -106,9 +107,10 @@
   po::variables_map values_;
 };
 
-/** Says why a start has failed. */
+/** Says on standard error and in the log why a start has failed. */
 int refuse_start(const std::string& file, const std::vector<failure>& why) {
   for (const auto& f : why) print_failure(file, f);
+  detail::write_failed_start(why.front());
   return kBadInput;
 }
 
@@ -127,6 +129,7 @@
   auto checked = check_gateway_config(text);
   const auto path = file.path();
   if (!checked.failures.empty()) return refuse_start(path, checked.failures);
+  detail::name_in_last_words(checked.config.id);
   detail::gateway_shell instance(std::move(checked.config), std::move(file),
                                  std::move(text));
   return run(instance, path);
@@ -135,6 +138,7 @@
 int serve_owner(const std::string& file, const std::string& text) {
   auto checked = check_instance_config(text);
   if (!checked.failures.empty()) return refuse_start(file, checked.failures);
+  detail::name_in_last_words(checked.config.id);
   detail::shell instance(std::move(checked.config));
   return run(instance, file);
 }
@@ -160,6 +164,7 @@
   c.add()("config", po::value<std::string>()->required(),
           "INI file of the instance");
   if (const auto over = c.parse(words)) return *over;
+  detail::install_last_words(STDOUT_FILENO);
   detail::settings_file file(c.text("config"));
   auto text = settings_of(file);
   if (!text) return kDone;
--- a/test/start-test.cc
+++ b/test/start-test.cc
@@ -6,10 +6,13 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 
 #include "process/address_binder.h"
+#include "process/last_words.h"
 #include "process/settings_file.h"
 #include "process/wait_notice.h"
 #include "seamglade/gateway_config.h"
@@ -180,5 +183,34 @@
   }
 }
 
+void throw_error() { throw std::runtime_error("a \"quoted\" text"); }
+
+/** Runs in the process of a death test, which would catch the exception. */
+void throw_uncaught() noexcept {
+  install_last_words(STDERR_FILENO);
+  name_in_last_words("i1");
+  throw_error();
+}
+
+TEST(last_words_death, name_the_exception) {
+  EXPECT_DEATH(throw_uncaught(),
+               R"("instance":"i1","event":"ended","reason":"exception",)"
+               R"("detail":"a \\"quoted\\" text")");
+}
+
+TEST(last_words_death, are_written_once) {
+  EXPECT_DEATH(throw_uncaught(), "^[^\n]*text\"}\n$");
+}
+
+TEST(last_words_death, name_the_signal) {
+  const auto end_by = [](int number) {
+    install_last_words(STDERR_FILENO);
+    raise(number);
+    _exit(0);
+  };
+  EXPECT_DEATH(end_by(SIGBUS), R"("reason":"signal","signal":"SIGBUS"\})");
+  EXPECT_DEATH(end_by(SIGABRT), R"("reason":"signal","signal":"SIGABRT"\})");
+}
+
 }  // namespace
 }  // namespace seamglade::detail
