Own connections keep no listener from its port

A connection that an instance opens may be given the port that a listener had, while that is down; it then held the port until it ended, and for 60 s more in TIME-WAIT, since it did not set SO_REUSEADDR.

begin_connection() makes the socket with it, for calls, probes and links to peers. evhttp's own client, on the path through owners, makes its sockets itself and has no way to set it; left as it is.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -186,9 +186,7 @@
   event_add(c->timer.get(), &wait);
   const auto where = parse_endpoint(call.address);
   if (!where) return c;  // the timer ends the call as not sent
-  auto address = to_socket_address(where.value());
-  bufferevent_socket_connect(c->io.get(), reinterpret_cast<sockaddr*>(&address),
-                             sizeof(address));
+  begin_connection(c->io.get(), where.value());
   if (const auto fd = bufferevent_getfd(c->io.get()); fd >= 0) {
     set_no_delay(fd);
     set_dead_peer_timeout(fd, kDeadPeer);
--- a/src/connection/connect_probe.cc
+++ b/src/connection/connect_probe.cc
@@ -46,9 +46,7 @@
   attempts_.emplace(a.number, std::move(made));
   const auto where = parse_endpoint(address);
   if (!where) return;  // the timer ends it
-  auto to = to_socket_address(where.value());
-  bufferevent_socket_connect(a.io.get(), reinterpret_cast<sockaddr*>(&to),
-                             sizeof(to));
+  begin_connection(a.io.get(), where.value());
 }
 
 void connect_prober::finish(std::uint64_t number, connect_outcome outcome) {
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -54,6 +54,13 @@
 /** Returns the address that a listening socket was given. */
 endpoint bound_endpoint(evutil_socket_t fd);
 
+/**
+ * Begins to connect; returns false where that fails at once. Neither the
+ * connection nor what is left of it in TIME-WAIT keeps a listener from its
+ * own port.
+ */
+bool begin_connection(bufferevent* io, const endpoint& where);
+
 /** Reads the clock that goes on while the process is suspended. */
 time_point boot_now();
 
--- a/src/connection/peer_network.cc
+++ b/src/connection/peer_network.cc
@@ -5,9 +5,7 @@
 
 #include "connection/peer_network.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <boost/outcome/try.hpp>
@@ -27,14 +25,6 @@
 /** Connections that wait to be accepted. */
 constexpr int kBacklog = 128;
 
-sockaddr_in to_sockaddr(const endpoint& at) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(at.port);
-  inet_pton(AF_INET, at.host.c_str(), &address.sin_addr);
-  return address;
-}
-
 }  // namespace
 
 struct peer_network::link {
@@ -130,10 +120,7 @@
   accept(-1);
   auto& added = *links_.back();
   added.peer = peer.id;
-  const auto address = to_sockaddr(at.value());
-  if (bufferevent_socket_connect(added.bev.get(),
-                                 reinterpret_cast<const sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+  if (!begin_connection(added.bev.get(), at.value())) {
     close(added);
   }
 }
