--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -111,12 +111,7 @@
     end_unsent(*c);
     return c;
   }
-  auto address = to_socket_address(where.value());
-  if (bufferevent_socket_connect(c->io.get(),
-                                 reinterpret_cast<sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
-    end_unsent(*c);
-  }
+  if (!begin_connection(c->io.get(), where.value())) end_unsent(*c);
   if (const auto fd = bufferevent_getfd(c->io.get()); fd >= 0) {
     set_no_delay(fd);
     set_dead_peer_timeout(fd, kDeadPeer);
--- a/src/connection/peer_network.cc
+++ b/src/connection/peer_network.cc
@@ -5,11 +5,12 @@
 
 #include "connection/peer_network.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 
 #include <algorithm>
+#include <boost/outcome/try.hpp>
+
+#include "connection/listening.h"
 
 namespace seamglade::detail {
 namespace {
@@ -21,14 +22,8 @@
 constexpr duration kHelloWait = 3s;
 /** A peer that does not read is cut off above this many waiting bytes. */
 constexpr std::size_t kMaxBacklog = 256 << 20;
-
-sockaddr_in to_sockaddr(const endpoint& at) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(at.port);
-  inet_pton(AF_INET, at.host.c_str(), &address.sin_addr);
-  return address;
-}
+/** Connections that wait to be accepted. */
+constexpr int kBacklog = 128;
 
 }  // namespace
 
@@ -55,15 +50,12 @@
 peer_network::~peer_network() = default;
 
 result<endpoint> peer_network::listen(const endpoint& at) {
-  const auto address = to_sockaddr(at);
-  listener_.reset(evconnlistener_new_bind(
-      base_,
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
-        static_cast<peer_network*>(arg)->accept(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
-  if (!listener_) return failure{errc::cannot_listen, at.str(), 0};
+  const auto accepted = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                           void* self) {
+    static_cast<peer_network*>(self)->accept(fd);
+  };
+  BOOST_OUTCOME_TRY(made, make_listener(base_, at, kBacklog, accepted, this));
+  listener_ = std::move(made);
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
@@ -128,10 +120,7 @@
   accept(-1);
   auto& added = *links_.back();
   added.peer = peer.id;
-  const auto address = to_sockaddr(at.value());
-  if (bufferevent_socket_connect(added.bev.get(),
-                                 reinterpret_cast<const sockaddr*>(&address),
-                                 sizeof(address)) != 0) {
+  if (!begin_connection(added.bev.get(), at.value())) {
     close(added);
   }
 }
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -156,7 +156,8 @@
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
                          const datagram_bytes& datagrams,
-                         const resource_status& resources) {
+                         const resource_status& resources,
+                         const start_counters& start) {
   std::vector<prometheus::MetricFamily> out;
   const auto counter = [&](const char* name, const char* help,
                            std::uint64_t value) {
@@ -298,6 +299,16 @@
           log_lines_dropped);
   out.push_back(connection_family(resources, false));
   out.push_back(connection_family(resources, true));
+  counter("seamglade_listen_waits_total",
+          "Own addresses that could not be bound at the first try",
+          start.addresses.waits);
+  counter("seamglade_listen_retries_total", "Later tries to bind them",
+          start.addresses.retries);
+  counter("seamglade_settings_waits_total",
+          "Times that the settings file was missing or unfinished",
+          start.settings.waits);
+  counter("seamglade_settings_retries_total", "Looks that found it so",
+          start.settings.retries);
   out.push_back(datagram_family(datagrams));
   out.push_back(answer_end_family(status.answer_ends));
   out.push_back(begun_streams_family(status.begun_streams));
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -12,6 +12,8 @@
 
 #include "connection/call_client.h"
 #include "connection/gateway_server.h"
+#include "process/address_binder.h"
+#include "process/settings_file.h"
 #include "seamglade/gateway.h"
 
 namespace seamglade::detail {
@@ -56,12 +58,19 @@
   gateway_server::counters counts;
 };
 
+/** What an instance waited for that it needs to start. */
+struct start_counters {
+  address_binder::counters addresses;
+  settings_file::counters settings;
+};
+
 /** Returns the counters in Prometheus' text form. */
 std::string metrics_page(const gateway::gateway_status& status,
                          const call_counters& calls,
                          std::uint64_t log_lines_dropped,
                          const datagram_bytes& datagrams = {},
-                         const resource_status& resources = {});
+                         const resource_status& resources = {},
+                         const start_counters& start = {});
 
 /** Returns what the instance believes, as JSON. */
 std::string status_page(const gateway::gateway_status& status);
