Take-ups tell since when their instance has watched, and why since then

Callers saw streams refused that one version alone could have begun.

Change: watched_ms counts from that gap, watched_from names it (start, store_away, whole_copy, peer_copy); contents_asked is logged for each request that asks targets for lists, with their number.

No test of its own.

--- a/src/process/gateway_evidence.cc
+++ b/src/process/gateway_evidence.cc
@@ -92,14 +92,20 @@
 }
 
 void gateway_core::impl::ask_for_lists(const exchange& x) {
+  std::int64_t asked = 0;
   for (const auto* target : targets_to_list(x)) {
     if (part_word_of(x, *target) != part_word::not_asked) continue;
     const auto& entry = target->entry;
     const auto call = next_engine_call_++;
     memory_.asked(now_, call, entry.id, entry.started_ms);
     ++counts_.content_lists;
+    ++asked;
     do_act(action::list_contents{call, entry.address, entry.id});
   }
+  log("contents_asked",
+      {{"request", x.facts.id},
+       {"asked", asked},
+       {"all", static_cast<std::int64_t>(x.tracing.lists_all)}});
 }
 
 void gateway_core::impl::on(event::contents_answer&& e) {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -58,6 +58,7 @@
   /** Returns a pause between half and one and a half of one. */
   duration spread(duration pause);
   void confirm_copy(time_point at);
+  void begin_watching(std::string_view reason);
 
   // gateway_silence.cc
   /** Repeats, on new connections, what is overdue on kept ones. */
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -219,8 +219,9 @@
   // Where streams began.
   origin_table origins_;
   version_history history_;
-  /** Since when each change of the store was heard of. */
+  /** Since when each change of the store was heard of, and why since then. */
   time_point watching_since_{};
+  std::string_view watching_since_reason_ = "start";
   prompt_memory memory_;
   std::uint64_t next_origin_request_ = 1;
   std::map<std::uint64_t, caller_id> origin_asks_;
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -170,7 +170,8 @@
        {"kept", static_cast<std::int64_t>(evidence.kept.size())},
        {"unlisted", static_cast<std::int64_t>(evidence.silent.size())},
        {"copy_age_ms", to_ms(copy_age())},
-       {"watched_ms", to_ms(now_ - started_)},
+       {"watched_ms", to_ms(now_ - watching_since_)},
+       {"watched_from", std::string(watching_since_reason_)},
        {"after_ms", to_ms(now_ - x.started)}},
       true);
   refuse(x, kUnavailable, may_learn ? kComeBackSoon : duration{}, reason);
@@ -185,7 +186,8 @@
                           {"last_event", x.facts.last_event},
                           {"software", software_name(origin)},
                           {"source", std::string(source)},
-                          {"watched_ms", to_ms(now_ - started_)},
+                          {"watched_ms", to_ms(now_ - watching_since_)},
+                          {"watched_from", std::string(watching_since_reason_)},
                           {"after_ms", to_ms(now_ - x.started)}});
   const auto* service = service_at(x, origin);
   if (service == nullptr) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -119,10 +119,18 @@
 
 void gateway_core::impl::confirm_copy(time_point at) {
   // What came and went meanwhile was not seen.
-  if (was_store_away()) watching_since_ = now_;
+  if (was_store_away()) {
+    begin_watching(copy_confirmed_ ? "store_away" : watching_since_reason_);
+  }
   copy_confirmed_ = copy_confirmed_ ? std::max(*copy_confirmed_, at) : at;
 }
 
+void gateway_core::impl::begin_watching(std::string_view reason) {
+  const bool is_first = !copy_confirmed_ && watching_since_ == time_point{};
+  watching_since_reason_ = is_first ? "start" : reason;
+  watching_since_ = now_;
+}
+
 bool gateway_view::was_store_away() const { return copy_age() > kStoreAway; }
 
 void gateway_core::impl::tick_store() {
@@ -255,7 +263,7 @@
         true);
   }
   apply(std::exchange(range_, {}), kFromStore);
-  watching_since_ = now_;
+  begin_watching("whole_copy");
   confirm_copy(now_);
   confirm_keys_by_store(range_sent_);
   next_read_ = now_;
@@ -276,7 +284,7 @@
       e.changes->whole ||
       (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
-  if (e.changes->whole) watching_since_ = now_;
+  if (e.changes->whole) begin_watching("peer_copy");
   apply(*e.changes, "peer");
   take_kept(e.changes->kept);
   needs_range_ = false;
