--- a/test/stream_restart-test.cc
+++ b/test/stream_restart-test.cc
@@ -579,6 +579,55 @@
   play.expect_kept();
 }
 
+/** A play whose callers bring no id of the stream that they take up. */
+gateway_world_options without_ids(gateway_world_options options) {
+  options.names_resumed = false;
+  return options;
+}
+
+/** Streams that are taken up, whatever the targets that end had begun. */
+constexpr std::size_t kLeastOfLost = 3;
+
+/** Ends some targets in turn, with what they keep. */
+void crash_targets(restart_play& play) {
+  const auto ids = play.world().engines();
+  for (std::size_t i = 0; i < 5; ++i) {
+    play.at(kKilled + i * 800ms,
+            [&play, id = ids[i]] { play.world().crash_target(id); });
+  }
+}
+
+TEST_P(stream_restart, streams_of_lost_targets_go_on_without_their_id) {
+  restart_play play(without_ids(fleet(GetParam(), {"v1"})));
+  play.kill_all(10ms, 20ms);
+  crash_targets(play);
+  play.count_from(kKilled);
+  play.run();
+  play.expect_kept();
+  expect_goes_on(play.counts(), kLeastOfLost);
+  EXPECT_TRUE(play.world().lists().empty());
+}
+
+TEST_P(stream_restart, a_prompt_of_a_version_that_left_is_not_believed) {
+  restart_play play(without_ids(fleet(GetParam())));
+  play.remove_version("v2", kKilled);
+  for (std::size_t i = 0; i < 3; ++i) play.kill(i, kKilled, kBack);
+  play.count_from(kKilled);
+  play.run();
+  play.expect_kept();
+  play.expect_refused("v2");
+}
+
+TEST_P(stream_restart, a_prompt_that_ran_at_two_versions_proves_neither) {
+  restart_play play(without_ids(fleet(GetParam())));
+  play.play().repeat_prompts();
+  for (std::size_t i = 1; i < 6; ++i) play.kill(i, 6s, 6500ms);
+  play.run();
+  EXPECT_GE(play.play().counts().taken_up, kLeastTakenUp);
+  EXPECT_GT(play.mixed_sessions(), 20U);
+  play.expect_kept();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, stream_restart,
                          testing::Range<std::uint64_t>(1, 4));
 
@@ -593,6 +642,20 @@
   expect_goes_on(play.counts());
 }
 
+TEST(stream_restarts, streams_of_lost_targets_of_a_large_fleet_go_on) {
+  auto options = without_ids(fleet(23, {"v1"}));
+  options.instances = 24;
+  options.engines = 30;
+  restart_play play(options);
+  play.kill_all(10ms, 20ms);
+  crash_targets(play);
+  play.count_from(kKilled);
+  play.run();
+  play.expect_kept();
+  expect_goes_on(play.counts(), kLeastOfLost);
+  EXPECT_TRUE(play.world().lists().empty());
+}
+
 TEST(stream_restarts, a_version_that_left_a_large_fleet_is_not_replaced) {
   auto options = fleet(22);
   options.instances = 24;
--- a/test/version_play.h
+++ b/test/version_play.h
@@ -100,6 +100,8 @@
    * by so many tokens from one request to the next.
    */
   void use_sessions(std::uint32_t growth) { session_growth_ = growth; }
+  /** From now on each prompt comes more than once. */
+  void repeat_prompts() { repeats_prompts_ = true; }
   /** From now on requests name no parts of a prompt. */
   void use_no_prompts() { has_prompts_ = false; }
   /** From now on streams are of the plain service. */
@@ -192,10 +194,11 @@
       return;
     }
     // The first two parts are shared.
-    const auto own = session_growth_ > 0 ? number % kSessions : number;
+    const bool is_shared = session_growth_ > 0 || repeats_prompts_;
+    const auto own = is_shared ? number % kSessions : number;
     const auto tokens = static_cast<std::uint32_t>(
         session_growth_ > 0 ? kOwnTokens + number / kSessions * session_growth_
-                            : kOwnTokens + number * 37 % kOwnTokens);
+                            : kOwnTokens + own * 37 % kOwnTokens);
     fakes::caller_content content;
     content.parts =
         fmt::format("a{:x}:{},b{:x}:{},c{:x}:{}", number % 2, kSharedTokens,
@@ -267,6 +270,7 @@
   gateway_world world_;
   double broken_share_ = 0;
   std::uint32_t session_growth_ = 0;
+  bool repeats_prompts_ = false;
   bool has_prompts_ = true;
   bool is_plain_ = false;
   duration comes_back_after_{};
