A stream whose caller names no request goes on by its prompt

Callers whose target ended were refused with 503 and no time to come back, though the instances that began their streams lived, and the lists asked of all targets of the route (up to 139 from an instance in a second) held up everybody's work.

A caller that brings its last event only was asked about at no member, and a target that ended keeps nothing.

Ruled out: an origin that could be told by id (none of 1,024 take-ups names one), planned stops; lists that lag (0 to 134 of 560 requests that asked got an answer of use).

Change: instances keep the origin of a stream by its prompt too; members are asked for that, and vouch. It is believed where all targets listed for the route's services are of this service and version, nobody asked has seen another lately, the copy is fresh or all have answered, and no other origin of the prompt is known. In a large fleet two members are told, while one version serves and the teller has not watched for long enough. Where all targets are of one version the first list with the prompt decides.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -399,6 +399,8 @@
   std::uint64_t taken_up = 0;
   /** Of these: nobody knew the stream, and one version alone served. */
   std::uint64_t taken_up_unknown = 0;
+  /** Of these: the same prompt ran at the one version that serves. */
+  std::uint64_t taken_up_prompt = 0;
   /** Of these: nobody knew the stream, and targets keep its prompt. */
   std::uint64_t taken_up_kept = 0;
   /** Lists of what targets keep that were asked for. */
--- a/src/process/gateway_common.h
+++ b/src/process/gateway_common.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -27,6 +28,10 @@
 /** A copy so fresh says that the store answers somebody. */
 inline constexpr duration kStoreBack = 1500ms;
 
+/** A copy of the store so fresh lacks no version that already writes. */
+inline constexpr duration kFreshCopy = 2s;
+/** In a large fleet, members that keep word of a stream beside its instance. */
+inline constexpr std::size_t kOriginKeepers = 4;
 /** An answer is given this long before the time is up. */
 inline constexpr duration kAnswerMargin = 30ms;
 /** Why a stream that is taken up is refused: nobody can tell its version. */
--- a/src/process/gateway_evidence.cc
+++ b/src/process/gateway_evidence.cc
@@ -7,6 +7,8 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "process/gateway_impl.h"
@@ -17,6 +19,8 @@
 
 /** A target that has not listed what it keeps is done without after this. */
 constexpr duration kListPatience = 350ms;
+/** Members that are told of a prompt: without them, targets are asked. */
+constexpr std::size_t kPromptKeepers = 2;
 
 bool runs_service_of(const route& way, const target_entry& entry) {
   return std::any_of(
@@ -80,6 +84,52 @@
   return out;
 }
 
+stream_key gateway_view::prompt_key_of(const exchange& x) {
+  const auto& facts = x.facts;
+  if (facts.last_part.id.empty()) return 0;
+  auto name = fmt::format("prompt {} {}", facts.adapter.str(), x.way->prefix);
+  for (const auto& part : facts.prompt_parts) name += " " + part;
+  name += fmt::format(" {}:{} {}", facts.last_part.id, facts.last_part.tokens,
+                      facts.parts_tokens);
+  return stream_key_of(x, name);
+}
+
+stream_key gateway_view::asked_key(const exchange& x) {
+  return x.stream != 0 ? x.stream : x.prompt;
+}
+
+bool gateway_view::is_only_origin(const exchange& x,
+                                  const stream_origin& origin) const {
+  const auto& listed = targets_.listed();
+  return history_.only_version(origin.service) == origin.software &&
+         std::all_of(listed.begin(), listed.end(), [&](const auto* target) {
+           return !runs_service_of(*x.way, target->entry) ||
+                  origin_at(*target) == origin;
+         });
+}
+
+std::optional<stream_origin> gateway_view::origin_by_prompt(
+    const exchange& x) const {
+  const auto& asked = x.tracing;
+  const bool all_answered = asked.asked > 0 && asked.awaited.empty();
+  const bool is_current = all_answered || copy_age() < kFreshCopy;
+  if (x.prompt == 0 || asked.has_several || !is_current) return std::nullopt;
+  const auto known = origins_.find(x.prompt);
+  const bool is_proved =
+      known && known->is_certain() && is_only_origin(x, *known);
+  return is_proved ? known : std::nullopt;
+}
+
+void gateway_core::impl::keep_prompt(const exchange& x) {
+  if (!origins_.note(now_, {x.prompt, *x.origin})) return;
+  // The instance that serves it tells; a small fleet's members are all asked.
+  if (x.relay != 0 || !roster_.is_large()) return;
+  // By its prompt a stream goes on where one version serves, and who has
+  // watched for long enough needs no word of it.
+  if (history_.is_mixed(x.origin->service) || has_watched()) return;
+  tell_origins({{x.prompt, *origins_.find(x.prompt)}}, kPromptKeepers);
+}
+
 bool gateway_core::impl::ask_targets(exchange& x) {
   if (x.facts.last_part.id.empty()) return false;
   x.now = exchange::phase::tracing;
@@ -127,7 +177,7 @@
   if (x.stream != 0 && known) return go_on(x, *known, "told");
   const auto evidence = evidence_of(x);
   const bool is_over = now_ >= x.tracing.until;
-  if (evidence.pending > 0 && !is_over) return;
+  if (evidence.pending > 0 && !is_over && !evidence.only_origin()) return;
   if (evidence.kept.empty() && !x.tracing.lists_all && !is_over) {
     // What is known of who holds an adapter may be old.
     x.tracing.lists_all = true;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -369,7 +369,9 @@
   /** The first event of a stream is about to be passed on. */
   void note_origin(exchange& x);
   void keep_origin(const exchange& x);
-  void tell_origins(const std::vector<origin_row>& rows);
+  /** `most`: members that are told of a row, in a large fleet. */
+  void tell_origins(const std::vector<origin_row>& rows,
+                    std::size_t most = kOriginKeepers);
   /** In a planned stop, for those that began to listen after a stream did. */
   void hand_origins_over();
   void note_software(const target_entry& entry);
@@ -386,6 +388,8 @@
   /** Asks targets who keeps its prompt; false: nothing can be asked for. */
   bool ask_targets(exchange& x);
   void ask_for_lists(const exchange& x);
+  /** Keeps where its prompt ran, for callers that name no request. */
+  void keep_prompt(const exchange& x);
   /** Decides by the lists, unless more are to come. */
   void weigh_evidence(exchange& x);
   /** Has another instance find out; refuses where none can be asked. */
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -228,6 +228,9 @@
   counter("seamglade_streams_taken_up_unknown_total",
           "Of these: nobody knew the stream, and one version alone serves",
           status.taken_up_unknown);
+  counter("seamglade_streams_taken_up_prompt_total",
+          "Of these: the same prompt ran at the one version that serves",
+          status.taken_up_prompt);
   counter("seamglade_streams_taken_up_kept_total",
           "Of these: nobody knew the stream, and targets keep its prompt",
           status.taken_up_kept);
--- a/src/process/gateway_origins.cc
+++ b/src/process/gateway_origins.cc
@@ -20,10 +20,8 @@
 namespace seamglade::gateway {
 namespace {
 
-/** In a large fleet, members that keep word of a stream beside its instance. */
-constexpr std::size_t kKeepers = 4;
 /** Members that are asked: views of who comes first differ a little. */
-constexpr std::size_t kAsked = kKeepers + 2;
+constexpr std::size_t kAsked = kOriginKeepers + 2;
 /** Who has not answered is asked once more after this time ... */
 constexpr duration kAskAgain = 30ms;
 /** ... and is done without after this. */
@@ -32,8 +30,6 @@
 constexpr std::size_t kMostRows = 48;
 /** Rows that an instance tells in a planned stop. */
 constexpr std::size_t kMostHandedOver = 2048;
-/** A copy of the store so fresh lacks no version that already writes. */
-constexpr duration kFreshCopy = 2s;
 /** A caller may come back with what an earlier try left of its time. */
 constexpr int kLivesOfStream = 2;
 
@@ -100,6 +96,7 @@
 
 void gateway_core::impl::follow_stream(exchange& x) {
   const auto& resumes = x.facts.resumes;
+  x.prompt = prompt_key_of(x);
   if (!x.facts.takes_up()) {
     x.stream = stream_key_of(x, x.facts.id);
     return admit(x);
@@ -116,10 +113,14 @@
 }
 
 bool gateway_core::impl::ask_origin(exchange& x) {
-  if (x.stream == 0) return false;
+  const auto key = asked_key(x);
+  // A prompt tells nothing where several versions serve.
+  const bool is_of_use =
+      x.stream != 0 || !history_.is_mixed(hash_of_service(*x.service));
+  if (key == 0 || !is_of_use) return false;
   auto asked = staying_;
   std::erase(asked, options_.self);
-  if (roster_.is_large()) asked = first_members(x.stream, asked, kAsked);
+  if (roster_.is_large()) asked = first_members(key, asked, kAsked);
   if (asked.empty()) return false;
   x.now = exchange::phase::tracing;
   x.tracing.request = next_origin_request_++;
@@ -137,7 +138,7 @@
   for (const auto who : x.tracing.awaited) {
     ++counts_.origin_questions;
     do_act(action::send_datagram{
-        who, origin_request{x.tracing.request, x.stream, service}});
+        who, origin_request{x.tracing.request, asked_key(x), service}});
   }
 }
 
@@ -152,6 +153,10 @@
     ++counts_.taken_up_unknown;
     return go_on(x, {hash_of_service(*x.service), *only}, "single_version");
   }
+  if (const auto origin = origin_by_prompt(x)) {
+    ++counts_.taken_up_prompt;
+    return go_on(x, *origin, "prompt");
+  }
   if (!ask_targets(x)) refuse_unknown(x, kVersionUnknown, {});
 }
 
@@ -212,6 +217,7 @@
   }
   ++counts_.begun_streams[x.software];
   if (x.stream != 0) keep_origin(x);
+  if (x.prompt != 0) keep_prompt(x);
 }
 
 void gateway_core::impl::keep_origin(const exchange& x) {
@@ -225,7 +231,8 @@
   }
 }
 
-void gateway_core::impl::tell_origins(const std::vector<origin_row>& rows) {
+void gateway_core::impl::tell_origins(const std::vector<origin_row>& rows,
+                                      std::size_t most) {
   counts_.origins_told += rows.size();
   std::map<member_address, origin_message> messages;
   const auto add = [&](member_address who, const origin_row& row) {
@@ -237,9 +244,8 @@
   auto others = staying_;
   std::erase(others, options_.self);
   for (const auto& row : rows) {
-    const auto keepers = roster_.is_large()
-                             ? first_members(row.stream, others, kKeepers)
-                             : others;
+    const auto keepers =
+        roster_.is_large() ? first_members(row.stream, others, most) : others;
     for (const auto who : keepers) add(who, row);
   }
   for (auto& [who, message] : messages) {
@@ -273,6 +279,7 @@
     if (!runs_there || !x.first_event || !x.origin) continue;
     x.origin->software = 0;
     if (x.stream != 0) keep_origin(x);
+    if (x.prompt != 0) keep_prompt(x);
   }
 }
 
@@ -333,8 +340,8 @@
   if (found == exchanges_.end()) return;
   auto& x = found->second;
   if (x.now != exchange::phase::tracing) return;
-  if (message.origin) {
-    origins_.note(now_, {x.stream, *message.origin});
+  if (message.origin) origins_.note(now_, {asked_key(x), *message.origin});
+  if (message.origin && x.stream != 0) {
     return go_on(x, *message.origin, "told");
   }
   x.tracing.has_several |= !message.is_single_version;
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -171,6 +171,15 @@
   /** Returns whether a stream that has begun may go on there. */
   bool may_go_on_at(const exchange& x, const target_state& target) const;
   static stream_key stream_key_of(const exchange& x, std::string_view id);
+  /** Names a stream by adapter, route and parts of its prompt; 0: no parts. */
+  static stream_key prompt_key_of(const exchange& x);
+  /** Returns what others are asked of a stream that is taken up by. */
+  static stream_key asked_key(const exchange& x);
+  /** Returns whether all targets of its route have this service and version,
+   * and no other version was seen lately. */
+  bool is_only_origin(const exchange& x, const stream_origin& origin) const;
+  /** Returns where the same prompt ran, if that proves where the stream did. */
+  std::optional<stream_origin> origin_by_prompt(const exchange& x) const;
   /** Returns the service of its route where a stream began; null: none is. */
   const service_profile* service_at(const exchange& x,
                                     const stream_origin& origin) const;
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -64,6 +64,8 @@
   quota_wait quota;
   /** The stream that it begins or takes up; 0: it is none that goes on. */
   stream_key stream = 0;
+  /** Names a stream by its prompt instead; 0: that names no parts. */
+  stream_key prompt = 0;
   /** Where that began; none: not known, or it has not begun. */
   std::optional<stream_origin> origin;
   /** What it asks of others about that. */
