A wrong key of the test stands in front of the settings' end

gateway_processes-test appended a wrong key to the settings of scripts/fleet.sh, which end with [end] since the start waits for whole files. The key stood in that section, which has none, so the section was refused, one line earlier. The test puts it into [gateway] as before, and expects the same refusal with that key's line.

--- a/test/gateway_processes-test.sh
+++ b/test/gateway_processes-test.sh
@@ -27,13 +27,13 @@
 
 # Settings that are wrong change nothing, and are named once: file, line, range.
 lines=$(wc -l <"$work/g1.ini")
-echo 'retry_window = soon' >>"$work/g1.ini"
+sed -i '$i retry_window = soon' "$work/g1.ini"
 refused=$(wait_for "$work/g1.log" '"event":"settings_refused"') ||
   fail 'wrong settings were not refused'
-expect "$refused" "\"file\":\"$work/g1.ini\",\"line\":$((lines + 1)),"
+expect "$refused" "\"file\":\"$work/g1.ini\",\"line\":$lines,"
 expect "$refused" 'accepted'
 expect "$(call 1 /get/x p5)" 'answer to p5 200'
-sed -i '$d' "$work/g1.ini"
+sed -i "${lines}d" "$work/g1.ini"
 
 # More adapters than places; the first requests wait for a holder.
 for i in $(seq 1 18); do
