Bytes that a caller sends ahead do not spin the loop

While a request was under way and its caller had sent 64 KiB more, the loop turned without a rest until the answer was finished: libevent calls the reader back at once while its buffer is at the watermark, and nothing was taken from it. Timers and other callers still came through.

Such a connection is read no further until its answer is finished, from 4 KiB on. What a caller sends beyond stays with the system, whose part is bounded from the first byte on that is sent ahead. While a request is read, the watermark is above what a head may have.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -28,7 +28,7 @@
 /** Bytes of a request that wait to be read. */
 constexpr std::size_t kReadAtOnce = 65536;
 /** Bytes that a caller may send ahead of its answer: read, and unread. */
-constexpr std::size_t kReadAhead = 65536;
+constexpr std::size_t kReadAhead = 4096;
 constexpr int kUnreadAhead = 16384;
 /** Bytes that may wait for a slow caller. */
 constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
@@ -212,7 +212,10 @@
 void gateway_server::start_reading(connection& c) {
   c.now = phase::reading;
   c.bytes->release();
-  bufferevent_setwatermark(c.io.get(), EV_READ, 0, kReadAtOnce);
+  // A head that is not whole yet must not reach the watermark.
+  const std::size_t most = std::max(kReadAtOnce, 2UL * limits_.header_bytes);
+  bufferevent_setwatermark(c.io.get(), EV_READ, 0, most);
+  if (c.sends_ahead) bufferevent_enable(c.io.get(), EV_READ);
   idle_.push_back(c);
   c.caller = 0;
   c.told_continue = false;
@@ -241,8 +244,14 @@
 }
 
 void gateway_server::read_ahead(connection& c) {
-  if (std::exchange(c.sends_ahead, true)) return;
-  set_receive_buffer(bufferevent_getfd(c.io.get()), kUnreadAhead);
+  const auto* in = bufferevent_get_input(c.io.get());
+  if (!std::exchange(c.sends_ahead, true)) {
+    set_receive_buffer(bufferevent_getfd(c.io.get()), kUnreadAhead);
+  }
+  // libevent calls back without end for what stays at the watermark.
+  if (evbuffer_get_length(in) >= kReadAhead) {
+    bufferevent_disable(c.io.get(), EV_READ);
+  }
 }
 
 bool gateway_server::reserve(connection& c) {
@@ -360,6 +369,8 @@
   c.now = phase::closing;
   c.bytes->release();
   c.reader.reset();
+  // Unread bytes would turn the close into a reset.
+  if (c.sends_ahead) bufferevent_enable(c.io.get(), EV_READ);
   arm(c, kLinger);
   auto* in = bufferevent_get_input(c.io.get());
   evbuffer_drain(in, evbuffer_get_length(in));
--- a/test/resource_bounds-test.cc
+++ b/test/resource_bounds-test.cc
@@ -299,5 +299,29 @@
   EXPECT_EQ(server_.connection_count(), kConnections);
 }
 
+TEST_F(resource_bounds, bytes_sent_ahead_do_not_spin) {
+  std::optional<caller_id> under_way;
+  on_request_ = [&](caller_id caller) { under_way = caller; };
+  plain_caller caller(address_);
+  caller.send(kSmall);
+  until([&] { return under_way.has_value(); });
+  on_request_ = [&](caller_id next) { answer(next); };
+  // Far more than is read while a request is under way.
+  const std::string ahead(200000, 'x');
+  const auto next = head_of(ahead.size()) + ahead;
+  std::size_t sent = 0;
+  const auto send_some = [&] {
+    sent += caller.send_some(std::string_view(next).substr(sent));
+  };
+  send_some();
+  EXPECT_LT(turns_in(200ms), 100U);
+  EXPECT_EQ(requests_, 1U);
+  answer(*under_way);
+  until([&] {
+    send_some();
+    return requests_ == 2;
+  });
+}
+
 }  // namespace
 }  // namespace seamglade::detail
