The herd's memory is measured beside that of a sanitizer

A sanitizer takes more than the limit by itself (140 MB at the start), so the test could not hold in debug. A loop of a test is written so that the linter sees its end.

--- a/test/herd_processes-test.sh
+++ b/test/herd_processes-test.sh
@@ -21,14 +21,21 @@
   awk -v what="$1" '$1 == what { n = $2 } END { print n + 0 }' "$work/herd.out"
 }
 
+# peak: prints the most memory that the instance has had, in KB.
+peak() {
+  awk '/VmHWM/ { print $2 }' "/proc/${pid_of[g1]}/status"
+}
+
 uploads_stay_within_memory() {
   net=127.0.7
   start_platform
   gateway_settings="memory_limit = ${limit_mb}MB" start_gateway 1
   until_gateway_ready 1
+  local start_kb
+  start_kb=$(peak)
   "$bin/seamglade-herd-standin" "$net.1:$port" "$callers" "$body_bytes" \
     >"$work/herd.out" 2>&1 &
-  local herd=$! held refused peak_kb
+  local herd=$! held refused grown_kb
   pids+=("$herd")
   held=$(wait_for "$work/herd.out" '^held' | cut -d' ' -f2)
   # Small requests are served beside them, and others see how it is.
@@ -45,9 +52,10 @@
     fail 'one refused was not told when to come back'
   [ "$(grep -c '^run h' "$work/platform.out")" -eq "$held" ] ||
     fail 'one refused has run'
-  peak_kb=$(awk '/VmHWM/ { print $2 }' "/proc/${pid_of[g1]}/status")
-  echo "peak: $((peak_kb / 1024)) MB"
-  [ "$peak_kb" -lt $((limit_mb * 1024)) ] || fail "held $peak_kb KB"
+  # Half of the limit is for others; a sanitizer alone takes more than all.
+  grown_kb=$(($(peak) - start_kb))
+  echo "peak: $(($(peak) / 1024)) MB, $((grown_kb / 1024)) of them for the herd"
+  [ "$grown_kb" -lt $((limit_mb * 512)) ] || fail "held $grown_kb KB"
   # The question itself has some.
   [ "$(metric seamglade_reserved_bytes)" -lt 1024 ] ||
     fail 'room was not given back'
--- a/test/resource_bounds-test.cc
+++ b/test/resource_bounds-test.cc
@@ -93,7 +93,10 @@
   bool is_over = false;
   run_after(base, wait, [&] { is_over = true; });
   std::size_t turns = 0;
-  for (; !is_over; ++turns) event_base_loop(base, EVLOOP_ONCE);
+  while (!is_over) {
+    event_base_loop(base, EVLOOP_ONCE);
+    ++turns;
+  }
   return turns;
 }
 
