--- a/src/connection/caller_server.h
+++ b/src/connection/caller_server.h
@@ -31,7 +31,8 @@
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
 
-  /** Listens; fails with cannot_listen or cannot_listen_yet. Returns the bound address. */
+  /** Listens; fails with cannot_listen or cannot_listen_yet. Returns the bound
+   * address. */
   result<endpoint> listen(const endpoint& at) { return http_.listen(at); }
   /** Takes no new connections; open ones are told to close. */
   void stop_listening();
