--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -59,7 +59,7 @@
 struct answer_end {
   call_id call = 0;
   call_end end = call_end::complete;
-  /** Of an end as `malformed`. */
+  /** Why what came is no answer, if anything came. */
   answer_defect defect = {};
 };
 struct order_answer {
@@ -310,6 +310,8 @@
   cold_bounds cold;
   /** Places at plain targets are handed out; else all requests go there. */
   bool admission = true;
+  /** Bytes of bodies of answers that are not whole yet, in all. */
+  std::size_t answer_bytes = 32UL << 20U;
 };
 
 /** What an instance believes and has counted; for metrics and status. */
@@ -401,6 +403,8 @@
   std::uint64_t taken_up = 0;
   /** Of these: nobody knew the stream, and one version alone served. */
   std::uint64_t taken_up_unknown = 0;
+  /** Of these: the same prompt ran at the one version that serves. */
+  std::uint64_t taken_up_prompt = 0;
   /** Of these: nobody knew the stream, and targets keep its prompt. */
   std::uint64_t taken_up_kept = 0;
   /** Lists of what targets keep that were asked for. */
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -54,6 +54,7 @@
 peer_address = ${3:-127.0.0.1:0}
 operator_address = 127.0.0.1:0
 config_service = ${address[config]}
+[end]
 INI
   "$bin/seamglade" serve --config "$work/$1.ini" >"$work/$1.log" 2>&1 &
   pids+=($!)
@@ -143,7 +144,8 @@
   port=$((20000 + $$ % 20000))
 }
 
-# start_gateway N: starts instance N of the direct path.
+# start_gateway N: starts instance N of the direct path, with the further lines
+# of settings in `gateway_settings`.
 start_gateway() {
   local ip=$net.$1
   cat >"$work/g$1.ini" <<INI
@@ -157,6 +159,8 @@
 store_address = $store
 seeds = $net.1:1,$net.2:1
 grace = 4s
+${gateway_settings:-}
+[end]
 INI
   "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
   pids+=($!)
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -1,4 +1,4 @@
-// seamglade - calls over HTTP/1.1 with kept connections, for the direct path
+// seamglade - calls over HTTP/1.1 with kept connections, for all paths
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -45,6 +45,10 @@
    * fallen silent without a reset.
    */
   bool on_new_connection = false;
+  /** Its connection carries no other call, before or after. */
+  bool is_alone = false;
+  /** No byte is written after this time: the call then ends as not sent. */
+  time_point not_after = time_point::max();
 };
 
 using gateway::answer_carrier;
@@ -82,7 +86,10 @@
     std::function<void(const answer_head&, const answer_carrier&)> head;
     std::function<void(std::shared_ptr<const std::string>)> data;
     std::function<void(call_end)> end;
-    /** Before an end as `malformed`: why. Not needed; cancels no call. */
+    /**
+     * Why what came is no answer, before an end as `malformed` or, within a
+     * head, as `closed`. Not needed; cancels no call.
+     */
     std::function<void(const answer_defect&)> defect = {};
   };
 
@@ -108,9 +115,13 @@
 
   /** Starts a call; no handler runs before this returns. */
   token start(outgoing_call call, handlers on);
-  /** Ends a call and its connection; no handler runs afterwards. */
-  void cancel(token call);
+  /**
+   * Ends a call and its connection; no handler runs afterwards. Returns whether
+   * any byte of the request may have been written.
+   */
+  bool cancel(token call);
   const counters& counts() const { return counts_; }
+  std::size_t connection_count() const { return connections_.size(); }
 
  private:
   enum class phase : std::uint8_t { connecting, calling, idle };
@@ -153,7 +164,10 @@
   bool may_be_kept(const connection& c) const;
   /** Whether nothing has come on an idle connection, also no close. */
   static bool is_quiet(const connection& c);
+  /** If it is too late, ends the call in place of that. */
   void write_request(connection& c);
+  /** Ends a call of which nothing was written, from the loop. */
+  static void end_unsent(connection& c);
   void on_readable(connection& c);
   void on_event(connection& c, short what);
   /** Nothing more will come on a connection that carries a call. */
@@ -171,7 +185,7 @@
   bool give_body(connection& c);
   void complete(connection& c);
   void end_call(connection& c, call_end how);
-  void end_malformed(connection& c, answer_defect defect);
+  void end_malformed(connection& c, const answer_defect& defect);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
   /** Bounds the idle connections that take no further call without a name. */
   void close_surplus(const std::string& address);
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -16,6 +17,12 @@
 #include <ctime>
 
 namespace seamglade::detail {
+namespace {
+
+/** A shorter text is copied: that takes less than a reference to it. */
+constexpr std::size_t kShared = 4096;
+
+}  // namespace
 
 std::string endpoint::str() const { return fmt::format("{}:{}", host, port); }
 
@@ -54,6 +61,17 @@
   return {text, ntohs(address.sin_port)};
 }
 
+bool begin_connection(bufferevent* io, const endpoint& where) {
+  const auto fd =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0) evutil_make_listen_socket_reuseable(fd);
+  bufferevent_setfd(io, fd);
+  const auto address = to_socket_address(where);
+  return bufferevent_socket_connect(io,
+                                    reinterpret_cast<const sockaddr*>(&address),
+                                    sizeof(address)) == 0;
+}
+
 time_point boot_now() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
@@ -125,6 +143,21 @@
   return text;
 }
 
+void set_receive_buffer(evutil_socket_t fd, int bytes) {
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
+std::size_t unread_bytes(evutil_socket_t fd) {
+  int bytes = 0;
+  if (ioctl(fd, FIONREAD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
+void add_text(evbuffer* to, const std::shared_ptr<const std::string>& text) {
+  if (text && text->size() >= kShared) return add_shared(to, text);
+  if (text) evbuffer_add(to, text->data(), text->size());
+}
+
 void add_shared(evbuffer* to, std::shared_ptr<const std::string> text) {
   if (!text || text->empty()) return;
   using holder = std::shared_ptr<const std::string>;
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -54,6 +54,13 @@
 /** Returns the address that a listening socket was given. */
 endpoint bound_endpoint(evutil_socket_t fd);
 
+/**
+ * Begins to connect; returns false where that fails at once. Neither the
+ * connection nor what is left of it in TIME-WAIT keeps a listener from its
+ * own port.
+ */
+bool begin_connection(bufferevent* io, const endpoint& where);
+
 /** Reads the clock that goes on while the process is suspended. */
 time_point boot_now();
 
@@ -86,6 +93,18 @@
 /** Moves all bytes of a buffer into one string. */
 std::shared_ptr<const std::string> take_all(evbuffer* from);
 
+/**
+ * Bounds what the system keeps of bytes that arrive and are not read; it takes
+ * this for half of what it may use.
+ */
+void set_receive_buffer(evutil_socket_t fd, int bytes);
+
+/** Returns the bytes that have arrived and were not read. */
+std::size_t unread_bytes(evutil_socket_t fd);
+
+/** Adds a shared text to a buffer; a large one is not copied. */
+void add_text(evbuffer* to, const std::shared_ptr<const std::string>& text);
+
 /** Adds a shared text to a buffer without copying it. */
 void add_shared(evbuffer* to, std::shared_ptr<const std::string> text);
 
--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -20,63 +20,45 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t kAnswerHeaderBytes = 65536;
-/** A line between chunks, or all trailers, may be this long at least. */
-constexpr std::uint32_t kLeastUnparsed = 4096;
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
+constexpr int kNoContent = 204;
 /** Of bytes that could not be read, so many are told. */
 constexpr std::size_t kExcerptBytes = 64;
 
-/**
- * Feeds a parser until the buffer is empty, or it is done or fails. Bytes that
- * it cannot use yet, of a head, a chunk's size or trailers, may be so many.
- */
-template <bool IsRequest>
-boost::beast::error_code feed(http::basic_parser<IsRequest>& parser,
-                              evbuffer* from, std::uint32_t most_unparsed) {
-  boost::beast::error_code ec;
-  while (!parser.is_done()) {
-    const auto size = evbuffer_get_length(from);
-    if (size == 0) break;
-    const auto* bytes = evbuffer_pullup(from, -1);
-    const auto used = parser.put(boost::asio::const_buffer(bytes, size), ec);
-    evbuffer_drain(from, used);
-    if (ec == http::error::need_more) {
-      ec = {};
-      if (used == 0) break;
-      continue;
-    }
-    if (ec) break;
-  }
-  const bool is_overfull =
-      !parser.is_done() &&
-      evbuffer_get_length(from) > std::max(most_unparsed, kLeastUnparsed);
-  if (!ec && is_overfull) ec = http::error::buffer_overflow;
-  return ec;
-}
-
 std::string_view unread_bytes(evbuffer* from) {
   const auto size = evbuffer_get_length(from);
   if (size == 0) return {};
   return {reinterpret_cast<const char*>(evbuffer_pullup(from, -1)), size};
 }
 
-/** Whether a line of a head that is read in part or whole begins with a blank.
- */
-bool has_folded_line(std::string_view head) {
-  constexpr std::string_view kLineEnd = "\r\n";
-  auto at = head.find(kLineEnd);
-  while (at != std::string_view::npos) {
-    const auto line = head.substr(at + kLineEnd.size());
-    if (line.empty() || line.starts_with(kLineEnd)) return false;
-    if (line.front() == ' ' || line.front() == '\t') return true;
-    at = head.find(kLineEnd, at + kLineEnd.size());
+/** Feeds a parser until the buffer is empty, or it is done or fails. */
+template <bool IsRequest>
+boost::beast::error_code feed(http::basic_parser<IsRequest>& parser,
+                              message_framer& framer, evbuffer* from) {
+  boost::beast::error_code ec;
+  while (!ec && !parser.is_done()) {
+    const auto unread = unread_bytes(from);
+    if (unread.empty()) break;
+    const bool in_head = !parser.is_header_done();
+    const bool at_line = !in_head && parser.chunked() && !framer.in_chunk();
+    message_piece piece{unread.size(), {}};
+    if (in_head) piece = framer.next_head(unread);
+    if (at_line) piece = framer.next_chunk_line(unread);
+    if (piece.ec || piece.size == 0) return piece.ec;
+    const boost::asio::const_buffer whole(unread.data(), piece.size);
+    evbuffer_drain(from, parser.put(whole, ec));
+    // What has come whole, and is too short all the same, stays so.
+    if (ec == http::error::need_more) {
+      ec = in_head ? http::error::bad_version : http::error::bad_chunk;
+    }
   }
-  return false;
+  return ec;
 }
 
 gateway::answer_fault fault_of(const boost::beast::error_code& ec) {
   using gateway::answer_fault;
+  if (ec == http::error::bad_obs_fold) return answer_fault::folded_line;
   if (ec == http::error::bad_transfer_encoding) return answer_fault::coding;
   if (ec == http::error::bad_content_length) return answer_fault::length;
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
@@ -142,15 +124,15 @@
 
 request_reader::request_reader(std::uint32_t header_bytes,
                                std::uint64_t body_bytes)
-    : header_bytes_(header_bytes) {
-  eager(true);
+    : framer_(true, header_bytes) {
   header_limit(header_bytes);
   body_limit(body_bytes);
 }
 
 parse_progress request_reader::read(evbuffer* from) {
   if (fault_ != parse_fault::none) return parse_progress::failed;
-  const auto ec = feed<true>(*this, from, header_bytes_);
+  started_ = started_ || evbuffer_get_length(from) > 0;
+  const auto ec = feed<true>(*this, framer_, from);
   if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     fault_ = parse_fault::headers_too_large;
   } else if (ec == http::error::body_limit) {
@@ -162,6 +144,15 @@
   return is_done() ? parse_progress::complete : parse_progress::need_more;
 }
 
+std::size_t request_reader::size() const {
+  std::size_t body = body_.size();
+  if (is_header_done()) {
+    const auto length = content_length();
+    if (length) body = std::max<std::size_t>(body, *length);
+  }
+  return head_size_ + body;
+}
+
 gateway::caller_message request_reader::take() {
   drop_named(message_.headers, connection_names_);
   message_.body = std::make_shared<const std::string>(std::move(body_));
@@ -173,6 +164,7 @@
                                      error_code& ec) {
   message_.method = text(method);
   message_.target = text(target);
+  head_size_ += target.size();
   version_ = version;
   if (version < 10 || target.empty() || target.front() != '/') {
     ec = http::error::bad_target;
@@ -181,6 +173,8 @@
 
 void request_reader::on_field_impl(http::field field, string_view name,
                                    string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
+  head_size_ += name.size() + value.size();
   if (field == http::field::host) {
     message_.host = text(value);
     if (++host_count_ > 1) ec = http::error::bad_field;
@@ -191,10 +185,15 @@
   if (field == http::field::expect) {
     expects_continue_ = boost::beast::iequals(value, "100-continue");
   }
-  if (field == http::field::transfer_encoding &&
-      !boost::beast::iequals(value, "chunked")) {
+  const bool is_coded = field == http::field::transfer_encoding;
+  if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
   }
+  // The library takes a list of equal lengths for one.
+  if (field == http::field::content_length &&
+      !boost::algorithm::all(value, boost::algorithm::is_digit())) {
+    ec = http::error::bad_content_length;
+  }
   if (!concerns_connection(field)) {
     message_.headers.push_back({text(name), text(value)});
   }
@@ -204,26 +203,31 @@
   if (host_count_ == 0 && version_ >= 11) ec = http::error::bad_field;
 }
 
-void request_reader::on_body_init_impl(const boost::optional<std::uint64_t>&,
-                                       error_code&) {}
+void request_reader::on_body_init_impl(
+    const boost::optional<std::uint64_t>& length, error_code&) {
+  if (length) body_.reserve(*length);
+}
 
 std::size_t request_reader::on_body_impl(string_view body, error_code&) {
   body_.append(body.data(), body.size());
   return body.size();
 }
 
-void request_reader::on_chunk_header_impl(std::uint64_t, string_view,
-                                          error_code&) {}
+void request_reader::on_chunk_header_impl(std::uint64_t size, string_view,
+                                          error_code&) {
+  framer_.begin_chunk(size);
+}
 
 std::size_t request_reader::on_chunk_body_impl(std::uint64_t, string_view body,
                                                error_code& ec) {
+  framer_.take_from_chunk(body.size());
   return on_body_impl(body, ec);
 }
 
 void request_reader::on_finish_impl(error_code&) {}
 
-answer_reader::answer_reader(bool bodyless) {
-  eager(true);
+answer_reader::answer_reader(bool bodyless)
+    : framer_(false, kAnswerHeaderBytes) {
   skip(bodyless);
   header_limit(kAnswerHeaderBytes);
   // Boost 1.74 takes "no limit" for less than any length.
@@ -231,10 +235,7 @@
 }
 
 parse_progress answer_reader::read(evbuffer* from) {
-  if (!is_header_done() && has_folded_line(unread_bytes(from))) {
-    return fail(gateway::answer_fault::folded_line, unread_bytes(from));
-  }
-  if (const auto ec = feed<false>(*this, from, kAnswerHeaderBytes)) {
+  if (const auto ec = feed<false>(*this, framer_, from)) {
     return fail(fault_of(ec), unread_bytes(from));
   }
   return is_done() ? parse_progress::complete : parse_progress::need_more;
@@ -263,6 +264,7 @@
 
 void answer_reader::on_field_impl(http::field field, string_view name,
                                   string_view value, error_code& ec) {
+  if (is_header_done()) return;  // a trailer
   const bool is_coded = field == http::field::transfer_encoding;
   if (is_coded && (version_ < 11 || !boost::beast::iequals(value, "chunked"))) {
     ec = http::error::bad_transfer_encoding;
@@ -286,6 +288,8 @@
 
 void answer_reader::on_header_impl(error_code&) {
   drop_named(head_.headers, connection_names_);
+  const bool names_body = chunked() || content_length().value_or(0) > 0;
+  has_stray_body_ = head_.status == kNoContent && names_body;
   if (chunked()) {
     head_.framing = gateway::body_framing::chunked;
   } else if (need_eof()) {
@@ -301,11 +305,14 @@
   return body.size();
 }
 
-void answer_reader::on_chunk_header_impl(std::uint64_t, string_view,
-                                         error_code&) {}
+void answer_reader::on_chunk_header_impl(std::uint64_t size, string_view,
+                                         error_code&) {
+  framer_.begin_chunk(size);
+}
 
 std::size_t answer_reader::on_chunk_body_impl(std::uint64_t, string_view body,
                                               error_code& ec) {
+  framer_.take_from_chunk(body.size());
   return on_body_impl(body, ec);
 }
 
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "connection/message_framer.h"
 #include "seamglade/answer_end.h"
 #include "seamglade/gateway_types.h"
 
@@ -31,7 +32,7 @@
 
 enum class parse_progress : std::uint8_t { need_more, complete, failed };
 
-/** Reads one request, whole. */
+/** Reads one request, whole; trailers are dropped. */
 class request_reader final : private boost::beast::http::basic_parser<true> {
  public:
   request_reader(std::uint32_t header_bytes, std::uint64_t body_bytes);
@@ -41,11 +42,16 @@
   parse_fault fault() const { return fault_; }
   /** Whether the head is complete and the caller waits for a go-ahead. */
   bool wants_continue() const { return expects_continue_ && is_header_done(); }
-  /** Whether any byte of the request was taken. */
-  bool started() const { return got_some(); }
+  /** Whether any byte of the request has come. */
+  bool started() const { return started_; }
   bool head_complete() const { return is_header_done(); }
   bool keeps_connection() const { return keep_alive(); }
   bool is_old_version() const { return version_ < 11; }
+  /** Returns the bytes of its head, and of its body as far as they are known.
+   */
+  std::size_t size() const;
+  /** Returns the headers as far as they came. */
+  const std::vector<http_header>& headers() const { return message_.headers; }
   /** Returns the request; valid once complete. */
   gateway::caller_message take();
 
@@ -69,7 +75,10 @@
                                  error_code& ec) override;
   void on_finish_impl(error_code& ec) override;
 
-  std::uint32_t header_bytes_;
+  message_framer framer_;
+  bool started_ = false;
+  /** Of its start line and fields. */
+  std::size_t head_size_ = 0;
   gateway::caller_message message_;
   std::string body_;
   std::vector<std::string> connection_names_;
@@ -90,7 +99,7 @@
 };
 
 /**
- * Reads one answer; its body is handed out as it comes.
+ * Reads one answer; its body is handed out as it comes, trailers are dropped.
  *
  * Stricter than the library: a status is 100 to 599, no field goes on in a
  * second line, and `chunked` is the only coding, since no other is decoded.
@@ -102,10 +111,13 @@
 
   /** Takes what belongs to this answer from a buffer. */
   parse_progress read(evbuffer* from);
+  /** Whether any byte of the answer was taken. */
+  bool has_begun() const { return got_some(); }
   /** The connection ended in order; returns whether that ends the answer. */
   bool end_of_stream();
   bool head_complete() const { return is_header_done(); }
-  bool keeps_connection() const { return keep_alive(); }
+  /** Whether the next answer can be told from what follows this one. */
+  bool keeps_connection() const { return keep_alive() && !has_stray_body_; }
   const answer_head& head() const { return head_; }
   /** Returns why reading failed. */
   const gateway::answer_defect& defect() const { return defect_; }
@@ -134,9 +146,12 @@
 
   parse_progress fail(gateway::answer_fault fault, std::string_view unread);
 
+  message_framer framer_;
   answer_head head_;
   gateway::answer_defect defect_;
   int version_ = 11;
+  /** It names a body that it can't have. */
+  bool has_stray_body_ = false;
   std::vector<std::string> connection_names_;
   std::string body_;
 };
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -18,9 +18,12 @@
 /** An event, and a body that is passed on whole, may be this large. */
 constexpr std::size_t kMostEvent = 1UL << 20U;
 constexpr std::size_t kMostBody = 8UL << 20U;
-/** All bodies that are not whole yet, once one of them is not small. */
-constexpr std::size_t kMostBodies = 32UL << 20U;
 constexpr std::size_t kSmallBody = 1UL << 20U;
+/** Of what all bodies may have, so much is for one, and so much is small. */
+constexpr std::size_t kBodyPart = 4;
+constexpr std::size_t kSmallPart = 32;
+/** Beyond twice what all may have, only those up to this size grow. */
+constexpr std::size_t kLeastBody = 64UL << 10U;
 
 bool promises_not_run(int status) {
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
@@ -124,11 +127,14 @@
 }
 
 bool gateway_core::impl::is_too_large(const exchange& x) const {
-  if (x.body.size() <= kSmallBody) return false;
-  if (x.body.size() > kMostBody) return true;
+  const auto most = options_.answer_bytes;
+  if (x.body.size() <= kLeastBody) return false;
+  if (x.body.size() > std::min(kMostBody, most / kBodyPart)) return true;
   std::size_t total = 0;
   for (const auto& [caller, other] : exchanges_) total += other.body.size();
-  return total > kMostBodies;
+  const bool is_small =
+      x.body.size() <= std::min(kSmallBody, most / kSmallPart);
+  return total > (is_small ? 2 * most : most);
 }
 
 void gateway_core::impl::end_too_large(exchange& x) {
@@ -196,7 +202,8 @@
 void gateway_core::impl::settle_call(exchange& x, call_end end) {
   const bool whole = end == call_end::complete;
   note_end(x, whole);
-  if (end == call_end::malformed) {
+  const bool has_sent_bytes = x.defect.fault != answer_fault::none;
+  if (end == call_end::malformed || has_sent_bytes) {
     note_life_of(x.target);
   } else if (!whole && x.status == 0) {
     note_unreached(x.target, end);
@@ -329,9 +336,7 @@
        {"status", x.status},
        {"framing", std::string(to_string(x.framing))},
        {"end", std::string(to_string(end))},
-       {"fault", end == call_end::malformed
-                     ? std::string(to_string(x.defect.fault))
-                     : std::string()},
+       {"fault", std::string(to_string(x.defect.fault))},
        {"excerpt", x.defect.excerpt},
        {"connection", connection_of(x.carrier)},
        {"calls_before", x.carrier.calls_before},
@@ -369,6 +374,7 @@
 
 void gateway_core::impl::retry(exchange& x, std::string_view reason) {
   ++counts_.retries;
+  x.defect = {};
   log("retry", {{"request", x.facts.id}, {"reason", std::string(reason)}});
   place_again(x);
 }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <random>
 
 #include "connection/peer_paths.h"
@@ -83,39 +84,66 @@
   out.quota.slack = from.quota_slack;
   out.cold.excess = from.cold_excess;
   out.cold.slack = from.cold_slack;
+  out.answer_bytes = divide_memory(limits_of(from).memory).answers;
   return out;
 }
 
+/** Returns what an answer has to bear that ends before a request is read. */
+std::vector<http_header> relay_name(const std::vector<http_header>& request) {
+  for (const auto& header : request) {
+    if (boost::algorithm::iequals(header.name, kRelayCall)) {
+      return {{std::string(kRelayCall), header.value}};
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 gateway_server gateway_shell::make_server(
-    std::function<void(caller_id, caller_message)> request) {
+    std::function<void(caller_id, caller_message)> request,
+    std::size_t connections) {
   gateway_server::handlers on;
   on.request = std::move(request);
   on.gone = [](caller_id) {};
   on.refused = [](int) {};
-  return gateway_server(base_.get(), std::move(on));
+  return gateway_server(base_.get(), std::move(on), 1,
+                        bounds_of(listener_use::fleet, connections));
 }
 
-gateway_shell::gateway_shell(gateway_config config, std::string config_file)
+listener_bounds gateway_shell::bounds_of(listener_use use,
+                                         std::size_t connections) const {
+  return {bytes_, use, connections};
+}
+
+gateway_shell::gateway_shell(gateway_config config, settings_file file,
+                             std::string text)
     : config_(std::move(config)),
-      config_file_(std::move(config_file)),
+      config_file_(std::move(file)),
+      config_text_(std::move(text)),
+      limits_(limits_of(config_)),
+      descriptors_(divide_descriptors(limits_.descriptors)),
+      bytes_(std::make_shared<byte_budget>(divide_memory(limits_.memory).held)),
       base_(event_base_new()),
       platform_(gateway::make_platform_dialect()),
       log_(base_.get(), STDOUT_FILENO, config_.id),
       decisions_(options_of(config_), *platform_),
       callers_(base_.get(),
                {[this](caller_id caller, caller_message message) {
-                  post(event::request{caller, std::move(message)});
+                  on_caller(caller, std::move(message));
                 },
                 [this](caller_id caller) { post(event::caller_gone{caller}); },
-                [this](int status) { ++refused_unread_[status]; }}),
-      ready_(make_server([this](caller_id caller, const caller_message&) {
-        answer_ready(caller);
-      })),
-      metrics_(make_server([this](caller_id caller, const caller_message& m) {
-        answer_metrics(caller, m.target);
-      })),
+                [this](int status) { ++refused_unread_[status]; }},
+               1, bounds_of(listener_use::callers, descriptors_.callers)),
+      ready_(
+          make_server([this](caller_id caller,
+                             const caller_message&) { answer_ready(caller); },
+                      descriptors_.ready)),
+      metrics_(make_server(
+          [this](caller_id caller, const caller_message& m) {
+            answer_metrics(caller, m.target);
+          },
+          descriptors_.metrics)),
       peers_(base_.get(),
              {[this](caller_id caller, caller_message message) {
                 answer_peer(caller, std::move(message));
@@ -124,8 +152,9 @@
                 if (relayed_.erase(caller) == 0) return;
                 post(event::caller_gone{caller});
               },
-              [this](int status) { ++refused_unread_[status]; }},
-             kFirstPeerCaller),
+              [this](int status) { ++refused_unread_[status]; }, relay_name},
+             kFirstPeerCaller,
+             bounds_of(listener_use::fleet, descriptors_.peers)),
       datagrams_(base_.get(),
                  [this](member_address from, std::string_view bytes) {
                    auto message = gateway::decode_peer_message(bytes);
@@ -135,51 +164,110 @@
       target_client_(base_.get(), std::string(platform_->request_id_header())),
       fleet_client_(base_.get(), {}),
       relay_client_(base_.get(), std::string(kRelayCall)),
-      prober_(base_.get()) {
-  if (auto text = read_file(config_file_)) config_text_ = text.value();
-}
+      prober_(base_.get()),
+      addresses_(base_.get(),
+                 {[this](const address_wait& wait) { on_listen_wait(wait); },
+                  [this] { on_bound(); },
+                  [this](const failure& why) {
+                    ended_by_ = why;
+                    event_base_loopbreak(base_.get());
+                  }}) {}
 
 gateway_shell::~gateway_shell() = default;
 
 result<void> gateway_shell::start() {
   // A peer that has closed its end shows as a failed write.
   signal(SIGPIPE, SIG_IGN);
-  const auto listen = [](gateway_server& server,
-                         const std::string& address) -> result<void> {
-    const auto where = parse_endpoint(address);
-    if (!where) return where.error();
-    if (auto bound = server.listen(where.value()); !bound) return bound.error();
-    return outcome::success();
-  };
-  if (auto done = listen(callers_, config_.caller_address); !done) return done;
-  if (auto done = listen(ready_, config_.ready_address); !done) return done;
-  if (auto done = listen(metrics_, config_.metrics_address); !done) return done;
-  if (auto done = listen(peers_, config_.peer_address); !done) return done;
-  const auto peer = parse_endpoint(config_.peer_address);
-  peer_port_ = peer.value().port;
-  if (auto done = datagrams_.bind(peer.value()); !done) return done;
-  const auto fired = [](evutil_socket_t number, short, void* self) {
-    static_cast<gateway_shell*>(self)->on_signal(static_cast<int>(number));
-  };
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-    signals_.emplace_back(
-        event_new(base_.get(), number, EV_SIGNAL | EV_PERSIST, fired, this));
-    event_add(signals_.back().get(), nullptr);
-  }
+  watch_signals();
   const auto tick = [](evutil_socket_t, short, void* self) {
     auto* shell = static_cast<gateway_shell*>(self);
     shell->post(event::tick{});
     shell->tick_drain();
+    shell->log_room();
     if (boot_now() >= shell->next_file_look_) shell->reload();
     shell->arm_timer();
   };
   timer_.reset(event_new(base_.get(), -1, 0, tick, this));
+  return addresses_.start(own_addresses());
+}
+
+std::vector<own_address> gateway_shell::own_addresses() {
+  using enum listen_role;
+  const auto listener = [](gateway_server& server) {
+    return [&server](const endpoint& where) -> result<void> {
+      if (auto bound = server.listen(where); !bound) return bound.error();
+      return outcome::success();
+    };
+  };
+  const auto datagram_port = [this](const endpoint& where) {
+    peer_port_ = where.port;
+    return datagrams_.bind(where);
+  };
+  return {{callers, config_.caller_address, listener(callers_)},
+          {ready, config_.ready_address, listener(ready_)},
+          {metrics, config_.metrics_address, listener(metrics_)},
+          {peers, config_.peer_address, listener(peers_)},
+          {datagrams, config_.peer_address, datagram_port}};
+}
+
+void gateway_shell::on_listen_wait(const address_wait& wait) {
+  log_.write(boot_now(), {"listen_wait",
+                          {{"role", std::string(to_string(wait.role))},
+                           {"address", std::string(wait.address)},
+                           {"type", std::string(to_string(wait.why.code))},
+                           {"detail", wait.why.detail},
+                           {"waited_ms", wait.waited / 1ms}},
+                          true});
+}
+
+void gateway_shell::on_bound() {
+  using enum listen_role;
+  if (!has_joined_ && addresses_.is_bound(peers) &&
+      addresses_.is_bound(datagrams)) {
+    join();
+  }
+  if (!addresses_.all_bound() || std::exchange(said_listening_, true)) return;
+  log_.write(boot_now(), {"listening",
+                          {{"callers", config_.caller_address},
+                           {"peers", config_.peer_address},
+                           {"waited_ms", addresses_.waited() / 1ms}},
+                          true});
+}
+
+void gateway_shell::join() {
+  has_joined_ = true;
   post(event::tick{});
   arm_timer();
-  return outcome::success();
 }
 
-void gateway_shell::run() { event_base_dispatch(base_.get()); }
+bool gateway_shell::has_needed_addresses() const {
+  using enum listen_role;
+  return has_joined_ && addresses_.is_bound(callers) &&
+         addresses_.is_bound(ready);
+}
+
+gateway::gateway_status gateway_shell::status() const {
+  auto out = decisions_.status(boot_now());
+  out.ready = out.ready && has_needed_addresses();
+  return out;
+}
+
+void gateway_shell::watch_signals() {
+  const auto fired = [](evutil_socket_t number, short, void* self) {
+    static_cast<gateway_shell*>(self)->on_signal(static_cast<int>(number));
+  };
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    signals_.emplace_back(
+        event_new(base_.get(), number, EV_SIGNAL | EV_PERSIST, fired, this));
+    event_add(signals_.back().get(), nullptr);
+  }
+}
+
+result<void> gateway_shell::run() {
+  event_base_dispatch(base_.get());
+  if (ended_by_) return *ended_by_;
+  return outcome::success();
+}
 
 void gateway_shell::arm_timer() {
   const auto wait = to_timeval(
@@ -214,15 +302,20 @@
 
 void gateway_shell::reload() {
   next_file_look_ = boot_now() + kFileLook;
-  const auto text = read_file(config_file_);
-  if (!text || text.value() == config_text_) return;
+  const auto text = config_file_.read(boot_now());
+  if (!text) {
+    on_unfinished_settings(text.error());
+    return;
+  }
+  said_unfinished_ = false;
+  if (text.value() == config_text_) return;
   config_text_ = text.value();
   const auto checked = check_gateway_config(config_text_);
   if (!checked.failures.empty()) {
     // The settings before stay in force; the same text is not refused twice.
     const auto& why = checked.failures.front();
     log_.write(boot_now(), {"settings_refused",
-                            {{"file", config_file_},
+                            {{"file", config_file_.path()},
                              {"line", why.line},
                              {"type", std::string(to_string(why.code))},
                              {"detail", why.detail}},
@@ -233,10 +326,24 @@
   post(event::new_seeds{options_of(config_).seeds});
 }
 
+void gateway_shell::on_unfinished_settings(const failure& why) {
+  if (std::exchange(said_unfinished_, true)) return;
+  log_.write(boot_now(), {"settings_wait",
+                          {{"type", std::string(to_string(why.code))},
+                           {"detail", why.detail}},
+                          true});
+}
+
 void gateway_shell::begin_drain() {
   if (draining_) return;
   draining_ = true;
   drain_started_ = boot_now();
+  addresses_.stop();
+  if (!has_joined_) {
+    say_stopped();
+    event_base_loopbreak(base_.get());
+    return;
+  }
   callers_.drain();
   post(event::drain{});
 }
@@ -249,11 +356,15 @@
   const bool over = passed > config_.grace - kStopMargin;
   const bool is_busy = callers_.connection_count() > 0 || !relayed_.empty();
   if (is_busy && !over) return;
+  say_stopped();
+  event_base_loopbreak(base_.get());
+}
+
+void gateway_shell::say_stopped() {
   log_.write(boot_now(), {"stopped",
                           {{"connections", static_cast<std::int64_t>(
                                                callers_.connection_count())}},
                           true});
-  event_base_loopbreak(base_.get());
 }
 
 gateway_server& gateway_shell::server_of(caller_id caller) {
@@ -376,26 +487,89 @@
 }  // namespace
 
 void gateway_shell::answer_ready(caller_id caller) {
-  const bool ready = decisions_.status(boot_now()).ready;
+  const bool ready = status().ready;
   reply_whole(ready_, caller, ready ? kOk : kUnavailable, "");
 }
 
 void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
-  const auto status = decisions_.status(boot_now());
+  const auto now = status();
   if (path == kMetricsPath) {
     reply_whole(metrics_, caller, kOk,
-                metrics_page(status,
+                metrics_page(now,
                              {target_client_.counts(), fleet_client_.counts(),
                               relay_client_.counts()},
-                             log_.dropped(), datagram_bytes_));
+                             log_.dropped(), datagram_bytes_, resources(),
+                             {addresses_.counts(), config_file_.counts()}));
   } else if (path == kStatusPath) {
-    reply_whole(metrics_, caller, kOk, status_page(status));
+    reply_whole(metrics_, caller, kOk, status_page(now));
   } else {
     reply_whole(metrics_, caller, kNotFound, "");
   }
 }
 
+resource_status gateway_shell::resources() const {
+  resource_status out;
+  out.reserved_bytes = bytes_->reserved();
+  out.unsent_bytes = bytes_->unsent();
+  out.held_bound = bytes_->bound();
+  out.descriptor_limit = limits_.descriptors;
+  out.connections = {
+      {"callers", callers_.connection_count(), descriptors_.callers},
+      {"ready", ready_.connection_count(), descriptors_.ready},
+      {"metrics", metrics_.connection_count(), descriptors_.metrics},
+      {"peers", peers_.connection_count(), descriptors_.peers},
+      {"calls",
+       target_client_.connection_count() + fleet_client_.connection_count() +
+           relay_client_.connection_count(),
+       descriptors_.calls}};
+  for (const auto* server : {&callers_, &ready_, &metrics_, &peers_}) {
+    out.counts += server->counts();
+  }
+  return out;
+}
+
+void gateway_shell::log_room() {
+  const auto now = boot_now();
+  auto counts = callers_.counts();
+  counts += peers_.counts();
+  const auto turned_away = counts.room_refusals + counts.broken_off +
+                           counts.closed_unread + counts.accept_rests;
+  const auto told = room_watch_.look(now, turned_away);
+  if (!told) return;
+  log_.write(
+      now, {told->has_ended ? "room_back" : "no_room",
+            {{"turned_away", static_cast<std::int64_t>(told->turned_away)},
+             {"for_ms", told->lasted / 1ms},
+             {"room_refusals", static_cast<std::int64_t>(counts.room_refusals)},
+             {"broken_off", static_cast<std::int64_t>(counts.broken_off)},
+             {"closed_unread", static_cast<std::int64_t>(counts.closed_unread)},
+             {"accept_rests", static_cast<std::int64_t>(counts.accept_rests)},
+             {"reserved", static_cast<std::int64_t>(bytes_->reserved())},
+             {"unsent", static_cast<std::int64_t>(bytes_->unsent())},
+             {"connections",
+              static_cast<std::int64_t>(callers_.connection_count())}},
+            true});
+}
+
+void gateway_shell::on_caller(caller_id caller, caller_message message) {
+  if (has_joined_) {
+    post(event::request{caller, std::move(message)});
+    return;
+  }
+  log_.write(boot_now(),
+             {"refuse",
+              {{"status", kUnavailable}, {"reason", std::string("no_peers")}},
+              false});
+  callers_.begin(caller,
+                 {kUnavailable, "", {{"Retry-After", "1"}}, std::size_t{0}});
+  callers_.finish(caller);
+}
+
 void gateway_shell::answer_peer(caller_id caller, caller_message message) {
+  if (!has_joined_) {
+    reply_whole(peers_, caller, kUnavailable, "");
+    return;
+  }
   auto call = take_relay_call(message.headers, message.caller_address);
   if (!call) {
     answer_copy(caller, message.target);
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -17,8 +17,12 @@
 #include "connection/connect_probe.h"
 #include "connection/datagram_socket.h"
 #include "connection/gateway_server.h"
+#include "process/address_binder.h"
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
+#include "process/process_limits.h"
+#include "process/room_watch.h"
+#include "process/settings_file.h"
 #include "seamglade/gateway.h"
 #include "seamglade/gateway_config.h"
 
@@ -30,25 +34,41 @@
 /** One instance of the direct path, on one loop. */
 class gateway_shell {
  public:
-  /** `config_file` is read again on SIGHUP and when it changes. */
-  gateway_shell(gateway_config config, std::string config_file);
+  /**
+   * `config` comes of `text`; `file` is read again on SIGHUP and when it
+   * changes.
+   */
+  gateway_shell(gateway_config config, settings_file file, std::string text);
   ~gateway_shell();
   gateway_shell(const gateway_shell&) = delete;
   gateway_shell& operator=(const gateway_shell&) = delete;
 
-  /** Binds the listeners; fails with cannot_listen or bad_address. */
+  /**
+   * Binds the listeners; run() goes on trying those that can't be bound yet.
+   * Fails with cannot_listen or bad_address.
+   */
   result<void> start();
-  /** Runs until a stop is finished. */
-  void run();
+  /** Runs until a stop is finished; fails with cannot_listen. */
+  result<void> run();
 
  private:
   void post(gateway::any_event event);
   void pump();
   void arm_timer();
+  void watch_signals();
+  std::vector<own_address> own_addresses();
+  void on_bound();
+  void join();
+  bool has_needed_addresses() const;
+  void on_listen_wait(const address_wait& wait);
+  void on_caller(caller_id caller, gateway::caller_message message);
+  gateway::gateway_status status() const;
   void on_signal(int number);
   void begin_drain();
   void tick_drain();
+  void say_stopped();
   void reload();
+  void on_unfinished_settings(const failure& why);
 
   void carry_out(gateway::action::reply_head&& a);
   void carry_out(gateway::action::reply_data&& a);
@@ -82,11 +102,18 @@
   /** Returns the server that a caller's connection belongs to. */
   gateway_server& server_of(caller_id caller);
   gateway_server make_server(
-      std::function<void(caller_id, gateway::caller_message)> request);
+      std::function<void(caller_id, gateway::caller_message)> request,
+      std::size_t connections);
+  listener_bounds bounds_of(listener_use use, std::size_t connections) const;
+  resource_status resources() const;
+  void log_room();
 
   gateway_config config_;
-  std::string config_file_;
+  settings_file config_file_;
   std::string config_text_;
+  process_limits limits_;
+  descriptor_shares descriptors_;
+  std::shared_ptr<byte_budget> bytes_;
   base_handle base_;
   std::unique_ptr<gateway::dialect> platform_;
   event_log log_;
@@ -103,6 +130,7 @@
   /** For requests that are handed on to other instances. */
   call_client relay_client_;
   connect_prober prober_;
+  address_binder addresses_;
   event_handle timer_;
   std::vector<event_handle> signals_;
   struct open_call {
@@ -114,11 +142,17 @@
   std::map<caller_id, std::string> relayed_;
   std::deque<gateway::any_event> events_;
   bool pumping_ = false;
+  /** Its peers can reach it, so the decisions are at work. */
+  bool has_joined_ = false;
+  bool said_listening_ = false;
+  bool said_unfinished_ = false;
+  std::optional<failure> ended_by_;
   bool draining_ = false;
   time_point drain_started_{};
   time_point next_file_look_{};
   std::uint16_t peer_port_ = 0;
   std::map<int, std::uint64_t> refused_unread_;
+  room_watch room_watch_;
 };
 
 }  // namespace seamglade::detail
--- a/test/broken_answers.h
+++ b/test/broken_answers.h
@@ -43,7 +43,7 @@
 
 /** Returns answers of which none may be taken for one. */
 inline std::vector<broken_answer> broken_answers() {
-  using namespace std::string_literals;
+  using std::string_literals::operator""s;
   const auto chunks = "2\r\nok\r\n0\r\n\r\n"s;
   return {
       with_status_line("status_000", "HTTP/1.1 000 Trouble"),
@@ -59,6 +59,9 @@
       with_status_line("other_version", "HTTP/3.7 200 OK"),
       with_status_line("other_protocol", "HTPP/1.1 200 OK"),
       with_status_line("control_byte_in_the_reason", "HTTP/1.1 200 O\x01K"),
+      {"cut_in_the_version", "HTTP/1."},
+      {"cut_in_the_status", "HTTP/1.1 20"},
+      {"cut_in_the_head", "HTTP/1.1 200 OK\r\nX-Y: 1\r\n"},
       with_field("blank_in_a_name", "X Y: 1"),
       with_field("blank_before_the_colon", "X-Y : 1"),
       with_field("control_byte_in_a_name", "X\x01Y: 1"),
