--- a/test/broken_answer-test.cc
+++ b/test/broken_answer-test.cc
@@ -10,6 +10,7 @@
 #include "broken_answers.h"
 #include "connection/call_client.h"
 #include "early_target.h"
+#include "loop_patience.h"
 #include "raw_target.h"
 
 namespace seamglade::detail {
@@ -51,9 +52,7 @@
       event_base_loopbreak(base_.get());
     };
     const auto token = client_.start(std::move(what), std::move(on));
-    const auto wait = to_timeval(kPatience);
-    event_base_loopexit(base_.get(), &wait);
-    event_base_dispatch(base_.get());
+    run_loop(base_.get(), kPatience);
     if (!out.end) client_.cancel(token);
     return out;
   }
--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "loop_patience.h"
 #include "repeating_target.h"
 
 namespace seamglade::detail {
@@ -64,11 +65,7 @@
     return out;
   }
 
-  void run(duration most) {
-    const auto wait = to_timeval(most);
-    event_base_loopexit(base_.get(), &wait);
-    event_base_dispatch(base_.get());
-  }
+  void run(duration most) { run_loop(base_.get(), most); }
 
   void expect_own_answer(const outcome_of_call& got) const {
     EXPECT_EQ(got.end, call_end::complete);
--- a/test/call_client_soak-test.cc
+++ b/test/call_client_soak-test.cc
@@ -9,6 +9,7 @@
 #include <random>
 
 #include "connection/call_client.h"
+#include "loop_patience.h"
 #include "repeating_target.h"
 #include "soak_seeds.h"
 
@@ -49,9 +50,7 @@
 
   void play() {
     for (std::size_t i = 0; i < kAtOnce; ++i) start_call();
-    const auto wait = to_timeval(kPatience);
-    event_base_loopexit(base_.get(), &wait);
-    event_base_dispatch(base_.get());
+    run_loop(base_.get(), kPatience);
   }
 
   std::size_t ended = 0;
--- a/test/endless_answer-test.cc
+++ b/test/endless_answer-test.cc
@@ -7,6 +7,7 @@
 
 #include "connection/answer_collector.h"
 #include "endless_target.h"
+#include "loop_patience.h"
 
 namespace seamglade::detail {
 namespace {
@@ -58,11 +59,7 @@
     return call;
   }
 
-  void run(duration most) {
-    const auto wait = to_timeval(most);
-    event_base_loopexit(base_.get(), &wait);
-    event_base_dispatch(base_.get());
-  }
+  void run(duration most) { run_loop(base_.get(), most); }
 
   /** The target has had its connection closed, and sent little. */
   void expect_closed(std::size_t most) {
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -10,6 +10,7 @@
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
 #include "connection/gateway_server.h"
+#include "loop_patience.h"
 #include "raw_caller.h"
 #include "raw_target.h"
 
@@ -49,11 +50,7 @@
   void stop() { event_base_loopbreak(base_.get()); }
 
   /** Runs the loop until somebody stops it, or the test has failed. */
-  void run(duration most = kPatience) {
-    const auto wait = to_timeval(most);
-    event_base_loopexit(base_.get(), &wait);
-    event_base_dispatch(base_.get());
-  }
+  void run(duration most = kPatience) { run_loop(base_.get(), most); }
 
   struct outcome_of_call {
     int status = 0;
--- a/test/http_client-test.cc
+++ b/test/http_client-test.cc
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "loop_patience.h"
 #include "raw_target.h"
 #include "repeating_target.h"
 
@@ -37,9 +38,7 @@
   what.path = "/x";
   what.timeout = 2s;
   client.start(std::move(what), std::move(observer));
-  const auto patience = to_timeval(3s);
-  event_base_loopexit(base, &patience);
-  event_base_dispatch(base);
+  run_loop(base, 3s);
   return out;
 }
 
--- a/test/raw_caller.h
+++ b/test/raw_caller.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "connection/event_handles.h"
+#include "loop_patience.h"
 
 namespace seamglade::detail {
 
@@ -49,9 +50,7 @@
   bufferevent_socket_connect(io.get(), reinterpret_cast<sockaddr*>(&address),
                              sizeof(address));
   bufferevent_write(io.get(), bytes.data(), bytes.size());
-  const auto patience = to_timeval(3s);
-  event_base_loopexit(base, &patience);
-  event_base_dispatch(base);
+  run_loop(base, 3s);
   return call.reply;
 }
 
