--- a/src/process/gateway_domains.cc
+++ b/src/process/gateway_domains.cc
@@ -87,14 +87,15 @@
   return longest;
 }
 
+bool gateway_view::gets_nothing(const target_state& target) const {
+  return domains_.is_evacuated(target.entry.failure_domain) ||
+         target.own_word.is_at_rest(now_, target.entry.started_ms);
+}
+
 bool gateway_core::impl::is_at_rest(target_keeper& keeper) {
   const auto& id = keeper.id();
   const auto* target = targets_.find(id);
-  const bool gets_nothing =
-      target != nullptr &&
-      (domains_.is_evacuated(target->entry.failure_domain) ||
-       target->own_word.is_at_rest(now_, target->entry.started_ms));
-  if (gets_nothing) {
+  if (target != nullptr && gets_nothing(*target)) {
     resting_.insert(id);
     return true;
   }
--- a/src/process/gateway_reach.cc
+++ b/src/process/gateway_reach.cc
@@ -78,7 +78,7 @@
   std::erase_if(asked, [this](const target_state* target) {
     const auto* service = config_->find_service(target->entry.service);
     const bool reports = service != nullptr && service->engine;
-    return !reports || reach_.owes_byte(target->hash);
+    return !reports || reach_.owes_byte(target->hash) || gets_nothing(*target);
   });
   std::shuffle(asked.begin(), asked.end(), random_);
   asked.resize(std::min(count, asked.size()));
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -125,6 +125,8 @@
   // gateway_domains.cc
   /** Returns the longest time for which a service's targets are cold. */
   duration longest_cold_time() const;
+  /** Whether it may get nothing at all, not even an order or a question. */
+  bool gets_nothing(const target_state& target) const;
   /** Returns whether its route and its workspace may be served there. */
   bool is_in_allowed_region(const exchange& x,
                             const target_state& target) const;
