Signals that an instance ignores do not end one that waits for its settings

From the reading review: SIGHUP and SIGPIPE are ignored or handled only once the instance listens, so a HUP, or a reader of its log that has gone, ended one that waited for its settings. Both are ignored from the start of serve. Case 'signals while the settings are missing' of start_processes-test: passes; by reading, not run, it failed before.

--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -165,6 +166,9 @@
           "INI file of the instance");
   if (const auto over = c.parse(words)) return *over;
   detail::install_last_words(STDOUT_FILENO);
+  // Neither ends an instance that waits for its settings.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   detail::settings_file file(c.text("config"));
   auto text = settings_of(file);
   if (!text) return kDone;
--- a/test/start_processes-test.sh
+++ b/test/start_processes-test.sh
@@ -191,6 +191,14 @@
 test_settings() {
   next_case 'no settings file'
   written_late
+  next_case 'signals while the settings are missing'
+  serve
+  said '"event":"settings_wait"'
+  kill -HUP "$instance"
+  kill -PIPE "$instance"
+  settings >"$ini"
+  ready
+  end_now "$instance"
   next_case 'an empty settings file'
   : >"$ini"
   written_late
