A stop and the idle time cut no answer that is still being written

An answer that was complete here, on a kept connection, was cut while its bytes were still on the way to a slow caller: close_idle() (2.5 s into a planned stop) and the idle timer looked at what had come in alone. Both ask is_idle() now, so bytes that wait in either direction keep a connection.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -333,8 +333,8 @@
     return;
   }
   const auto rest = c.since + limits_.idle_timeout - boot_now();
-  if (rest > 0ms) {
-    arm(c, rest);
+  if (rest > 0ms || !is_idle(c)) {
+    arm(c, std::max<duration>(rest, kLeastIdle));
     return;
   }
   erase(c);
@@ -488,11 +488,8 @@
 void gateway_server::close_idle() {
   std::vector<connection*> idle;
   for (const auto& [number, c] : connections_) {
-    const bool unread =
-        evbuffer_get_length(bufferevent_get_input(c->io.get())) > 0;
-    if (c->now == phase::reading && !unread && !c->reader->started()) {
-      idle.push_back(c.get());
-    }
+    const bool is_between = c->now == phase::reading && !c->reader->started();
+    if (is_between && is_idle(*c)) idle.push_back(c.get());
   }
   for (auto* c : idle) erase(*c);
 }
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -425,6 +425,33 @@
 }
 
 // What was unsent 1 s behind an answer that ends its connection was dropped.
+TEST_F(gateway_http, a_stop_cuts_no_answer_that_is_still_written) {
+  const std::string large(32UL << 20U, 'x');
+  on_request_ = [&](caller_id caller, const gateway::caller_message&) {
+    answer(caller, 200, large);
+    server_.drain();
+    server_.close_idle();
+  };
+  const auto out = call(get("/x"));
+  run();
+  EXPECT_EQ(out->end, call_end::complete);
+  EXPECT_EQ(out->body.size(), large.size());
+}
+
+TEST_F(gateway_http, an_idle_time_cuts_no_answer_that_is_still_written) {
+  gateway::caller_limits limits;
+  limits.idle_timeout = 1ms;
+  server_.set_limits(limits);
+  const std::string large(32UL << 20U, 'x');
+  on_request_ = [&](caller_id caller, const gateway::caller_message&) {
+    answer(caller, 200, large);
+  };
+  const auto out = call(get("/x"));
+  run();
+  EXPECT_EQ(out->end, call_end::complete);
+  EXPECT_EQ(out->body.size(), large.size());
+}
+
 TEST_F(gateway_http, a_slow_caller_gets_the_whole_of_a_last_answer) {
   constexpr int kSmallBuffer = 65536;
   const std::string large(24UL << 20U, 'x');
