A cut head is told again where heads are read whole

Since heads are given to the parser whole, it had seen no byte of a head that broke off, so the call looked as if none had come.

--- a/src/connection/http_parser.cc
+++ b/src/connection/http_parser.cc
@@ -235,6 +235,7 @@
 }
 
 parse_progress answer_reader::read(evbuffer* from) {
+  started_ = started_ || evbuffer_get_length(from) > 0;
   if (const auto ec = feed<false>(*this, framer_, from)) {
     return fail(fault_of(ec), unread_bytes(from));
   }
--- a/src/connection/http_parser.h
+++ b/src/connection/http_parser.h
@@ -112,7 +112,7 @@
   /** Takes what belongs to this answer from a buffer. */
   parse_progress read(evbuffer* from);
   /** Whether any byte of the answer was taken. */
-  bool has_begun() const { return got_some(); }
+  bool has_begun() const { return started_; }
   /** The connection ended in order; returns whether that ends the answer. */
   bool end_of_stream();
   bool head_complete() const { return is_header_done(); }
@@ -147,6 +147,7 @@
   parse_progress fail(gateway::answer_fault fault, std::string_view unread);
 
   message_framer framer_;
+  bool started_ = false;
   answer_head head_;
   gateway::answer_defect defect_;
   int version_ = 11;
--- a/test/broken_answer-test.cc
+++ b/test/broken_answer-test.cc
@@ -24,6 +24,7 @@
   int status = 0;
   std::string body;
   std::optional<call_end> end;
+  answer_defect defect;
 };
 
 class broken_answer_test : public testing::Test {
@@ -47,6 +48,7 @@
     on.data = [&](const std::shared_ptr<const std::string>& data) {
       out.body += *data;
     };
+    on.defect = [&](const answer_defect& why) { out.defect = why; };
     on.end = [&](call_end end) {
       out.end = end;
       event_base_loopbreak(base_.get());
@@ -76,6 +78,15 @@
   }
 }
 
+// Without word of it, the target would count as silent.
+TEST_F(broken_answer_test, a_head_that_is_cut_is_told) {
+  for (const std::string bytes : {"H", "HTTP/1.1 200 OK\r\nX-Y: 1\r\n"}) {
+    const auto got = call_answered_by({"cut", bytes});
+    EXPECT_EQ(got.end, call_end::closed) << bytes;
+    EXPECT_EQ(got.defect.fault, answer_fault::cut_head) << bytes;
+  }
+}
+
 TEST_F(broken_answer_test, what_looks_odd_and_is_sound_is_an_answer) {
   for (const auto& answer : odd_answers()) {
     const auto got = call_answered_by(answer);
