--- a/src/connection/caller_server.h
+++ b/src/connection/caller_server.h
@@ -31,8 +31,7 @@
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
 
-  /** Listens; fails with cannot_listen or cannot_listen_yet. Returns the bound
-   * address. */
+  /** Fails with cannot_listen or cannot_listen_yet. */
   result<endpoint> listen(const endpoint& at) { return http_.listen(at); }
   /** Takes no new connections; open ones are told to close. */
   void stop_listening();
