--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -145,7 +145,7 @@
 }
 
 # start_gateway N: starts instance N of the direct path, with the further lines
-# of settings in `gateway_settings`.
+# of settings in `gateway_settings`, by the command in `gateway_prefix`.
 start_gateway() {
   local ip=$net.$1
   cat >"$work/g$1.ini" <<INI
@@ -162,7 +162,8 @@
 ${gateway_settings:-}
 [end]
 INI
-  "$bin/seamglade" serve --config "$work/g$1.ini" >>"$work/g$1.log" 2>&1 &
+  ${gateway_prefix:-} "$bin/seamglade" serve --config "$work/g$1.ini" \
+    >>"$work/g$1.log" 2>&1 &
   pids+=($!)
   pid_of[g$1]=$!
 }
--- a/test/start_processes-test.sh
+++ b/test/start_processes-test.sh
@@ -3,7 +3,8 @@
 # held or not there, a settings file that is being written. Each goes on
 # trying and serves once it can; what will never be right ends it at once.
 # Usage: start_processes-test.sh BUILD_DIR KIND, with KIND one of addresses,
-# former_life, settings, reload, stop, refused, owners, last_words.
+# former_life, settings, settings_variable, reload, stop, refused, owners,
+# last_words.
 set -euo pipefail
 bin=$1
 kind=$2
@@ -214,6 +215,23 @@
   ready
 }
 
+# Guards against an instance that waits for a file at another path for ever.
+test_settings_variable() {
+  next_case 'settings that a variable names'
+  SEAMGLADE_NODE_FILE=$ini "$bin/seamglade" serve >>"$log" 2>&1 &
+  instance=$!
+  pids+=("$instance")
+  said "\"event\":\"settings_wait\".*$ini"
+  settings >"$ini"
+  ready
+  end_now "$instance"
+  next_case 'settings that nothing names'
+  local code=0
+  env -u SEAMGLADE_NODE_FILE "$bin/seamglade" serve >>"$log" 2>&1 || code=$?
+  [ "$code" = 2 ] || fail "ended with $code"
+  grep -q SEAMGLADE_NODE_FILE "$log" || fail 'does not say what is missing'
+}
+
 test_reload() {
   local whole
   next_case 'settings that are written again'
