A test of a verdict on what is being answered, which fails

Found by mass_end-test under the sanitizers: three of four engines that run a content end, the fourth answers it, and what that proves refuses the content and frees the request whose answer is being read: heap-use-after-free in target_table::find, from note_answer().

--- a/test/crash-test.cc
+++ b/test/crash-test.cc
@@ -290,6 +290,40 @@
   }
 }
 
+// Guards against a request that is freed by a verdict while its answer is read.
+TEST(crash, a_verdict_on_what_is_being_answered_ends_no_instance) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    auto options = checkout();
+    options.instances = 1;
+    options.engines = 4;
+    options.seed = seed;
+    gateway_world w(options);
+    w.run_for(kSettled);
+    const auto entry = w.instances()[0];
+    const auto send = [&](int calls, std::string_view content) {
+      for (int i = 0; i < calls; ++i) {
+        const bool is_alike = content == "alike";
+        w.call_engine_with(
+            entry, fmt::format("a{}", i % 12),
+            {is_alike ? "alike" : fmt::format("{} {}", content, i), 1});
+      }
+    };
+    send(48, "first");
+    w.run_for(4s);
+    send(48, "alike");
+    // What runs is answered 400 ms after it began.
+    w.run_for(380ms);
+    // All but one end; what the last one answers proves their ends.
+    const auto engines = w.engines();
+    for (std::size_t n = 1; n < engines.size(); ++n) {
+      w.crash_target(engines[n], 1s);
+    }
+    w.run_for(4s);
+    EXPECT_GT(w.status(entry).target_ends, 1U);
+    expect_rules_kept(w);
+  }
+}
+
 /** Streams and plain requests whose bodies all differ, and some that repeat. */
 void send_varied(gateway_world& w, duration time, duration gap) {
   const auto entries = w.instances();
