Each signal has a rule; none but a fault ends an instance

Callers saw an instance end without a last line: its log went to a file, the kernel's limit on file size was reached, and SIGXFSZ ends a process by default. Class: a default action that nobody chose. So each signal that ends a process by default now has a row in one table: stop (also SIGQUIT), reload, told in the log and nothing else (SIGUSR1, SIGALRM, SIGXCPU, ...), ignored where the failed write shows it (SIGXFSZ, SIGPIPE), or the end with a last line.

--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -6,7 +6,6 @@
 #include "process/gateway_shell.h"
 
 #include <fmt/format.h>
-#include <signal.h>
 #include <unistd.h>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -176,9 +175,9 @@
 gateway_shell::~gateway_shell() = default;
 
 result<void> gateway_shell::start() {
-  // A peer that has closed its end shows as a failed write.
-  signal(SIGPIPE, SIG_IGN);
-  watch_signals();
+  take_signals();
+  signals_.emplace(base_.get(),
+                   [this](const signal_rule& rule) { on_signal(rule); });
   const auto tick = [](evutil_socket_t, short, void* self) {
     auto* shell = static_cast<gateway_shell*>(self);
     shell->post(event::tick{});
@@ -252,17 +251,6 @@
   return out;
 }
 
-void gateway_shell::watch_signals() {
-  const auto fired = [](evutil_socket_t number, short, void* self) {
-    static_cast<gateway_shell*>(self)->on_signal(static_cast<int>(number));
-  };
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-    signals_.emplace_back(
-        event_new(base_.get(), number, EV_SIGNAL | EV_PERSIST, fired, this));
-    event_add(signals_.back().get(), nullptr);
-  }
-}
-
 result<void> gateway_shell::run() {
   event_base_dispatch(base_.get());
   if (ended_by_) return *ended_by_;
@@ -292,12 +280,11 @@
   pumping_ = false;
 }
 
-void gateway_shell::on_signal(int number) {
-  if (number == SIGHUP) {
-    reload();
-  } else {
-    begin_drain();
-  }
+void gateway_shell::on_signal(const signal_rule& rule) {
+  if (rule.use == signal_use::stop) return begin_drain();
+  if (rule.use == signal_use::reload) return reload();
+  log_.write(boot_now(),
+             {"signal_ignored", {{"signal", std::string(rule.name)}}, true});
 }
 
 void gateway_shell::reload() {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -21,6 +21,7 @@
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
 #include "process/process_limits.h"
+#include "process/process_signals.h"
 #include "process/room_watch.h"
 #include "process/settings_file.h"
 #include "seamglade/gateway.h"
@@ -55,7 +56,6 @@
   void post(gateway::any_event event);
   void pump();
   void arm_timer();
-  void watch_signals();
   std::vector<own_address> own_addresses();
   void on_bound();
   void join();
@@ -63,7 +63,7 @@
   void on_listen_wait(const address_wait& wait);
   void on_caller(caller_id caller, gateway::caller_message message);
   gateway::gateway_status status() const;
-  void on_signal(int number);
+  void on_signal(const signal_rule& rule);
   void begin_drain();
   void tick_drain();
   void say_stopped();
@@ -132,7 +132,7 @@
   connect_prober prober_;
   address_binder addresses_;
   event_handle timer_;
-  std::vector<event_handle> signals_;
+  std::optional<signal_reader> signals_;
   struct open_call {
     call_client* client = nullptr;
     call_client::token token = 0;
--- a/src/process/last_words.cc
+++ b/src/process/last_words.cc
@@ -16,6 +16,8 @@
 #include <ctime>
 #include <exception>
 
+#include "process/process_signals.h"
+
 namespace seamglade::detail {
 namespace {
 
@@ -26,18 +28,8 @@
 /** A stack that ran over can't run the handler of its signal. */
 constexpr std::size_t kHandlerStackBytes = 64UL * 1024UL;
 
-struct watched_signal {
-  int number;
-  std::string_view name;
-  /** What was done before, and is done after the line. */
-  struct sigaction before;
-};
-
-std::array<watched_signal, 5> watched{{{SIGSEGV, "SIGSEGV", {}},
-                                       {SIGBUS, "SIGBUS", {}},
-                                       {SIGFPE, "SIGFPE", {}},
-                                       {SIGILL, "SIGILL", {}},
-                                       {SIGABRT, "SIGABRT", {}}}};
+/** What was done on each signal before, and is done after the line. */
+std::array<struct sigaction, kSignalRules.size()> before;
 int log_fd = STDOUT_FILENO;
 std::array<char, kNameBytes> instance_name{};
 std::size_t instance_length = 0;
@@ -107,16 +99,16 @@
 };
 
 void on_signal(int number, siginfo_t* info, void*) {
-  for (const auto& one : watched) {
-    if (one.number != number) continue;
+  for (std::size_t i = 0; i < kSignalRules.size(); ++i) {
+    if (kSignalRules.at(i).number != number) continue;
     if (has_spoken == 0) {
       has_spoken = 1;
       json_line line;
       line.add("reason", "signal");
-      line.add("signal", one.name);
+      line.add("signal", kSignalRules.at(i).name);
       line.write();
     }
-    sigaction(number, &one.before, nullptr);
+    sigaction(number, &before.at(i), nullptr);
     // A fault comes again by itself when its instruction is run again.
     if (info->si_code <= 0) raise(number);
   }
@@ -167,7 +159,11 @@
   ours.sa_sigaction = on_signal;
   ours.sa_flags = SA_SIGINFO | SA_ONSTACK;
   sigemptyset(&ours.sa_mask);
-  for (auto& one : watched) sigaction(one.number, &ours, &one.before);
+  for (std::size_t i = 0; i < kSignalRules.size(); ++i) {
+    const auto& rule = kSignalRules.at(i);
+    if (rule.use != signal_use::ends) continue;
+    sigaction(rule.number, &ours, &before.at(i));
+  }
 }
 
 void name_in_last_words(std::string_view instance) {
--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -16,6 +15,7 @@
 #include "process/gateway_shell.h"
 #include "process/last_words.h"
 #include "process/operator_client.h"
+#include "process/process_signals.h"
 #include "process/reference.h"
 #include "process/settings_file.h"
 #include "process/shell.h"
@@ -166,9 +166,7 @@
           "INI file of the instance");
   if (const auto over = c.parse(words)) return *over;
   detail::install_last_words(STDOUT_FILENO);
-  // Neither ends an instance that waits for its settings.
-  std::signal(SIGHUP, SIG_IGN);
-  std::signal(SIGPIPE, SIG_IGN);
+  detail::take_signals();
   detail::settings_file file(c.text("config"));
   auto text = settings_of(file);
   if (!text) return kDone;
--- a/src/process/settings_file.cc
+++ b/src/process/settings_file.cc
@@ -7,9 +7,9 @@
 
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/outcome/try.hpp>
-#include <csignal>
 
 #include "connection/event_handles.h"
+#include "process/process_signals.h"
 #include "process/wait_notice.h"
 #include "seamglade/instance_config.h"
 
@@ -25,18 +25,14 @@
       : file_(file),
         waiting_(waiting),
         started_(boot_now()),
-        base_(event_base_new()) {
+        base_(event_base_new()),
+        signals_(base_.get(), [this](const signal_rule& rule) {
+          if (rule.use == signal_use::stop) event_base_loopbreak(base_.get());
+        }) {
     const auto again = [](evutil_socket_t, short, void* self) {
       static_cast<settings_wait*>(self)->look();
     };
     timer_.reset(event_new(base_.get(), -1, 0, again, this));
-    const auto stop = [](evutil_socket_t, short, void* self) {
-      event_base_loopbreak(static_cast<settings_wait*>(self)->base_.get());
-    };
-    on_term_.reset(evsignal_new(base_.get(), SIGTERM, stop, this));
-    on_int_.reset(evsignal_new(base_.get(), SIGINT, stop, this));
-    event_add(on_term_.get(), nullptr);
-    event_add(on_int_.get(), nullptr);
   }
 
   std::optional<std::string> run() {
@@ -64,9 +60,8 @@
   time_point started_;
   wait_notice notice_;
   base_handle base_;
+  signal_reader signals_;
   event_handle timer_;
-  event_handle on_term_;
-  event_handle on_int_;
   std::optional<std::string> text_;
 };
 
--- a/src/process/settings_file.h
+++ b/src/process/settings_file.h
@@ -61,9 +61,10 @@
     std::function<void(const failure& why, duration waited)>;
 
 /**
- * Returns the text of a file once it is whole, or nothing after SIGTERM or
- * SIGINT. Runs a loop of its own; looks again every 100 ms. `waiting` is
- * called at once and every 10 s, and does not run where the file is whole.
+ * Returns the text of a file once it is whole, or nothing after a signal that
+ * is a stop. Needs take_signals(). Runs a loop of its own; looks again every
+ * 100 ms. `waiting` is called at once and every 10 s, and does not run where
+ * the file is whole.
  */
 std::optional<std::string> await_settings(settings_file& file,
                                           const settings_wait_handler& waiting);
--- a/src/process/shell.cc
+++ b/src/process/shell.cc
@@ -8,7 +8,6 @@
 #include <fmt/format.h>
 
 #include <boost/outcome/try.hpp>
-#include <csignal>
 #include <random>
 
 #include "connection/target_protocol.h"
@@ -94,7 +93,9 @@
 shell::~shell() = default;
 
 result<void> shell::start() {
-  handle_signals();
+  take_signals();
+  signals_.emplace(base_.get(),
+                   [this](const signal_rule& rule) { on_signal(rule); });
   return addresses_.start(own_addresses());
 }
 
@@ -136,15 +137,9 @@
   return out;
 }
 
-void shell::handle_signals() {
-  std::signal(SIGPIPE, SIG_IGN);
-  const auto on_signal = [](evutil_socket_t, short, void* arg) {
-    static_cast<shell*>(arg)->drain();
-  };
-  on_term_.reset(evsignal_new(base_.get(), SIGTERM, on_signal, this));
-  on_int_.reset(evsignal_new(base_.get(), SIGINT, on_signal, this));
-  event_add(on_term_.get(), nullptr);
-  event_add(on_int_.get(), nullptr);
+void shell::on_signal(const signal_rule& rule) {
+  if (rule.use == signal_use::stop) return drain();
+  log_.process(log_level::info, "signal_ignored", rule.name);
 }
 
 result<void> shell::run() {
--- a/src/process/shell.h
+++ b/src/process/shell.h
@@ -7,6 +7,7 @@
 #define SEAMGLADE_SRC_PROCESS_SHELL_H_
 
 #include <deque>
+#include <optional>
 
 #include "connection/caller_server.h"
 #include "connection/http_client.h"
@@ -14,6 +15,7 @@
 #include "process/address_binder.h"
 #include "process/log.h"
 #include "process/operator_server.h"
+#include "process/process_signals.h"
 #include "seamglade/controller.h"
 #include "seamglade/instance_config.h"
 
@@ -45,7 +47,7 @@
   void pump();
   void arm_timer();
   void drain();
-  void handle_signals();
+  void on_signal(const signal_rule& rule);
   std::vector<own_address> own_addresses();
   void on_bound();
   void begin();
@@ -81,8 +83,7 @@
   base_handle base_;
   event_handle timer_;
   event_handle wall_timer_;
-  event_handle on_term_;
-  event_handle on_int_;
+  std::optional<signal_reader> signals_;
   controller decisions_;
   caller_server callers_;
   peer_network peers_;
