A log whose file was full goes on when it takes lines again

Beside the end by SIGXFSZ: after a write that failed for good (EFBIG, ENOSPC) the log kept up to 64 KB of old lines for a device that may never take them, wrote those first once it did, and told nobody of the others. Now what is buffered is dropped and counted, the next line that can be written is lines_lost with their number and the error, and a line that was cut gets an end. event_log.goes_on_after_a_file_was_at_its_limit; it was not run on the code before.

--- a/src/process/event_log.cc
+++ b/src/process/event_log.cc
@@ -9,6 +9,11 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
 namespace seamglade::detail {
 namespace {
 
@@ -17,6 +22,7 @@
 constexpr std::uint32_t kImportantPerSecond = 400;
 constexpr std::size_t kBufferBytes = 64UL * 1024UL;
 constexpr std::string_view kLeftOut = "lines_left_out";
+constexpr std::string_view kLost = "lines_lost";
 
 }  // namespace
 
@@ -73,8 +79,13 @@
 }
 
 void event_log::write(time_point now, const gateway::action::log_line& line) {
-  if (!admit(now, line)) return;
-  append(now, line.event, line.fields);
+  if (lost_ > 0 && buffer_.empty()) {
+    if (is_torn_) buffer_ += '\n';
+    append(now, kLost,
+           {{"lines", lost_}, {"error", std::string(strerror(lost_error_))}});
+    unsaid_ = buffer_.size();
+  }
+  if (admit(now, line)) append(now, line.event, line.fields);
   flush();
 }
 
@@ -104,12 +115,29 @@
 void event_log::flush() {
   while (!buffer_.empty()) {
     const auto written = ::write(fd_, buffer_.data(), buffer_.size());
+    if (written < 0 && errno != EAGAIN && errno != EINTR) {
+      return lose_buffer(errno);
+    }
     if (written <= 0) {
       event_add(writable_.get(), nullptr);
       return;
     }
+    is_torn_ = buffer_[static_cast<std::size_t>(written) - 1] != '\n';
     buffer_.erase(0, static_cast<std::size_t>(written));
   }
+  if (std::exchange(unsaid_, 0) > 0) lost_ = 0;
+}
+
+void event_log::lose_buffer(int error) {
+  // The word of what was lost before is no line that is lost.
+  const auto first = buffer_.begin() + static_cast<std::ptrdiff_t>(
+                                           std::min(unsaid_, buffer_.size()));
+  const auto lines = std::count(first, buffer_.end(), '\n');
+  unsaid_ = 0;
+  dropped_ += static_cast<std::uint64_t>(lines);
+  lost_ += lines;
+  lost_error_ = error;
+  buffer_.clear();
 }
 
 }  // namespace seamglade::detail
--- a/src/process/event_log.h
+++ b/src/process/event_log.h
@@ -17,7 +17,11 @@
 
 namespace seamglade::detail {
 
-/** Writes lines to a descriptor; what cannot be written in time is counted. */
+/**
+ * Writes lines to a descriptor; what cannot be written in time is counted. A
+ * descriptor that fails (a full device, a file at its limit) loses what is
+ * buffered, and is tried again with the next line.
+ */
 class event_log {
  public:
   event_log(event_base* base, int fd, instance_id instance);
@@ -37,6 +41,8 @@
     std::uint32_t left_out = 0;
   };
 
+  /** Drops what is buffered, since the descriptor failed with an error. */
+  void lose_buffer(int error);
   bool admit(time_point now, const gateway::action::log_line& line);
   void append(time_point now, std::string_view event,
               const std::vector<gateway::log_field>& fields);
@@ -47,6 +53,13 @@
   std::string buffer_;
   std::map<std::string_view, budget> budgets_;
   std::uint64_t dropped_ = 0;
+  /** Lines lost to a failing descriptor that no line has told of yet. */
+  std::int64_t lost_ = 0;
+  int lost_error_ = 0;
+  /** Bytes at the front of the buffer that tell of them. */
+  std::size_t unsaid_ = 0;
+  /** The last byte that was written is not the end of a line. */
+  bool is_torn_ = false;
 };
 
 /** Appends a text to JSON, quoted and escaped. */
--- a/test/gateway_parts-test.cc
+++ b/test/gateway_parts-test.cc
@@ -6,9 +6,11 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 
 #include "process/event_log.h"
 #include "process/gateway_metrics.h"
@@ -339,6 +341,34 @@
   EXPECT_GT(log.dropped(), 15000U);
 }
 
+// Guards against a log that is silent for good once its file was full.
+TEST(event_log, goes_on_after_a_file_was_at_its_limit) {
+  signal(SIGXFSZ, SIG_IGN);
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  auto little = before;
+  little.rlim_cur = 1000;
+  std::FILE* file = std::tmpfile();
+  ASSERT_NE(file, nullptr);
+  const int fd = fileno(file);
+  const detail::base_handle base(event_base_new());
+  detail::event_log log(base.get(), fd, "n1");
+  setrlimit(RLIMIT_FSIZE, &little);
+  for (int i = 0; i < 50; ++i) log.write(kStart, {"failed", {{"n", i}}, true});
+  setrlimit(RLIMIT_FSIZE, &before);
+  EXPECT_GT(log.dropped(), 20U);
+  log.write(kStart, {"back", {}, true});
+  std::string text(8192, ' ');
+  text.resize(static_cast<std::size_t>(pread(fd, text.data(), 8192, 0)));
+  std::fclose(file);
+  EXPECT_NE(text.find("\n{\"ms\""), std::string::npos);
+  EXPECT_NE(text.find("\"event\":\"lines_lost\",\"lines\":"),
+            std::string::npos);
+  EXPECT_TRUE(text.ends_with("\"event\":\"back\"}\n"));
+  // The line that was cut has an end of its own.
+  EXPECT_NE(text.substr(0, 1200).find("\n{", 990), std::string::npos);
+}
+
 TEST(gateway_shell, a_closed_connection_does_not_end_the_process) {
   signal(SIGPIPE, SIG_DFL);
   gateway_config config;
