--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -33,6 +34,9 @@
 constexpr int kNegative = 1;  // the answer is no, or the other side is away
 constexpr int kBadInput = 2;  // settings or command line are wrong
 
+/** Names the settings file where the command line does not. */
+constexpr const char* kFileVariable = "SEAMGLADE_NODE_FILE";
+
 constexpr std::string_view kVersion = "seamglade " SEAMGLADE_VERSION "\n";
 
 constexpr std::string_view kUsage =
@@ -160,14 +164,26 @@
   return text;
 }
 
+/** Returns the path of the settings that the environment names, if any. */
+std::string path_by_variable() {
+  const char* path = std::getenv(kFileVariable);
+  return path == nullptr ? "" : path;
+}
+
 int serve(const std::vector<std::string>& words) {
   command c("serve", "Runs an instance until it is drained or terminated.");
-  c.add()("config", po::value<std::string>()->required(),
-          "INI file of the instance");
+  c.add()("config", po::value<std::string>(),
+          "INI file of the instance; not given: SEAMGLADE_NODE_FILE names it");
   if (const auto over = c.parse(words)) return *over;
+  const auto path = c.flag("config") ? c.text("config") : path_by_variable();
+  if (path.empty()) {
+    fmt::print(stderr, "seamglade serve: give --config or set {}\n",
+               kFileVariable);
+    return kBadInput;
+  }
   detail::install_last_words(STDOUT_FILENO);
   detail::take_signals();
-  detail::settings_file file(c.text("config"));
+  detail::settings_file file(path);
   auto text = settings_of(file);
   if (!text) return kDone;
   if (!is_gateway_config(*text)) return serve_owner(file.path(), *text);
