A verdict frees no request while an event about it is handled

What callers see: an instance that ends by itself, or one that reads freed memory. Cause: what a target answers proves that others, which refuse connections, have ended; that can refuse a content; the runs of that content were taken from their targets there and then, and the request whose answer was being read may be one of them. It was freed, and then read.

Class: a handler that ends requests other than its own. The runs are now stopped once the event has been handled, if the verdict still stands then. By reading, nothing else that note_answer(), note_reached() and hear_answer() call ends a request; blame() is the only one.

--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -69,6 +69,7 @@
         }
       },
       std::move(event));
+  stop_refused_runs();
   if (config_ && has_unrouted_ && !awaits_keys()) route_unrouted();
   if (waiting_dirty_) place_waiting();
   tell_blame();
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -495,6 +495,11 @@
   /** Takes a request away from targets that may not have begun it. */
   void stop_runs_of(const request_fingerprint& request);
   /** Returns whether the request is not to run, and was given its end. */
+  /**
+   * Takes runs from their targets whose contents were refused since the last
+   * event. Not at once: the event may be about one of them.
+   */
+  void stop_refused_runs();
   bool refuse_quarantined(exchange& x);
   /** Tells all who is blamed, or no longer. */
   void tell_blame();
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -233,6 +233,8 @@
   quarantine quarantine_;
   /** Blame that is still to be told to all, and how often. */
   std::map<request_fingerprint, unsigned> untold_blame_;
+  /** Refused while this event is handled. */
+  std::vector<request_fingerprint> newly_refused_;
   time_point next_blame_{};
   /** The last pause of the process ended then. */
   time_point resumed_{};
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -179,7 +179,7 @@
        {"targets", std::move(targets)},
        {"for_ms", to_ms(*left)}},
       true);
-  stop_runs_of(request);
+  newly_refused_.push_back(request);
 }
 
 void gateway_core::impl::note_new_verdicts() {
@@ -193,6 +193,12 @@
   std::vector<caller_id> running;
   for (const auto& [caller, x] : exchanges_) {
     const bool runs = x.now == exchange::phase::calling && !x.head_sent;
+void gateway_core::impl::stop_refused_runs() {
+  for (const auto& request : std::exchange(newly_refused_, {})) {
+    if (quarantine_.refused_for(now_, request)) stop_runs_of(request);
+  }
+}
+
     if (runs && !x.is_trial && is_about(x, request)) running.push_back(caller);
   }
   for (const auto caller : running) {
