--- a/src/process/end_watch.cc
+++ b/src/process/end_watch.cc
@@ -51,6 +51,11 @@
   return {};
 }
 
+time_point end_watch::broke_at(time_point now, target_hash target) const {
+  const auto found = groups_.find(target);
+  return found == groups_.end() ? now : found->second.since;
+}
+
 bool end_watch::awaits_others(target_hash target) const {
   const auto found = groups_.find(target);
   return found != groups_.end() && found->second.is_refusing;
--- a/src/process/end_watch.h
+++ b/src/process/end_watch.h
@@ -49,6 +49,8 @@
     target_hash target = 0;
     std::vector<request_fingerprint> requests;
   };
+  /** Returns when calls at a target broke; now: nothing is known of it. */
+  time_point broke_at(time_point now, target_hash target) const;
   /** Returns whether a target refuses, and nothing proves its end yet. */
   bool awaits_others(target_hash target) const;
   /** Another target is heard: those that refuse connections have ended. */
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -471,6 +471,8 @@
              const target_id& target, std::string_view reason);
   /** A target has run the request to an answer. */
   void clear_blame(const exchange& x);
+  /** Tells all that a content was answered whole before it was blamed. */
+  void tell_proof(const request_fingerprint& request);
   void clear_blame(const exchange& x, const request_fingerprint& what,
                    time_point at);
   /** A run has shown by then that no part of its prompt ends targets. */
@@ -485,7 +487,7 @@
   /** Returns what of a request is refused now; none: it may run. */
   std::optional<request_fingerprint> refused_content(const exchange& x) const;
   /** Returns whether a request may run though a part of it is refused. */
-  bool may_try(exchange& x, const request_fingerprint& part);
+  bool may_try(exchange& x, const request_fingerprint& what);
   /** Returns what is still to be told, that of most ends first. */
   std::vector<request_fingerprint> untold_by_ends() const;
   void note_quarantine(const request_fingerprint& request, bool was_refused,
--- a/src/process/gateway_quarantine.cc
+++ b/src/process/gateway_quarantine.cc
@@ -108,9 +108,13 @@
        {"reason", std::string(reason)},
        {"requests", static_cast<std::int64_t>(requests.size())}},
       true);
+  const auto hash = hash_of(target);
+  const auto ended = ends_.broke_at(now_, hash);
   for (const auto& request : requests) {
     const bool was_refused = quarantine_.refused_for(now_, request).has_value();
-    if (!quarantine_.note_end(now_, request, hash_of(target))) continue;
+    // Of parts that others share, what was found later is judged later.
+    const auto at = request.is_part() ? now_ : ended;
+    if (!quarantine_.note_end(now_, request, hash, at)) continue;
     const bool is_refused = quarantine_.refused_for(now_, request).has_value();
     untold_blame_[request] = is_refused ? kToldOfQuarantine : kToldOfBlame;
     note_quarantine(request, was_refused, "seen");
@@ -189,16 +193,16 @@
   }
 }
 
-void gateway_core::impl::stop_runs_of(const request_fingerprint& request) {
-  std::vector<caller_id> running;
-  for (const auto& [caller, x] : exchanges_) {
-    const bool runs = x.now == exchange::phase::calling && !x.head_sent;
 void gateway_core::impl::stop_refused_runs() {
   for (const auto& request : std::exchange(newly_refused_, {})) {
     if (quarantine_.refused_for(now_, request)) stop_runs_of(request);
   }
 }
 
+void gateway_core::impl::stop_runs_of(const request_fingerprint& request) {
+  std::vector<caller_id> running;
+  for (const auto& [caller, x] : exchanges_) {
+    const bool runs = x.now == exchange::phase::calling && !x.head_sent;
     if (runs && !x.is_trial && is_about(x, request)) running.push_back(caller);
   }
   for (const auto caller : running) {
@@ -217,16 +221,19 @@
          std::find(x.parts.begin(), x.parts.end(), what) != x.parts.end();
 }
 
-bool gateway_core::impl::may_try(exchange& x, const request_fingerprint& part) {
+bool gateway_core::impl::may_try(exchange& x, const request_fingerprint& what) {
   // One instance tries, so that all together try once.
   const bool is_mine = std::none_of(
       staying_.begin(), staying_.end(),
-      [&](member_address member) { return precedes_me(member, part.content); });
-  if (!is_mine || x.relayed || !quarantine_.take_trial(now_, part))
+      [&](member_address member) { return precedes_me(member, what.content); });
+  if (!is_mine || x.relayed || !quarantine_.take_trial(now_, what))
     return false;
   x.is_trial = true;
-  log("part_tried",
-      {{"request", x.facts.id}, {"content", to_hex(part.content)}}, true);
+  log("verdict_tried",
+      {{"request", x.facts.id},
+       {"content", to_hex(what.content)},
+       {"part", what.part}},
+      true);
   return true;
 }
 
@@ -242,7 +249,7 @@
 bool gateway_core::impl::refuse_quarantined(exchange& x) {
   const auto refused = refused_content(x);
   if (!refused) return false;
-  if (refused->is_part() && may_try(x, *refused)) return false;
+  if (may_try(x, *refused)) return false;
   const auto left = quarantine_.refused_for(now_, *refused);
   ++counts_.quarantine_refusals;
   log("quarantine_refusal",
@@ -294,6 +301,12 @@
   target->doubt.refused(ended, copy_confirmed_);
 }
 
+void gateway_core::impl::tell_proof(const request_fingerprint& request) {
+  untold_blame_[request] = kToldOfBlame;
+  next_blame_ = now_;
+  log("proof_told", {{"content", to_hex(request.content)}});
+}
+
 void gateway_core::impl::take(member_address, const blame_message& message) {
   take_blame(message.rows);
 }
@@ -303,8 +316,9 @@
     for (const auto& end : row.ends) note_told_end(end);
     const bool was_refused =
         quarantine_.refused_for(now_, row.request).has_value();
-    if (!quarantine_.take(now_, row)) continue;
-    note_quarantine(row.request, was_refused, "told");
+    const bool is_news = quarantine_.take(now_, row);
+    if (quarantine_.knows_proof_against(row)) tell_proof(row.request);
+    if (is_news) note_quarantine(row.request, was_refused, "told");
   }
 }
 
--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -6,6 +6,7 @@
 #include "process/quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace seamglade::gateway {
 namespace {
@@ -18,25 +19,25 @@
   duration span{};
   /** A refusal lasts so long, and twice as long after each further end. */
   duration refusal{};
+  /** One request is tried so long after the last end. */
+  duration trial_after{};
 };
 
 /**
  * A single end has too many witnesses: an engine runs dozens of requests that
  * all break with it.
  */
-constexpr verdict_rule kContentRule{2, duration{}, 10min};
+constexpr verdict_rule kContentRule{2, duration{}, 10min, 10s};
 /**
  * All requests of a route share a part: in this time some of them pass events
  * on. A wrong verdict refuses many, so it lasts less.
  */
-constexpr verdict_rule kPartRule{3, 1500ms, 2min};
+constexpr verdict_rule kPartRule{3, 1500ms, 2min, 30s};
 /**
  * Word of who else was at an end has come by then: a part that others share is
  * judged after those behind it in the prompt.
  */
 constexpr duration kTold = 100ms;
-/** After a verdict on a part, one request with it is tried. */
-constexpr duration kTrialAfter = 30s;
 /** A request that was there at one end only is remembered so long. */
 constexpr duration kRemembered = 10min;
 /** More ends of one request than these are not told apart. */
@@ -46,6 +47,13 @@
  * is not back and ended anew within this.
  */
 constexpr duration kSameEnd = 1s;
+/**
+ * Ends that follow one another within this have a cause in common: of a content
+ * that was answered shortly before they count as one.
+ */
+constexpr duration kOneMoment = 200ms;
+/** Contents whose last whole answer is remembered: twice this, at most. */
+constexpr std::size_t kMostProofs = 256;
 /**
  * Records at most: 100 KB. A fifth of 780 targets with 16 requests each that
  * end at once leave 2,500 that were there once; of those the oldest are
@@ -64,21 +72,23 @@
          std::max(one.at - other.at, other.at - one.at) < kSameEnd;
 }
 
-bool quarantine::add_end(record& to, target_hash target, time_point at) {
+bool quarantine::add_end(record& to, const end_of_target& end) {
+  const auto at = end.at;
   if (to.answered && at <= *to.answered) return false;
   const bool is_known =
-      std::any_of(to.ends.begin(), to.ends.end(), [&](const auto& known) {
-        return is_same(known, {target, at});
-      });
+      std::any_of(to.ends.begin(), to.ends.end(),
+                  [&](const auto& known) { return is_same(known, end); });
   if (is_known) return false;
   // One older than all that are kept would be news each time it is told.
   to.since = to.ends.empty() ? at : std::min(to.since, at);
   const bool is_full = to.ends.size() >= kMostEnds;
   if (is_full && at <= to.ends.front().at) return false;
-  const auto place = std::upper_bound(
-      to.ends.begin(), to.ends.end(), at,
-      [](time_point when, const end_of_target& end) { return when < end.at; });
-  to.ends.insert(place, {target, at});
+  const auto place =
+      std::upper_bound(to.ends.begin(), to.ends.end(), at,
+                       [](time_point when, const end_of_target& kept) {
+                         return when < kept.at;
+                       });
+  to.ends.insert(place, end);
   if (to.ends.size() > kMostEnds) to.ends.erase(to.ends.begin());
   return true;
 }
@@ -93,28 +103,54 @@
   return to.ends.size() != before;
 }
 
-bool quarantine::note_end(time_point now, const request_fingerprint& request,
-                          target_hash target) {
+quarantine::record& quarantine::record_of(const request_fingerprint& request) {
   if (!records_.contains(request)) make_room();
-  return add_end(records_[request], target, now);
+  auto& known = records_[request];
+  if (const auto proof = proof_of(request)) add_answer(known, *proof);
+  return known;
+}
+
+void quarantine::note_proof(time_point at, const request_fingerprint& request) {
+  proofs_[request] = at;
+  if (proofs_.size() < kMostProofs) return;
+  older_proofs_ = std::exchange(proofs_, {});
+}
+
+std::optional<time_point> quarantine::proof_of(
+    const request_fingerprint& request) const {
+  for (const auto* table : {&proofs_, &older_proofs_}) {
+    const auto found = table->find(request);
+    if (found != table->end()) return found->second;
+  }
+  return std::nullopt;
+}
+
+bool quarantine::knows_proof_against(const blame_row& row) const {
+  return !row.answered_age && row.ends.size() >= rule_of(row.request).ends &&
+         proof_of(row.request);
+}
+
+bool quarantine::note_end(time_point now, const request_fingerprint& request,
+                          target_hash target, time_point ended) {
+  return add_end(record_of(request), {target, ended, now});
 }
 
 bool quarantine::note_answer(time_point at,
                              const request_fingerprint& request) {
+  if (!request.is_part()) note_proof(at, request);
   const auto found = records_.find(request);
   return found != records_.end() && add_answer(found->second, at);
 }
 
 bool quarantine::take(time_point now, const blame_row& row) {
-  if (!records_.contains(row.request)) make_room();
-  auto& known = records_[row.request];
+  auto& known = record_of(row.request);
   bool is_news = false;
   if (row.answered_age) {
     is_news = add_answer(known, now - std::max(duration{}, *row.answered_age));
   }
   for (const auto& end : row.ends) {
     const auto at = now - std::max(duration{}, end.age);
-    is_news = add_end(known, end.target, at) || is_news;
+    is_news = add_end(known, {end.target, at, now}) || is_news;
   }
   return is_news;
 }
@@ -122,9 +158,27 @@
 duration quarantine::refusal_of(const request_fingerprint& request,
                                 const record& of) {
   const auto& rule = rule_of(request);
-  if (of.ends.size() < rule.ends) return {};
+  const auto ends = counted_ends(request, of);
+  if (ends < rule.ends) return {};
   if (of.ends.back().at - of.since < rule.span) return {};
-  return rule.refusal * (1 << (of.ends.size() - rule.ends));
+  return rule.refusal * (1 << (ends - rule.ends));
+}
+
+std::size_t quarantine::counted_ends(const request_fingerprint& request,
+                                     const record& of) {
+  const bool is_proven = !request.is_part() && of.answered &&
+                         of.since - *of.answered < kRemembered;
+  return is_proven ? moments_of(of) : of.ends.size();
+}
+
+std::size_t quarantine::moments_of(const record& of) {
+  std::size_t moments = 0;
+  time_point last{};
+  for (const auto& end : of.ends) {
+    if (moments == 0 || end.at - last > kOneMoment) ++moments;
+    last = end.at;
+  }
+  return moments;
 }
 
 quarantine::record quarantine::unexplained(time_point now,
@@ -136,7 +190,7 @@
   if (explained > 0 && !out.ends.empty()) out.since = out.ends.front().at;
   // The first end stands, also where it is no longer kept.
   std::erase_if(out.ends,
-                [&](const auto& end) { return now - end.at < kTold; });
+                [&](const auto& end) { return now - end.heard < kTold; });
   return out;
 }
 
@@ -191,11 +245,15 @@
 bool quarantine::take_trial(time_point now,
                             const request_fingerprint& request) {
   const auto found = records_.find(request);
-  if (found == records_.end() || !request.is_part()) return false;
+  if (found == records_.end() || found->second.ends.empty()) return false;
   auto& known = found->second;
-  if (known.is_tried || known.ends.empty()) return false;
-  if (now < known.ends.back().at + kTrialAfter) return false;
-  known.is_tried = true;
+  // Of a content, ends of several moments speak for themselves.
+  const bool may_be = request.is_part() ? !known.tried : moments_of(known) == 1;
+  if (!may_be) return false;
+  const auto since =
+      std::max(known.ends.back().at, known.tried.value_or(time_point{}));
+  if (now < since + rule_of(request).trial_after) return false;
+  known.tried = now;
   return true;
 }
 
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -4,10 +4,11 @@
 // id (a query of death); or a part of prompts does, in requests of which no two
 // are alike. Each instance keeps what was running where a target ended, as it
 // saw itself or was told. A request that was there at two ends with no whole
-// answer between them is quarantined, and so is a part at three ends over a
-// second and a half in which no request with it has run. Where several parts
-// were at the same ends, the one furthest behind in the prompt answers for
-// them: those before it are shared by more requests. What is quarantined is
+// answer between them is quarantined (of a content that was answered whole not
+// long before, ends of one moment count once), and so is a part at three ends
+// over a second and a half in which no request with it has run. Where several
+// parts were at the same ends, the one furthest behind in the prompt answers
+// for them: those before it are shared by more requests. What is quarantined is
 // refused at once for a time that doubles with each further end.
 //
 // Copyright (c) 2026 seamglade contributors
@@ -32,9 +33,16 @@
  */
 class quarantine {
  public:
-  /** A target ended that was running a request; returns whether it is news. */
+  /**
+   * A target ended, as of then, that was running a request; returns whether it
+   * is news.
+   */
+  bool note_end(time_point now, const request_fingerprint& request,
+                target_hash target, time_point ended);
   bool note_end(time_point now, const request_fingerprint& request,
-                target_hash target);
+                target_hash target) {
+    return note_end(now, request, target, now);
+  }
   /**
    * It was run and did not end its target, as of then: a request was answered
    * whole, one with the part has passed events on for a while. Returns whether
@@ -43,6 +51,11 @@
   bool note_answer(time_point at, const request_fingerprint& request);
   /** Takes the word of another instance; returns whether it is news. */
   bool take(time_point now, const blame_row& row);
+  /**
+   * Returns whether a content was answered whole, as this instance knows, and
+   * the word of another refuses it without knowing that.
+   */
+  bool knows_proof_against(const blame_row& row) const;
   /** Returns for how long a request is not to run; none: it may. */
   std::optional<duration> refused_for(time_point now,
                                       const request_fingerprint& request) const;
@@ -53,8 +66,9 @@
   /** Returns parts that are refused now, each once. */
   std::vector<request_fingerprint> newly_refused_parts(time_point now);
   /**
-   * Returns whether a request with a refused part may run to show if the
-   * verdict holds: once, some time after the last end.
+   * Returns whether a refused request may run to show if the verdict holds: one
+   * with a refused part, or a content whose ends are all of one moment, some
+   * time after the last end. A part is tried once.
    */
   bool take_trial(time_point now, const request_fingerprint& request);
   /** Returns what is known of a request, for others. */
@@ -71,6 +85,8 @@
   struct end_of_target {
     target_hash target = 0;
     time_point at;
+    /** When this instance learned of it. */
+    time_point heard;
   };
   struct record {
     /** The newest of them, the oldest first. */
@@ -81,8 +97,8 @@
     std::optional<time_point> answered;
     /** It was returned by newly_refused_parts(). */
     bool is_told_refused = false;
-    /** Its one trial was taken here. */
-    bool is_tried = false;
+    /** When a trial was taken here last, if one was. */
+    std::optional<time_point> tried;
   };
 
   static bool is_same(const end_of_target& one, const end_of_target& other);
@@ -92,8 +108,17 @@
   /** Whether a refused part further behind was there: that ended the target. */
   bool is_explained(time_point now, const request_fingerprint& part,
                     const end_of_target& end) const;
-  bool add_end(record& to, target_hash target, time_point at);
-  bool add_answer(record& to, time_point at);
+  static bool add_end(record& to, const end_of_target& end);
+  /** Returns the record of a request, made if need be with what proves it. */
+  record& record_of(const request_fingerprint& request);
+  void note_proof(time_point at, const request_fingerprint& request);
+  std::optional<time_point> proof_of(const request_fingerprint& request) const;
+  /** Returns how many times apart from each other targets ended. */
+  static std::size_t moments_of(const record& of);
+  /** Returns how many ends of targets speak against a request. */
+  static std::size_t counted_ends(const request_fingerprint& request,
+                                  const record& of);
+  static bool add_answer(record& to, time_point at);
   static duration refusal_of(const request_fingerprint& request,
                              const record& of);
   static time_point forgotten_at(const request_fingerprint& request,
@@ -101,7 +126,12 @@
   /** Makes room for one more record. */
   void make_room();
 
+  /** When contents were answered whole last; the newer and the older ones. */
+  using proof_table = std::map<request_fingerprint, time_point>;
+
   std::map<request_fingerprint, record> records_;
+  proof_table proofs_;
+  proof_table older_proofs_;
   request_fingerprint last_told_;
 };
 
--- a/test/mass_end-test.cc
+++ b/test/mass_end-test.cc
@@ -61,6 +61,32 @@
   EXPECT_EQ(quarantined(w), 0U);
 }
 
+// Guards against a lasting refusal of what nothing has answered yet.
+TEST(mass_end, alike_requests_are_served_after_a_kill_of_all_instances_too) {
+  gateway_world w(twelve_engines());
+  w.run_for(kSettled);
+  const auto entries = w.instances();
+  for (const auto who : entries) w.kill(who);
+  w.run_for(500ms);
+  for (const auto who : entries) w.start(who);
+  w.run_for(3s);
+  for (int i = 0; i * kGap < kSending; ++i) {
+    const auto entry = entries[static_cast<std::size_t>(i) % entries.size()];
+    w.at(w.now() + i * kGap, [&w, entry, i] {
+      w.call_engine_with(entry, fmt::format("a{}", i * 7 % 20), {"poll", 1});
+    });
+  }
+  // Adapters are there by then, and no answer yet.
+  w.run_for(300ms);
+  const auto begin = w.now();
+  for (const auto& id : w.engines()) w.crash_target(id, 1s);
+  w.run_for(26s);
+  expect_runs_kept(w);
+  const auto sent = static_cast<std::size_t>((kSending - 300ms - 12s) / kGap);
+  EXPECT_GE(count(w, begin + 12s).served, sent * 9 / 10);
+  EXPECT_EQ(quarantined(w), 0U);
+}
+
 // Guards against a refusal of the part that all prompts share.
 TEST(mass_end, a_part_of_all_is_served_after_engines_end_at_once) {
   gateway_world w(twelve_engines());
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -221,6 +221,73 @@
             other.refused_for(kStart, kRequest));
 }
 
+TEST(quarantine, ends_of_one_moment_count_once_for_what_was_answered_before) {
+  quarantine q;
+  q.note_answer(kStart - 5s, kRequest);
+  q.note_answer(kStart - 5s, kOther);
+  for (target_hash target = 1; target <= 12; ++target) {
+    const auto ended = kStart + static_cast<std::int64_t>(target) * 60ms;
+    q.note_end(kStart + 2s, kRequest, target, ended);
+  }
+  EXPECT_FALSE(q.refused_for(kStart + 2s, kRequest));
+  // A second moment has it refused, as any other content.
+  q.note_end(kStart + 3s, kRequest, 13);
+  EXPECT_TRUE(q.refused_for(kStart + 3s, kRequest));
+}
+
+TEST(quarantine, an_answer_of_long_ago_proves_nothing) {
+  quarantine q;
+  q.note_answer(kStart - 1h, kRequest);
+  q.note_end(kStart, kRequest, 1);
+  q.note_end(kStart, kRequest, 2);
+  EXPECT_TRUE(q.refused_for(kStart, kRequest));
+}
+
+TEST(quarantine, another_instance_hears_of_an_answer_that_it_did_not_see) {
+  quarantine knows;
+  quarantine other;
+  knows.note_answer(kStart - 5s, kRequest);
+  other.note_end(kStart, kRequest, 1);
+  other.note_end(kStart, kRequest, 2);
+  ASSERT_TRUE(other.refused_for(kStart, kRequest));
+  const auto row = other.row_of(kStart, kRequest);
+  knows.take(kStart, row);
+  EXPECT_FALSE(knows.refused_for(kStart, kRequest));
+  ASSERT_TRUE(knows.knows_proof_against(row));
+  other.take(kStart, knows.row_of(kStart, kRequest));
+  EXPECT_FALSE(other.refused_for(kStart, kRequest));
+  EXPECT_FALSE(other.knows_proof_against(knows.row_of(kStart, kRequest)));
+}
+
+TEST(quarantine, a_content_is_tried_again_where_its_ends_are_of_one_moment) {
+  quarantine q;
+  q.note_end(kStart, kRequest, 1);
+  q.note_end(kStart + 50ms, kRequest, 2);
+  q.note_end(kStart, kOther, 1);
+  q.note_end(kStart + 450ms, kOther, 2);
+  EXPECT_FALSE(q.take_trial(kStart + 9s, kRequest));
+  EXPECT_TRUE(q.take_trial(kStart + 11s, kRequest));
+  EXPECT_FALSE(q.take_trial(kStart + 12s, kRequest));
+  EXPECT_TRUE(q.take_trial(kStart + 22s, kRequest));
+  EXPECT_FALSE(q.take_trial(kStart + 11s, kOther));
+  // The trial ended its target too.
+  q.note_end(kStart + 23s, kRequest, 3);
+  EXPECT_FALSE(q.take_trial(kStart + 1min, kRequest));
+}
+
+TEST(quarantine, remembers_few_answers_and_the_newest_of_them) {
+  quarantine q;
+  for (std::uint64_t i = 1; i <= 10000; ++i) {
+    q.note_answer(kStart - 5s, {7, i});
+  }
+  for (const std::uint64_t i : {1U, 10000U}) {
+    q.note_end(kStart, {7, i}, 1);
+    q.note_end(kStart, {7, i}, 2);
+  }
+  EXPECT_TRUE(q.refused_for(kStart, {7, 1}));
+  EXPECT_FALSE(q.refused_for(kStart, {7, 10000}));
+}
+
 TEST(end_watch, blames_all_that_broke_where_connections_are_refused) {
   end_watch w;
   EXPECT_EQ(w.call_broke(kStart, kTarget, {kRequest}), verdict::to_probe);
