One budget for the connections that an instance opens

Callers saw: one caller that sends one X-Request-Id over and over (a client that tries again, a load tool) takes all 4,100 descriptors within a second; others aren't accepted, then get 503. Cause: no connection carries two calls of one name, and each was kept for 8 s for the next one, which had the same name. Class: a budget that counts one side only; a part was named for calls and nothing held them to it.

Now all clients and the prober of an instance take their connections from one budget, a third of what descriptors it may have: in use, coming up and idle. The one idle for longest gives its place; an eighth is kept for the store, reports, orders, copies and probes. A call that finds no room, or for which the system has no descriptor, ends as no_room: its request is refused at once with a time to come back, its target is not blamed and not counted as out of reach. Probes wait for room. Idle connections to one target are bounded by half of what it accepts, over the instances (16 where nothing tells).

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -196,6 +196,10 @@
   instances_.at(who)->store_denied = denied;
 }
 
+void gateway_world::deny_connections(member_address who, bool denied) {
+  instances_.at(who)->connections_denied = denied;
+}
+
 void gateway_world::stop(member_address who) {
   auto& i = *instances_.at(who);
   i.stopping = true;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -102,6 +102,8 @@
   void block_copies(bool blocked) { copies_blocked_ = blocked; }
   /** Turns an instance away at the store, or serves it again. */
   void deny_store(gateway::member_address who, bool denied);
+  /** An instance may open no further connection for requests, or may again. */
+  void deny_connections(gateway::member_address who, bool denied);
   /**
    * Open connections to the store and between instances carry nothing any more,
    * without a reset; those opened from now on work.
--- a/fakes/gateway_world_impl.h
+++ b/fakes/gateway_world_impl.h
@@ -81,6 +81,7 @@
   /** Instances of different sides do not reach each other. */
   int side = 0;
   bool store_denied = false;
+  bool connections_denied = false;
   kept_connections kept;
   /** A call to the store under way, and what carries it. */
   struct store_call {
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -36,6 +36,14 @@
                                const action::call_target& call) {
   const auto who = from.address;
   const auto life = from.life;
+  if (from.connections_denied) {
+    later(0ms, [this, who, life, id = call.call] {
+      auto& i = *instances_.at(who);
+      if (i.life != life) return;
+      post(i, event::answer_end{id, call_end::no_room});
+    });
+    return;
+  }
   later(kLinkDelay, [this, who, life, call] {
     auto& i = *instances_.at(who);
     if (i.life != life || i.cancelled.contains(call.call)) return;
--- a/include/seamglade/answer_end.h
+++ b/include/seamglade/answer_end.h
@@ -29,6 +29,7 @@
 enum class call_end : std::uint8_t {
   complete,     // the answer was read up to its end
   not_sent,     // no connection came up: nothing reached the other side
+  no_room,      // this side may open no further connection: nothing was sent
   closed,       // the connection was closed before the answer's end
   reset,        // the connection failed before the answer's end
   malformed,    // what came is no answer, or belongs to no call
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -176,6 +176,8 @@
   std::vector<http_header> headers;
   std::shared_ptr<const std::string> body;
   std::string request_id;
+  /** Idle connections to the target that may be kept; 0: the usual number. */
+  std::size_t most_idle = 0;
 };
 /** Hands a request on to an instance; its answer comes as a target's does. */
 struct call_peer {
--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -51,10 +51,19 @@
   return text;
 }
 
+/** Whether the system lacked something that it may have again. */
+bool lacks_resources(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+         error == ENOMEM || error == EADDRNOTAVAIL;
+}
+
 }  // namespace
 
-call_client::call_client(event_base* base, std::string name_header)
-    : base_(base), name_header_(std::move(name_header)) {}
+call_client::call_client(event_base* base, std::string name_header,
+                         std::shared_ptr<connection_budget> budget)
+    : base_(base),
+      name_header_(std::move(name_header)),
+      budget_(std::move(budget)) {}
 call_client::~call_client() = default;
 
 call_client::token call_client::start(outgoing_call call, handlers on) {
@@ -64,7 +73,6 @@
     ++counts_.reused;
   } else {
     c = open(call);
-    ++counts_.opened;
   }
   const auto number = next_token_++;
   c->call = number;
@@ -103,20 +111,31 @@
       },
       c);
   connections_.emplace(c->number, std::move(made));
-  note_peak(c->address);
+  connect(*c, call);
+  return c;
+}
+
+void call_client::connect(connection& c, const outgoing_call& call) {
+  if (budget_) {
+    if (!budget_->make_room(call.use)) return end_unsent(c, call_end::no_room);
+    c.place.emplace(*budget_, call.use,
+                    [this, number = c.number] { give_up_idle(number); });
+  }
+  ++counts_.opened;
+  note_peak(c.address);
   const auto wait = to_timeval(call.connect_timeout);
-  event_add(c->timer.get(), &wait);
+  event_add(c.timer.get(), &wait);
   const auto where = parse_endpoint(call.address);
-  if (!where) {
-    end_unsent(*c);
-    return c;
+  if (!where) return end_unsent(c);
+  if (!begin_connection(c.io.get(), where.value())) {
+    const bool is_short = lacks_resources(errno);
+    if (is_short && budget_) budget_->note_refused();
+    end_unsent(c, is_short ? call_end::no_room : call_end::not_sent);
   }
-  if (!begin_connection(c->io.get(), where.value())) end_unsent(*c);
-  if (const auto fd = bufferevent_getfd(c->io.get()); fd >= 0) {
+  if (const auto fd = bufferevent_getfd(c.io.get()); fd >= 0) {
     set_no_delay(fd);
     set_dead_peer_timeout(fd, kDeadPeer);
   }
-  return c;
 }
 
 void call_client::note_peak(const std::string& address) {
@@ -127,8 +146,9 @@
       std::max(counts_.most_to_one_address, static_cast<std::uint64_t>(count));
 }
 
-void call_client::end_unsent(connection& c) {
+void call_client::end_unsent(connection& c, call_end how) {
   c.now = phase::connecting;
+  c.unsent = how;
   const timeval at_once{};
   event_add(c.timer.get(), &at_once);
 }
@@ -154,7 +174,7 @@
 
 void call_client::on_timer(connection& c) {
   if (c.now == phase::connecting) {
-    end_call(c, call_end::not_sent);
+    end_call(c, c.unsent);
     return;
   }
   if (c.now != phase::idle) return;
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -13,12 +13,16 @@
 #include <string>
 #include <vector>
 
+#include "connection/connection_budget.h"
 #include "connection/event_handles.h"
 #include "connection/http_parser.h"
 #include "seamglade/types.h"
 
 namespace seamglade::detail {
 
+/** Idle connections that are kept to an address where nothing tells better. */
+inline constexpr std::size_t kUsualIdle = 16;
+
 /** A request to make. */
 struct outgoing_call {
   /** IP:port. */
@@ -49,6 +53,9 @@
   bool is_alone = false;
   /** No byte is written after this time: the call then ends as not sent. */
   time_point not_after = time_point::max();
+  connection_use use = connection_use::control;
+  /** Idle connections that are kept to the address afterwards, at most. */
+  std::size_t most_idle = kUsualIdle;
 };
 
 using gateway::answer_carrier;
@@ -77,6 +84,9 @@
  * whole, the request had been written whole, and no answer was skipped on it.
  * A kept connection on which anything comes, be it its close, carries no
  * further call. Few are kept that have carried a call without a name.
+ *
+ * With a budget, a call that needs a connection beyond it ends as `no_room`, as
+ * one does for which the system has no descriptor.
  */
 class call_client {
  public:
@@ -107,8 +117,12 @@
     std::uint64_t most_to_one_address = 0;
   };
 
-  /** `name_header`: the header in which answers bear the names of calls. */
-  call_client(event_base* base, std::string name_header);
+  /**
+   * `name_header`: the header in which answers bear the names of calls.
+   * `budget`: shared with other clients; none: there is no bound.
+   */
+  call_client(event_base* base, std::string name_header,
+              std::shared_ptr<connection_budget> budget = nullptr);
   ~call_client();
   call_client(const call_client&) = delete;
   call_client& operator=(const call_client&) = delete;
@@ -122,6 +136,7 @@
   bool cancel(token call);
   const counters& counts() const { return counts_; }
   std::size_t connection_count() const { return connections_.size(); }
+  std::size_t idle_count() const;
 
  private:
   enum class phase : std::uint8_t { connecting, calling, idle };
@@ -132,7 +147,10 @@
     std::string address;
     bufferevent_handle io;
     event_handle timer;
+    std::optional<connection_budget::place> place;
     phase now = phase::connecting;
+    /** What its call ends with where nothing of it is written. */
+    call_end unsent = call_end::not_sent;
     token call = 0;
     outgoing_call request;
     /** Shared: a handler may cancel its own call while it runs. */
@@ -160,6 +178,8 @@
   /** Returns an idle connection that may carry a call; null: none may. */
   connection* take_idle(const outgoing_call& call);
   void close_idle(const std::string& address);
+  /** Closes one that is idle; what it was kept for opens another. */
+  void give_up_idle(std::uint64_t number);
   bool may_carry(const connection& c, const outgoing_call& call) const;
   bool may_be_kept(const connection& c) const;
   /** Whether nothing has come on an idle connection, also no close. */
@@ -167,7 +187,8 @@
   /** If it is too late, ends the call in place of that. */
   void write_request(connection& c);
   /** Ends a call of which nothing was written, from the loop. */
-  static void end_unsent(connection& c);
+  static void end_unsent(connection& c, call_end how = call_end::not_sent);
+  void connect(connection& c, const outgoing_call& call);
   void on_readable(connection& c);
   void on_event(connection& c, short what);
   /** Nothing more will come on a connection that carries a call. */
@@ -187,12 +208,13 @@
   void end_call(connection& c, call_end how);
   void end_malformed(connection& c, const answer_defect& defect);
   void keep(connection& c, std::uint32_t keep_alive_seconds);
-  /** Bounds the idle connections that take no further call without a name. */
-  void close_surplus(const std::string& address);
+  /** Bounds the idle connections to an address, in all and by kind. */
+  void close_surplus(const std::string& address, std::size_t most_idle);
   void begin_answer(connection& c);
 
   event_base* base_;
   std::string name_header_;
+  std::shared_ptr<connection_budget> budget_;
   token next_token_ = 1;
   std::uint64_t next_number_ = 1;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
--- a/src/connection/call_client_idle.cc
+++ b/src/connection/call_client_idle.cc
@@ -38,6 +38,7 @@
   for (auto i = idle.size(); i-- > 0;) {
     auto* c = idle[i];
     if (!may_carry(*c, call)) continue;
+    if (c->place && !c->place->carry(call.use)) continue;
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (!is_quiet(*c)) {
       ++counts_.found_ended;
@@ -58,6 +59,19 @@
   idle_.erase(found);
 }
 
+void call_client::give_up_idle(std::uint64_t number) {
+  const auto found = connections_.find(number);
+  if (found == connections_.end()) return;
+  std::erase(idle_[found->second->address], found->second.get());
+  connections_.erase(found);
+}
+
+std::size_t call_client::idle_count() const {
+  std::size_t count = 0;
+  for (const auto& [address, idle] : idle_) count += idle.size();
+  return count;
+}
+
 bool call_client::may_carry(const connection& c,
                             const outgoing_call& call) const {
   if (name_header_.empty()) return true;
@@ -98,6 +112,7 @@
   c.call = 0;
   ++c.calls_before;
   c.on.reset();
+  const auto most_idle = c.request.most_idle;
   c.request = {};
   c.reader.reset();
   c.now = phase::idle;
@@ -108,12 +123,18 @@
   }
   const auto wait = to_timeval(idle);
   event_add(c.timer.get(), &wait);
+  if (c.place) c.place->rest();
   idle_[c.address].push_back(&c);
-  close_surplus(c.address);
+  close_surplus(c.address, most_idle);
 }
 
-void call_client::close_surplus(const std::string& address) {
+void call_client::close_surplus(const std::string& address,
+                                std::size_t most_idle) {
   auto& idle = idle_[address];
+  while (idle.size() > most_idle) {
+    connections_.erase(idle.front()->number);
+    idle.erase(idle.begin());
+  }
   const auto is_nameless = [](const connection* c) {
     return c->nameless_series.has_value();
   };
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -64,7 +64,8 @@
 bool begin_connection(bufferevent* io, const endpoint& where) {
   const auto fd =
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd >= 0) evutil_make_listen_socket_reuseable(fd);
+  if (fd < 0) return false;
+  evutil_make_listen_socket_reuseable(fd);
   bufferevent_setfd(io, fd);
   const auto address = to_socket_address(where);
   return bufferevent_socket_connect(io,
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -55,9 +55,9 @@
 endpoint bound_endpoint(evutil_socket_t fd);
 
 /**
- * Begins to connect; returns false where that fails at once. Neither the
- * connection nor what is left of it in TIME-WAIT keeps a listener from its
- * own port.
+ * Begins to connect; returns false, with errno, where that fails at once.
+ * Neither the connection nor what is left of it in TIME-WAIT keeps a listener
+ * from its own port.
  */
 bool begin_connection(bufferevent* io, const endpoint& where);
 
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -194,6 +194,7 @@
 }
 
 void gateway_core::impl::call_ended(exchange& x, call_end how) {
+  if (how == call_end::no_room) return leave_unsent(x);
   const auto end = end_of_answer(x, how);
   if (is_end_in_doubt(x, end)) return doubt_end(x);
   settle_call(x, end);
@@ -230,6 +231,20 @@
   }
 }
 
+void gateway_core::impl::leave_unsent(exchange& x) {
+  // Its target did nothing: the lack is this instance's own.
+  end_call(x, true, false);
+  --x.runs;
+  log("call_without_room", {{"request", x.facts.id},
+                            {"target", x.target},
+                            {"relay", static_cast<std::int64_t>(x.relay)},
+                            {"runs", static_cast<std::int64_t>(x.runs)}});
+  if (x.head_sent) return abort_answer(x);
+  constexpr std::string_view kReason = "no_connection_room";
+  if (x.runs > 0) return refuse(x, kBadGateway, {}, kReason);
+  refuse(x, kUnavailable, kComeBackSoon, kReason);
+}
+
 void gateway_core::impl::retry_unsent(exchange& x) {
   if (x.unsent_tries < kUnsentTries && x.until - now_ > kAnswerMargin) {
     retry(x, "not_sent");
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -16,6 +16,9 @@
 /** Requests that wait are looked at anew so far apart. */
 constexpr duration kPlacePause = 5ms;
 constexpr duration kLargePlacePause = 15ms;
+/** Of a target's connections all instances together keep so much idle. */
+constexpr std::size_t kIdlePart = 2;
+constexpr std::size_t kMostIdleShare = 32;
 
 }  // namespace
 
@@ -100,6 +103,7 @@
   call.headers = platform_.call_headers(x.message.headers, facts);
   call.body = x.message.body;
   call.request_id = x.facts.id;
+  call.most_idle = idle_share(*x.service);
   const bool heard = target.residency_heard != time_point{};
   const auto load_age_ms = heard ? to_ms(now_ - target.residency_heard) : -1;
   log("dispatch",
@@ -127,6 +131,13 @@
   do_act(std::move(call));
 }
 
+std::size_t gateway_view::idle_share(const service_profile& service) const {
+  if (service.max_connections == 0) return 0;
+  const auto members = std::max<std::size_t>(1, staying_.size());
+  const auto share = service.max_connections / kIdlePart / members;
+  return std::clamp<std::size_t>(share, 1, kMostIdleShare);
+}
+
 void gateway_core::impl::place_waiting() {
   const auto pause = roster_.is_large() ? kLargePlacePause : kPlacePause;
   if (now_ - placed_at_ < pause) return;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -494,14 +494,14 @@
                        std::string_view source);
   /** Parts have come to be refused as time passed. */
   void note_new_verdicts();
-  /** Takes a request away from targets that may not have begun it. */
-  void stop_runs_of(const request_fingerprint& request);
-  /** Returns whether the request is not to run, and was given its end. */
   /**
    * Takes runs from their targets whose contents were refused since the last
    * event. Not at once: the event may be about one of them.
    */
   void stop_refused_runs();
+  /** Takes a request away from targets that may not have begun it. */
+  void stop_runs_of(const request_fingerprint& request);
+  /** Returns whether the request is not to run, and was given its end. */
   bool refuse_quarantined(exchange& x);
   /** Tells all who is blamed, or no longer. */
   void tell_blame();
@@ -562,6 +562,8 @@
   void end_call(exchange& x, bool success, bool severe);
   /** No connection came up for its call. */
   void retry_unsent(exchange& x);
+  /** Refuses a request whose call found no room for a connection. */
+  void leave_unsent(exchange& x);
   void whole_answer(exchange& x);
   void failed_answer(exchange& x);
   /** Ends an answer that has begun, so that it is seen to be incomplete. */
--- a/src/process/gateway_metrics.cc
+++ b/src/process/gateway_metrics.cc
@@ -182,6 +182,14 @@
   counter("seamglade_accept_rests_total",
           "Times that a listener rested for want of a descriptor",
           resources.counts.accept_rests);
+  counter("seamglade_replaced_calls_total",
+          "Idle connections to others that gave their place to a new one",
+          resources.opened.replaced);
+  counter("seamglade_unopened_connections_total",
+          "Connections not opened since there was no place or descriptor",
+          resources.opened.refused);
+  gauge("seamglade_idle_connections", "Connections kept for later calls",
+        static_cast<double>(resources.idle_connections));
   gauge("seamglade_reserved_bytes", "Bytes set aside for requests",
         static_cast<double>(resources.reserved_bytes));
   gauge("seamglade_unsent_bytes", "Bytes of answers that nobody has taken yet",
--- a/src/process/gateway_metrics.h
+++ b/src/process/gateway_metrics.h
@@ -55,6 +55,9 @@
   std::size_t held_bound = 0;
   std::size_t descriptor_limit = 0;
   std::vector<connection_share> connections;
+  /** Of those that it opened. */
+  std::size_t idle_connections = 0;
+  connection_budget::counters opened;
   gateway_server::counters counts;
 };
 
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -123,6 +123,7 @@
       limits_(limits_of(config_)),
       descriptors_(divide_descriptors(limits_.descriptors)),
       bytes_(std::make_shared<byte_budget>(divide_memory(limits_.memory).held)),
+      opened_(std::make_shared<connection_budget>(descriptors_.calls)),
       base_(event_base_new()),
       platform_(gateway::make_platform_dialect()),
       log_(base_.get(), STDOUT_FILENO, config_.id),
@@ -160,10 +161,11 @@
                    if (!message) return;
                    post(event::datagram{from, std::move(message.value())});
                  }),
-      target_client_(base_.get(), std::string(platform_->request_id_header())),
-      fleet_client_(base_.get(), {}),
-      relay_client_(base_.get(), std::string(kRelayCall)),
-      prober_(base_.get()),
+      target_client_(base_.get(), std::string(platform_->request_id_header()),
+                     opened_),
+      fleet_client_(base_.get(), {}, opened_),
+      relay_client_(base_.get(), std::string(kRelayCall), opened_),
+      prober_(base_.get(), opened_),
       addresses_(base_.get(),
                  {[this](const address_wait& wait) { on_listen_wait(wait); },
                   [this] { on_bound(); },
@@ -393,6 +395,8 @@
   call.body = std::move(a.body);
   call.connect_timeout = kTargetConnect;
   call.name = std::move(a.request_id);
+  call.use = connection_use::requests;
+  if (a.most_idle > 0) call.most_idle = a.most_idle;
   pass_on_answer(target_client_, a.call, std::move(call));
 }
 
@@ -410,6 +414,7 @@
   if (a.origin) call.headers.push_back(origin_header(*a.origin));
   call.body = std::move(a.body);
   call.connect_timeout = kPeerConnect;
+  call.use = connection_use::requests;
   pass_on_answer(relay_client_, a.call, std::move(call));
 }
 
@@ -505,10 +510,9 @@
       {"ready", ready_.connection_count(), descriptors_.ready},
       {"metrics", metrics_.connection_count(), descriptors_.metrics},
       {"peers", peers_.connection_count(), descriptors_.peers},
-      {"calls",
-       target_client_.connection_count() + fleet_client_.connection_count() +
-           relay_client_.connection_count(),
-       descriptors_.calls}};
+      {"calls", opened_->open(), opened_->bound()}};
+  out.idle_connections = opened_->idle();
+  out.opened = opened_->counts();
   for (const auto* server : {&callers_, &ready_, &metrics_, &peers_}) {
     out.counts += server->counts();
   }
@@ -519,8 +523,10 @@
   const auto now = boot_now();
   auto counts = callers_.counts();
   counts += peers_.counts();
+  const auto unopened = opened_->counts().refused;
   const auto turned_away = counts.room_refusals + counts.broken_off +
-                           counts.closed_unread + counts.accept_rests;
+                           counts.closed_unread + counts.accept_rests +
+                           unopened;
   const auto told = room_watch_.look(now, turned_away);
   if (!told) return;
   log_.write(
@@ -531,6 +537,9 @@
              {"broken_off", static_cast<std::int64_t>(counts.broken_off)},
              {"closed_unread", static_cast<std::int64_t>(counts.closed_unread)},
              {"accept_rests", static_cast<std::int64_t>(counts.accept_rests)},
+             {"unopened", static_cast<std::int64_t>(unopened)},
+             {"opened", static_cast<std::int64_t>(opened_->open())},
+             {"idle", static_cast<std::int64_t>(opened_->idle())},
              {"reserved", static_cast<std::int64_t>(bytes_->reserved())},
              {"unsent", static_cast<std::int64_t>(bytes_->unsent())},
              {"connections",
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -114,6 +114,8 @@
   process_limits limits_;
   descriptor_shares descriptors_;
   std::shared_ptr<byte_budget> bytes_;
+  /** Of all that the clients and the prober open. */
+  std::shared_ptr<connection_budget> opened_;
   base_handle base_;
   std::unique_ptr<gateway::dialect> platform_;
   event_log log_;
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -29,6 +29,13 @@
   // gateway.cc
   bool is_ready() const;
 
+  // gateway_dispatch.cc
+  /**
+   * Returns how many idle connections this instance may keep to each target of
+   * a service; 0: nothing tells.
+   */
+  std::size_t idle_share(const service_profile& service) const;
+
   // gateway_store.cc
   /** Returns whether entries that went may have lapsed with the store. */
   bool lapsed_with_store(const std::vector<store_item>& news) const;
--- a/src/process/process_limits.cc
+++ b/src/process/process_limits.cc
@@ -56,7 +56,7 @@
   descriptor_shares out;
   out.own = kLeastOwn + limit / 16;
   const auto rest = limit > out.own ? limit - out.own : 0;
-  out.calls = part_of(rest, 4);
+  out.calls = part_of(rest, 3);
   const auto listeners = rest > out.calls ? rest - out.calls : 0;
   out.peers = part_of(listeners, 8);
   out.ready = std::min(kMostAsking, part_of(listeners, 16));
--- a/src/request/answer_end.cc
+++ b/src/request/answer_end.cc
@@ -25,6 +25,8 @@
       return "complete";
     case call_end::not_sent:
       return "not_sent";
+    case call_end::no_room:
+      return "no_room";
     case call_end::closed:
       return "closed";
     case call_end::reset:
--- a/test/target_cut-test.cc
+++ b/test/target_cut-test.cc
@@ -347,5 +347,34 @@
 INSTANTIATE_TEST_SUITE_P(seeds, late_grant,
                          testing::Range<std::uint64_t>(1, 4));
 
+// Guards against targets blamed for an instance's own want of connections.
+TEST(target_cut, an_instance_without_room_for_connections_blames_no_target) {
+  gateway_world_options options;
+  options.plain_targets = 3;
+  gateway_world w(options);
+  w.run_for(kSettled);
+  const auto who = w.instances()[0];
+  w.deny_connections(who, true);
+  std::vector<fakes::gateway_call*> refused;
+  for (int i = 0; i < 30; ++i) {
+    refused.push_back(&w.call_plain(who, i % 2 == 0));
+    refused.push_back(&w.call_engine(who, fmt::format("a{}", i % 4)));
+    w.run_for(100ms);
+  }
+  for (const auto* call : refused) {
+    EXPECT_EQ(call->status, kUnavailable);
+    EXPECT_GT(call->retry_after, 0ms);
+    EXPECT_EQ(w.runs_of(call->id), 0U);
+  }
+  EXPECT_EQ(w.status(who).target_cuts, 0U);
+  w.deny_connections(who, false);
+  auto& plain = w.call_plain(who, false);
+  auto& stream = w.call_engine(who, "a1");
+  w.run_for(2s);
+  EXPECT_EQ(plain.status, kOk);
+  EXPECT_EQ(stream.status, kOk);
+  expect_rules_kept(w);
+}
+
 }  // namespace
 }  // namespace seamglade
