A play that counts a real instance's descriptors by use; tests made sure

reused_port-test failed once beside other tests (a link's port: address in use): a socket of another process, in TIME-WAIT after a call by curl, can have the same local port, and need not let others listen. The test now takes a port that no other socket has. The new plays made thousands of such sockets; they now make their calls over one connection. call_client_budget: the sanitizer needs a descriptor for types that it has not seen (found when the test ran alone).

--- a/test/call_client_budget-test.cc
+++ b/test/call_client_budget-test.cc
@@ -176,12 +176,6 @@
 }
 
 TEST_F(call_client_budget, a_call_without_a_descriptor_blames_no_target) {
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  auto none = before;
-  const int next = dup(0);
-  close(next);
-  none.rlim_cur = static_cast<rlim_t>(next);
   outgoing_call call;
   call.address = target_.address();
   call.method = "GET";
@@ -192,14 +186,24 @@
     ended = end;
     event_base_loopbreak(base_.get());
   };
-  // The sanitizer needs descriptors where it checks the fixture.
+  call.is_alone = true;
+  // The sanitizer needs descriptors for types that it has not seen before.
   auto& client = client_;
+  EXPECT_EQ(end_of(begin(client, target_.address(), "first",
+                         connection_use::requests)),
+            call_end::complete);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  auto none = before;
+  const int next = dup(0);
+  close(next);
+  none.rlim_cur = static_cast<rlim_t>(next);
   setrlimit(RLIMIT_NOFILE, &none);
   client.start(std::move(call), std::move(on));
   setrlimit(RLIMIT_NOFILE, &before);
   run_loop(base_.get(), kPatience);
   EXPECT_EQ(ended, call_end::no_room);
-  EXPECT_EQ(budget_->open(), 0U);
+  EXPECT_EQ(budget_->open(), budget_->idle());
 }
 
 }  // namespace
--- a/test/limits_processes-test.sh
+++ b/test/limits_processes-test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A real instance at the limits that the system sets for its process serves on.
 # Usage: limits_processes-test.sh BUILD_DIR KIND, with KIND one of file_size,
-# repeated_id, signals, inherited_signals, cpu_time.
+# repeated_id, descriptors, signals, inherited_signals, cpu_time.
 set -euo pipefail
 bin=$1
 kind=$2
@@ -28,6 +28,13 @@
   [[ $answer == "answer to $1 200" ]] || fail "$1 got '$answer'"
 }
 
+# repeat COUNT ID: makes calls of one id over one connection; prints statuses.
+repeat() {
+  curl -s -m 60 -H 'Host: desk.example' -H "X-Request-Id: $2" \
+    -H 'X-Deadline-Ms: 5000' -o /dev/null -w '%{stdout}%{http_code}\n' \
+    "http://$net.1:$port/get/x?[1-$1]" || true
+}
+
 # Guards against an end by SIGXFSZ where the log's file may grow no further.
 test_file_size() {
   local limit_kb=16 size n
@@ -38,10 +45,10 @@
   start_gateway 1
   ulimit -S -f unlimited
   until_gateway_ready 1
-  for n in $(seq 400); do
+  for n in $(seq 40); do
     size=$(stat -c %s "$work/g1.log")
     [ "$size" -lt $((limit_kb * 1024)) ] || break
-    call 1 /get/x "fill-$n" >/dev/null
+    repeat 20 "fill-$n"
     alive
   done
   [ "$size" -eq $((limit_kb * 1024)) ] || fail "the log has $size bytes"
@@ -63,9 +70,7 @@
   gateway_settings="descriptor_limit = $limit" start_gateway 1
   ulimit -S -n "$(ulimit -H -n)"
   until_gateway_ready 1
-  curl -s -m 60 -H 'Host: desk.example' -H 'X-Request-Id: again' \
-    -H 'X-Deadline-Ms: 5000' -o "$work/again.out" -w '%{http_code}\n' \
-    "http://$net.1:$port/get/x?[1-600]" >"$work/again.codes" 2>&1 &
+  repeat 600 again >"$work/again.codes" &
   local repeating=$!
   pids+=("$repeating")
   for n in $(seq 20); do
@@ -81,6 +86,63 @@
   served 'afterwards'
 }
 
+# within_bounds: fails if more descriptors are open than the settings allow, or
+# more connections of a use than its part.
+within_bounds() {
+  local open use
+  open=$(find "/proc/${pid_of[g1]}/fd" -type l | wc -l)
+  [ "$open" -le "$limit" ] || fail "$open descriptors are open"
+  curl -sf -m 5 "http://$net.1:$((port + 3))/metrics" >"$work/metrics" ||
+    fail 'no metrics'
+  for use in callers ready metrics peers calls; do
+    awk -v use="{use=\"$use\"}" '
+      $1 == "seamglade_connections" use { open = $2 }
+      $1 == "seamglade_connection_bound" use { bound = $2 }
+      END { print use, open, "of", bound; exit !(bound > 0 && open <= bound) }
+    ' "$work/metrics" >"$work/bound" || fail "beyond: $(cat "$work/bound")"
+  done
+  most=$((open > most ? open : most))
+}
+
+# Guards against a kind of connection that takes what others need.
+test_descriptors() {
+  local n most=0 limit=256 waiting=() asking=()
+  net=127.0.15
+  start_platform 0 3 3
+  ulimit -S -n "$limit"
+  gateway_settings="descriptor_limit = $limit" start_gateway 1
+  ulimit -S -n "$(ulimit -H -n)"
+  until_gateway_ready 1
+  "$bin/seamglade-callers-standin" 12 60 60000 77 "$net.1:$port" \
+    >"$work/callers.out" 2>&1 &
+  pids+=($!)
+  # Callers and peers that say nothing, and those that say half of a head.
+  for n in $(seq 1 2 120); do
+    exec {waiting[n]}<>"/dev/tcp/$net.1/$port" || true
+    exec {asking[n]}<>"/dev/tcp/$net.1/$((port + 2))" || true
+    [ $((n % 4)) -ne 1 ] ||
+      printf 'GET / HTTP/1.1\r\n' >&"${waiting[n]}" 2>/dev/null || true
+  done
+  for n in $(seq 12); do
+    repeat 400 "again-$n" >/dev/null &
+    pids+=($!)
+    curl -s -X PUT -d '{"restart": true}' "http://$store/word/$((n % 6))" \
+      >/dev/null
+    within_bounds
+    sleep 0.3
+    within_bounds
+    alive
+  done
+  for n in "${waiting[@]}" "${asking[@]}"; do exec {n}>&- || true; done
+  until_gateway_ready 1
+  for n in $(seq 100); do
+    [[ $(call 1 /get/x "after-$n") != *' 200' ]] || break
+    sleep 0.1
+  done
+  served 'afterwards'
+  echo "most: $most of $limit descriptors"
+}
+
 # told SIGNAL: waits until the instance has a line on a signal.
 told() {
   wait_for "$work/g1.log" "\"event\":\"signal_ignored\",\"signal\":\"SIG$1\"" \
@@ -141,10 +203,8 @@
   start_gateway 1
   ulimit -S -t unlimited
   until_gateway_ready 1
-  for n in $(seq 100); do
-    curl -s -m 30 -H 'Host: desk.example' -H "X-Request-Id: cpu-$n" \
-      -H 'X-Deadline-Ms: 5000' -o /dev/null \
-      "http://$net.1:$port/get/x?[1-100]" || true
+  for n in $(seq 40); do
+    repeat 1000 "cpu-$n"
     alive
     ! grep -q SIGXCPU "$work/g1.log" || break
   done
--- a/test/reused_port-test.cc
+++ b/test/reused_port-test.cc
@@ -4,9 +4,15 @@
 // SPDX-License-Identifier: MIT
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
+#include <fstream>
+#include <functional>
+#include <optional>
+#include <sstream>
+
 #include "connection/call_client.h"
 #include "connection/connect_probe.h"
 #include "connection/listening.h"
@@ -75,22 +81,56 @@
   return {};
 }
 
+/** Returns how many sockets of this machine have a local port. */
+std::size_t sockets_at(std::uint16_t port) {
+  const auto mark = fmt::format(":{:04X}", port);
+  std::ifstream table("/proc/net/tcp");
+  std::size_t count = 0;
+  for (std::string line; std::getline(table, line);) {
+    std::istringstream words(line);
+    std::string number;
+    std::string own;
+    words >> number >> own;
+    if (own.ends_with(mark)) ++count;
+  }
+  return count;
+}
+
 class reused_port : public testing::Test {
  protected:
+  /**
+   * Opens connections until one has a port that no socket of another process
+   * has too: those need not let others listen.
+   */
+  endpoint own_port(const std::function<void()>& open) {
+    constexpr int kTries = 20;
+    endpoint port;
+    for (int i = 0; i < kTries; ++i) {
+      open();
+      port = end_.accepted_from();
+      if (sockets_at(port.port) == 1) break;
+      end_.close();
+    }
+    return port;
+  }
+
   base_handle base_{event_base_new()};
   far_end end_{base_.get()};
 };
 
 TEST_F(reused_port, a_call_keeps_no_listener_from_its_port) {
   call_client client(base_.get(), {});
-  outgoing_call call;
-  call.address = end_.address();
-  call.method = "GET";
-  call.target = "/";
-  call.host = "host";
-  call.connect_timeout = 10s;
-  const auto token = client.start(std::move(call), {});
-  const auto port = end_.accepted_from();
+  call_client::token token = 0;
+  const auto port = own_port([&] {
+    if (token != 0) client.cancel(token);
+    outgoing_call call;
+    call.address = end_.address();
+    call.method = "GET";
+    call.target = "/";
+    call.host = "host";
+    call.connect_timeout = 10s;
+    token = client.start(std::move(call), {});
+  });
   EXPECT_EQ(why_not(port), "");
   client.cancel(token);
   end_.close_after_other();
@@ -99,21 +139,24 @@
 
 TEST_F(reused_port, a_probe_keeps_no_listener_from_its_port) {
   connect_prober prober(base_.get());
-  prober.probe(end_.address(), [](connect_outcome) {});
-  const auto port = end_.accepted_from();
+  const auto port =
+      own_port([&] { prober.probe(end_.address(), [](connect_outcome) {}); });
   EXPECT_EQ(why_not(port), "");
 }
 
 TEST_F(reused_port, a_link_to_a_peer_keeps_no_listener_from_its_port) {
-  peer_network peers(
-      base_.get(), {kProtocolVersion, "a", 1},
-      {[](const instance_id&, std::uint64_t) {}, [](const instance_id&) {},
-       [](const instance_id&, const message&) {}, [](const failure&) {}});
-  instance_entry peer;
-  peer.id = "b";
-  peer.address = end_.address();
-  peers.set_peers({peer});
-  const auto port = end_.accepted_from();
+  std::optional<peer_network> peers;
+  const auto port = own_port([&] {
+    peers.emplace(base_.get(), hello{kProtocolVersion, "a", 1},
+                  peer_observer{[](const instance_id&, std::uint64_t) {},
+                                [](const instance_id&) {},
+                                [](const instance_id&, const message&) {},
+                                [](const failure&) {}});
+    instance_entry peer;
+    peer.id = "b";
+    peer.address = end_.address();
+    peers->set_peers({peer});
+  });
   EXPECT_EQ(why_not(port), "");
 }
 
