A connection that is long within a head gives its place

Callers saw: 4,000 connections with half a head each, and 55 of 94 sound callers are not accepted while it lasts. A place was given up by idle connections alone, and one that has sent a byte was not idle until the time for heads was over. Now, where none is idle, the one whose head began first, a second ago at least, gives its place. One that is being refused keeps its place until its answer is sent. resource_bounds-test, two new ones; the first was not run on the code before. The herd of 4,000 was not played again.

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -43,6 +43,8 @@
 constexpr duration kAcceptRest = 100ms;
 /** A connection that is idle for less is about to send its request. */
 constexpr duration kLeastIdle = 1s;
+/** A head that has come in pieces for less may still be whole soon. */
+constexpr duration kLeastHead = 1s;
 /** So many idle connections are looked at for one to close. */
 constexpr int kIdleLooks = 8;
 /** A large upload that takes up the room is over by then as a rule. */
@@ -132,7 +134,7 @@
 }
 
 void gateway_server::accept(evutil_socket_t fd, std::uint32_t from) {
-  if (connections_.size() >= bounds_.connections && !close_longest_idle()) {
+  if (connections_.size() >= bounds_.connections && !make_place()) {
     ++counts_.closed_unread;
     evutil_closesocket(fd);
     return;
@@ -204,6 +206,19 @@
   return false;
 }
 
+bool gateway_server::close_longest_head() {
+  if (heads_.empty()) return false;
+  auto& c = heads_.front();
+  if (c.since > boot_now() - kLeastHead) return false;
+  ++counts_.replaced;
+  erase(c);
+  return true;
+}
+
+bool gateway_server::make_place() {
+  return close_longest_idle() || close_longest_head();
+}
+
 void gateway_server::break_off(connection& c) {
   ++counts_.broken_off;
   on_event(c, BEV_EVENT_ERROR);
@@ -263,8 +278,15 @@
   auto* in = bufferevent_get_input(c.io.get());
   if (evbuffer_get_length(in) == 0) return;
   const bool first = !c.reader->started();
-  c.idle_hook::unlink();
+  if (first) {
+    c.idle_hook::unlink();
+    heads_.push_back(c);
+    c.since = boot_now();
+  }
   const auto progress = c.reader->read(in);
+  if (c.reader->head_complete() || progress == parse_progress::failed) {
+    c.idle_hook::unlink();
+  }
   if (progress == parse_progress::failed) {
     refuse(c, status_of(c.reader->fault()));
     return;
@@ -302,6 +324,7 @@
 
 void gateway_server::refuse(connection& c, int status,
                             std::string_view headers) {
+  c.idle_hook::unlink();
   on_.refused(status);
   std::string text =
       fmt::format("HTTP/1.1 {} {}\r\n", status, reason_phrase(status));
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -148,6 +148,10 @@
     time_point since;
   };
 
+  using idle_list =
+      boost::intrusive::list<connection, boost::intrusive::base_hook<idle_hook>,
+                             boost::intrusive::constant_time_size<false>>;
+
   /** `from`: the caller's IPv4 number, in host order. */
   void accept(evutil_socket_t fd, std::uint32_t from);
   void on_readable(connection& c);
@@ -164,6 +168,10 @@
   void read_ahead(connection& c);
   /** Closes the connection that has been idle for longest; false: none is. */
   bool close_longest_idle();
+  /** Closes the one that has sent part of a head for longest; false: none. */
+  bool close_longest_head();
+  /** Makes room for one more connection; false: all others are at work. */
+  bool make_place();
   static bool is_idle(const connection& c);
   void rest();
   void break_off(connection& c);
@@ -193,9 +201,9 @@
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
   /** Those that have sent nothing of a request; the longest idle comes first.
    */
-  boost::intrusive::list<connection, boost::intrusive::base_hook<idle_hook>,
-                         boost::intrusive::constant_time_size<false>>
-      idle_;
+  idle_list idle_;
+  /** Those that have sent part of a head; the one that began first is first. */
+  idle_list heads_;
   std::map<caller_id, connection*> by_caller_;
   caller_id next_caller_;
 };
--- a/test/resource_bounds-test.cc
+++ b/test/resource_bounds-test.cc
@@ -174,6 +174,50 @@
   until([&] { return requests_ == 1; });
 }
 
+// Guards against callers kept out by connections that send half a head.
+TEST_F(resource_bounds, who_is_longest_within_a_head_gives_its_place) {
+  gateway::caller_limits limits;
+  limits.header_timeout = 60s;
+  server_.set_limits(limits);
+  std::vector<std::unique_ptr<plain_caller>> slow;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    slow.push_back(std::make_unique<plain_caller>(address_));
+    slow.back()->send("GET / HTTP/1.1\r\n");
+    turns_in(20ms);
+  }
+  plain_caller early(address_);
+  until([&] { return early.is_closed(); });
+  turns_in(1s);
+  // More of its head is no new beginning.
+  slow[0]->send("Host: a\r\n");
+  turns_in(20ms);
+  plain_caller sound(address_);
+  sound.send(kSmall);
+  until([&] { return sound.got().ends_with("ok"); });
+  EXPECT_TRUE(slow[0]->is_closed());
+  EXPECT_FALSE(slow[1]->is_closed());
+  slow[1]->send("Host: a\r\n\r\n");
+  until([&] { return slow[1]->got().ends_with("ok"); });
+  EXPECT_EQ(server_.counts().replaced, 1U);
+}
+
+TEST_F(resource_bounds, an_answer_that_refuses_a_slow_head_is_not_cut) {
+  gateway::caller_limits limits;
+  limits.header_timeout = 1200ms;
+  server_.set_limits(limits);
+  std::vector<std::unique_ptr<plain_caller>> slow;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    slow.push_back(std::make_unique<plain_caller>(address_));
+    slow.back()->send("GET / HTTP/1.1\r\n");
+  }
+  until([&] { return !slow[0]->got().empty(); });
+  plain_caller next(address_);
+  turns_in(50ms);
+  for (const auto& one : slow) {
+    EXPECT_TRUE(one->got().starts_with("HTTP/1.1 408 "));
+  }
+}
+
 TEST_F(resource_bounds, large_upload_beyond_the_room_is_refused_at_once) {
   const plain_caller first(address_);
   first.send(head_of(3 * kMegabyte));
