An answer that is skipped is logged; one that is nobody's ends its call

Callers saw: an answer without an id on a connection that has carried nothing else (500, 410, 200 with a length) was skipped without a line, and the caller got 504 at its deadline, 4.99 of 5 s. Each answer bears the id of its call, and there a copy of an earlier one can't come, so it is none: the call ends now as one that may have run, with the fault other_call.

--- a/src/connection/call_client.cc
+++ b/src/connection/call_client.cc
@@ -285,21 +285,7 @@
     end_malformed(c, {answer_fault::status_line, "101"});
     return false;
   }
-  if (!belongs_to_call(c)) {
-    // The answer to another request, or word that one is to come.
-    c.skipping = true;
-    if (c.reader->head().status >= kFirstFinalStatus) {
-      c.ends_after_call = true;
-      ++counts_.skipped_during_call;
-    }
-    const bool has_no_end =
-        c.reader->head().framing == body_framing::close_delimited;
-    if (has_no_end || ++c.skipped_answers > kMostSkippedAnswers) {
-      end_malformed(c, {answer_fault::other_call, {}});
-      return false;
-    }
-    return true;
-  }
+  if (!belongs_to_call(c)) return skip_answer(c);
   c.head_given = true;
   // A later call may have the name that this answer bears.
   if (c.request.name.empty() && name_in(c.reader->head())) {
@@ -311,6 +297,28 @@
   return calls_.contains(call);
 }
 
+bool call_client::is_nobodys(const connection& c) const {
+  const auto& head = c.reader->head();
+  return c.calls_before == 0 && head.status >= kFirstFinalStatus &&
+         !name_in(head);
+}
+
+bool call_client::skip_answer(connection& c) {
+  const auto& head = c.reader->head();
+  if (c.on->skipped) c.on->skipped(head, {c.number, c.calls_before});
+  // The answer to another request, or word that one is to come.
+  c.skipping = true;
+  if (head.status >= kFirstFinalStatus) {
+    c.ends_after_call = true;
+    ++counts_.skipped_during_call;
+  }
+  const bool has_no_end = head.framing == body_framing::close_delimited;
+  const bool is_last =
+      has_no_end || is_nobodys(c) || ++c.skipped_answers > kMostSkippedAnswers;
+  if (is_last) end_malformed(c, {answer_fault::other_call, {}});
+  return !is_last;
+}
+
 bool call_client::give_body(connection& c) {
   auto bytes = c.reader->take_body();
   if (bytes.empty()) return true;
--- a/src/connection/call_client.h
+++ b/src/connection/call_client.h
@@ -74,6 +74,8 @@
  * - The answer to a call with a name counts only if it bears that name; others
  *   are skipped. No connection carries two calls of one name, so a name tells
  *   one call. Names come from callers and need not be unique.
+ * - On a connection that has carried nothing else, a final answer that bears no
+ *   name is no answer: it ends a call that has one.
  * - A connection carries one call without a name, or those of one series, so an
  *   answer without a name tells which.
  *
@@ -101,6 +103,11 @@
      * head, as `closed`. Not needed; cancels no call.
      */
     std::function<void(const answer_defect&)> defect = {};
+    /**
+     * An answer came that is not this call's, or an interim one. Not needed;
+     * cancels no call.
+     */
+    std::function<void(const answer_head&, const answer_carrier&)> skipped = {};
   };
 
   struct counters {
@@ -201,6 +208,10 @@
   /** Returns the name that an answer bears; none: it bears none. */
   std::optional<std::string_view> name_in(const answer_head& head) const;
   bool belongs_to_call(const connection& c) const;
+  /** Begins to skip an answer; returns false if the connection is gone. */
+  bool skip_answer(connection& c);
+  /** Whether an answer can belong neither to its call nor to an earlier one. */
+  bool is_nobodys(const connection& c) const;
   /** Remembers what a connection now carries, for may_carry(). */
   void note_call(connection& c, const outgoing_call& call) const;
   bool give_body(connection& c);
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -432,6 +432,17 @@
   on.data = [this, id](std::shared_ptr<const std::string> data) {
     post(event::answer_data{id, std::move(data)});
   };
+  on.skipped = [this, address = call.address, name = call.name](
+                   const answer_head& head, const answer_carrier& carrier) {
+    log_.write(boot_now(),
+               {"answer_skipped",
+                {{"request", name},
+                 {"address", address},
+                 {"status", head.status},
+                 {"connection", static_cast<std::int64_t>(carrier.connection)},
+                 {"calls_before", carrier.calls_before}},
+                false});
+  };
   auto defect = std::make_shared<answer_defect>();
   on.defect = [defect](const answer_defect& why) { *defect = why; };
   on.end = [this, id, defect](call_end end) {
--- a/test/call_client-test.cc
+++ b/test/call_client-test.cc
@@ -96,6 +96,18 @@
   int answered_ = 0;
 };
 
+// Guards against a call that waits for its deadline behind an answer to nobody.
+TEST_F(repeated_answers_test, one_without_a_name_ends_the_first_call) {
+  rule_ = [](const auto&) {
+    repeating_target::reply out;
+    out.status = 500;
+    out.name = "";
+    return out;
+  };
+  EXPECT_EQ(call("a").end, call_end::malformed);
+  EXPECT_EQ(call("").end, call_end::complete);
+}
+
 // A repeated refusal passed for the answer to a second send, and that had run.
 TEST_F(repeated_answers_test, a_refusal_is_not_taken_for_the_second_send) {
   refuse_first({moment::before_answer});
