A series of ends without pauses is more than one moment

Found reading again: ends were of one moment if each followed the one before within 200 ms, so a content that was answered once and then ends its targets every 150 ms would never be refused. A moment is now what lies within a second of its first end. What nothing has answered is tried again only where all its ends are within 200 ms, as before but measured from the first. quarantine.a_series_of_ends_is_more_than_one_moment, which the code before fails by reading (not run there); mass_end (5), crash (30), crash_soak (12), deadly_part (4) pass, debug, x86-64.

--- a/src/process/quarantine.cc
+++ b/src/process/quarantine.cc
@@ -48,10 +48,12 @@
  */
 constexpr duration kSameEnd = 1s;
 /**
- * Ends that follow one another within this have a cause in common: of a content
- * that was answered shortly before they count as one.
+ * Ends within this of the first of them are one moment: of a content that was
+ * answered shortly before they count once.
  */
-constexpr duration kOneMoment = 200ms;
+constexpr duration kOneMoment = 1s;
+/** What nothing has answered is tried again where all ends are within this. */
+constexpr duration kAtOnce = 200ms;
 /** Contents whose last whole answer is remembered: twice this, at most. */
 constexpr std::size_t kMostProofs = 256;
 /**
@@ -173,10 +175,12 @@
 
 std::size_t quarantine::moments_of(const record& of) {
   std::size_t moments = 0;
-  time_point last{};
+  time_point first{};
   for (const auto& end : of.ends) {
-    if (moments == 0 || end.at - last > kOneMoment) ++moments;
-    last = end.at;
+    // Not from end to end: a series of any length would be one moment.
+    if (moments > 0 && end.at - first <= kOneMoment) continue;
+    ++moments;
+    first = end.at;
   }
   return moments;
 }
@@ -248,7 +252,8 @@
   if (found == records_.end() || found->second.ends.empty()) return false;
   auto& known = found->second;
   // Of a content, ends of several moments speak for themselves.
-  const bool may_be = request.is_part() ? !known.tried : moments_of(known) == 1;
+  const auto span = known.ends.back().at - known.since;
+  const bool may_be = request.is_part() ? !known.tried : span <= kAtOnce;
   if (!may_be) return false;
   const auto since =
       std::max(known.ends.back().at, known.tried.value_or(time_point{}));
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -235,6 +235,18 @@
   EXPECT_TRUE(q.refused_for(kStart + 3s, kRequest));
 }
 
+// Guards against a series of ends without pauses that counts as one moment.
+TEST(quarantine, a_series_of_ends_is_more_than_one_moment) {
+  quarantine q;
+  q.note_answer(kStart - 5s, kRequest);
+  auto now = kStart;
+  for (target_hash target = 1; target <= 10; ++target) {
+    q.note_end(now, kRequest, target);
+    now += 150ms;
+  }
+  EXPECT_TRUE(q.refused_for(now, kRequest));
+}
+
 TEST(quarantine, an_answer_of_long_ago_proves_nothing) {
   quarantine q;
   q.note_answer(kStart - 1h, kRequest);
