A soak of real instances: kills, stops, signals, settings, full logs

process_soak-test: four instances, 40 callers that keep their connections; drawn by a seed: kills of one and of all, stops by three signals, eight signals, settings that are cut and written again, logs at their limit or emptied, targets that start again, calls of one id. None may end by itself, a stop ends with 0, all serve afterwards.

--- /dev/null
+++ b/test/process_soak-test.sh
@@ -0,0 +1,161 @@
+#!/usr/bin/env bash
+# Real instances amid kills, stops, signals, changes of their settings, logs
+# that are full and targets that start again, in series that overlap. Callers
+# keep their connections and come back. None ends by itself; a stop ends in
+# order; afterwards all serve.
+# Usage: process_soak-test.sh BUILD_DIR SEED SECONDS
+set -euo pipefail
+bin=$1
+seed=$2
+seconds=$3
+source "$(dirname "$0")/../scripts/fleet.sh"
+
+readonly instances=(1 2 3 4) log_limit_kb=256
+# As many as a stop of 4 s may take, with a sanitizer, beside other work.
+readonly stop_patience_s=30
+net=127.0.16
+draws=$seed
+
+# draw N: sets `drawn` to a number below N; the seed decides.
+draw() {
+  draws=$(((draws * 1103515245 + 12345) % 2147483648))
+  drawn=$(((draws >> 8) % $1))
+}
+
+# start N: starts an instance whose log may grow to a limit.
+start() {
+  ulimit -S -f "$log_limit_kb"
+  start_gateway "$1"
+  ulimit -S -f unlimited
+}
+
+# all_alive: fails if an instance ended that was not told to.
+all_alive() {
+  local n code
+  for n in "${instances[@]}"; do
+    kill -0 "${pid_of[g$n]}" 2>/dev/null && continue
+    code=0
+    wait "${pid_of[g$n]}" || code=$?
+    fail "seed $seed, step $step ($what): g$n ended by itself with $code"
+  done
+}
+
+# until_taken N: waits until an instance has taken its signals over; before, one
+# that is ignored from the start, as by a shell, is lost.
+until_taken() {
+  local mask
+  for _ in $(seq 200); do
+    mask=$(awk '$1 == "SigCgt:" { print $2 }' "/proc/${pid_of[g$1]}/status")
+    # SIGTERM is 15.
+    [ $((0x$mask >> 14 & 1)) -eq 0 ] || return 0
+    sleep 0.05
+  done
+  fail "seed $seed: g$1 takes no signals"
+}
+
+# stop N SIGNAL: has an instance stop in order and starts it again.
+stop() {
+  local code=0 end=$((SECONDS + stop_patience_s))
+  until_taken "$1"
+  kill -"$2" "${pid_of[g$1]}"
+  while kill -0 "${pid_of[g$1]}" 2>/dev/null; do
+    [ "$SECONDS" -lt "$end" ] || fail "seed $seed: g$1 does not stop on $2"
+    sleep 0.05
+  done
+  wait "${pid_of[g$1]}" || code=$?
+  if [ "$code" != 0 ]; then
+    grep -h -A 40 'ERROR: ' "$work/g$1.log" >&2 || true
+    fail "seed $seed: SIG$2 ended g$1 with $code"
+  fi
+  start "$1"
+}
+
+# kill_some N...: kills instances at once and starts them again.
+kill_some() {
+  local n
+  kill_gateways "$@"
+  for n in "$@"; do start "$n"; done
+}
+
+# change_settings N: writes the settings anew, cut for a moment, and tells it.
+change_settings() {
+  local ini=$work/g$1.ini whole
+  whole=$(cat "$ini")
+  until_taken "$1"
+  printf '%s' "${whole:0:40}" >"$ini"
+  kill -HUP "${pid_of[g$1]}"
+  printf '%s\n' "${whole/grace = 4s/grace = 4000ms}" >"$ini"
+  kill -HUP "${pid_of[g$1]}"
+}
+
+# restart_target N: ends a target, which comes back at once.
+restart_target() {
+  curl -s -X PUT -d '{"restart": true}' "http://$store/word/$1" >/dev/null ||
+    true
+}
+
+# repeat_id N: makes calls of one id at an instance, in the background.
+repeat_id() {
+  curl -s -m 10 -H 'Host: desk.example' -H 'X-Request-Id: same' \
+    -H 'X-Deadline-Ms: 3000' -o /dev/null \
+    "http://$net.$1:$port/get/x?[1-200]" &
+  pids+=($!)
+}
+
+act() {
+  local n signals=(USR1 USR2 ALRM XCPU XFSZ PIPE HUP VTALRM)
+  local stops=(TERM INT QUIT)
+  draw ${#instances[@]}
+  n=${instances[drawn]}
+  draw 10
+  case $drawn in
+    0) what="kill $n" && kill_some "$n" ;;
+    1) what='kill all' && kill_some "${instances[@]}" ;;
+    2) draw ${#stops[@]} && what="stop $n by ${stops[drawn]}" &&
+      stop "$n" "${stops[drawn]}" ;;
+    3 | 4) draw ${#signals[@]} && what="signal ${signals[drawn]} to $n" &&
+      until_taken "$n" && kill -"${signals[drawn]}" "${pid_of[g$n]}" ;;
+    5) what="settings of $n" && change_settings "$n" ;;
+    6) draw 4 && what="restart target $drawn" && restart_target "$drawn" ;;
+    7)
+      what='restart all targets'
+      for n in 0 1 2 3; do restart_target "$n"; done
+      ;;
+    8) what="log of $n emptied" && : >"$work/g$n.log" ;;
+    9) what="one id at $n" && repeat_id "$n" ;;
+  esac
+}
+
+start_platform 0 2 2
+for n in "${instances[@]}"; do start "$n"; done
+for n in "${instances[@]}"; do until_gateway_ready "$n"; done
+addresses=()
+for n in "${instances[@]}"; do addresses+=("$net.$n:$port"); done
+"$bin/seamglade-callers-standin" $((seconds + 120)) 40 30000 "$seed" \
+  "${addresses[@]}" >"$work/callers.out" 2>&1 &
+pids+=($!)
+step=0
+what=start
+end=$((SECONDS + seconds))
+while [ "$SECONDS" -lt "$end" ]; do
+  step=$((step + 1))
+  act
+  all_alive
+  draw 5
+  sleep "0.$drawn"
+  all_alive
+done
+for n in "${instances[@]}"; do until_gateway_ready "$n"; done
+for n in "${instances[@]}"; do
+  for _ in $(seq 100); do
+    answer=$(call "$n" /get/x "after-$n")
+    [[ $answer != *' 200' ]] || break
+    sleep 0.1
+  done
+  [[ $answer == *' 200' ]] || fail "seed $seed: g$n serves nothing: '$answer'"
+done
+all_alive
+served=$(awk '$1 == "tick" { n += $3 } END { print n + 0 }' "$work/callers.out")
+[ "$served" -gt 0 ] || fail "seed $seed: no caller was served"
+echo "seed $seed: $step steps, $served served"
+echo 'all checks passed'
