serve looks at the usual path where nothing names its settings

Found reading again: where the variable is not set, an instance ended at once, and before it waited at /etc/seamglade/boot.toml, where the platform puts the file.

--- a/src/process/main.cc
+++ b/src/process/main.cc
@@ -36,6 +36,8 @@
 
 /** Names the settings file where the command line does not. */
 constexpr const char* kFileVariable = "SEAMGLADE_NODE_FILE";
+/** Where it lies if nothing names it. */
+constexpr const char* kUsualFile = "/etc/seamglade/boot.toml";
 
 constexpr std::string_view kVersion = "seamglade " SEAMGLADE_VERSION "\n";
 
@@ -164,23 +166,19 @@
   return text;
 }
 
-/** Returns the path of the settings that the environment names, if any. */
-std::string path_by_variable() {
+/** Returns the path of the settings where the command line names none. */
+std::string usual_path() {
   const char* path = std::getenv(kFileVariable);
-  return path == nullptr ? "" : path;
+  return path == nullptr ? kUsualFile : path;
 }
 
 int serve(const std::vector<std::string>& words) {
   command c("serve", "Runs an instance until it is drained or terminated.");
   c.add()("config", po::value<std::string>(),
-          "INI file of the instance; not given: SEAMGLADE_NODE_FILE names it");
+          "INI file of the instance; not given: the one that "
+          "SEAMGLADE_NODE_FILE names, or /etc/seamglade/boot.toml");
   if (const auto over = c.parse(words)) return *over;
-  const auto path = c.flag("config") ? c.text("config") : path_by_variable();
-  if (path.empty()) {
-    fmt::print(stderr, "seamglade serve: give --config or set {}\n",
-               kFileVariable);
-    return kBadInput;
-  }
+  const auto path = c.flag("config") ? c.text("config") : usual_path();
   detail::install_last_words(STDOUT_FILENO);
   detail::take_signals();
   detail::settings_file file(path);
