The log tells what was asked of the store, and why there is no configuration

store_lost told a status alone: a page that the store refused, a watch that was cut and a store that is over its rate looked alike. It now names the call, the page, the key behind which it begins and what was read so far. configuration_missing, once a second at most while requests are refused for want of a configuration, tells since when and why.

The answer of a range carries its last key and its number of items, and the action that asks names a part of the store; what is asked does not change.

--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -66,6 +66,10 @@
   for (const auto& [key, item] : store_) {
     if (item.value) read.answer.items.push_back(item);
   }
+  read.answer.received = read.answer.items.size();
+  if (!read.answer.items.empty()) {
+    read.answer.last_key = read.answer.items.back().key;
+  }
   answer_store(from, std::move(read));
 }
 
--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -59,7 +59,8 @@
   /** Paths of the store: changes behind a revision, all items in pages. */
   virtual std::string watch_path(store_scope scope, std::uint64_t after,
                                  duration wait) const = 0;
-  virtual std::string range_path(std::string_view after_key) const = 0;
+  virtual std::string range_path(store_scope scope,
+                                 std::string_view after_key) const = 0;
   /** Returns the epoch that an answer of the store names; 0: none. */
   virtual store_epoch read_store_epoch(
       const std::vector<http_header>& headers) const = 0;
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -233,6 +233,8 @@
 };
 struct range_store {
   store_call_id call = 0;
+  store_scope scope = store_scope::everything;
+  /** The page begins behind this key; empty: at the first. */
   std::string after_key;
   bool on_new_connection = false;
 };
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -307,13 +307,19 @@
   std::uint64_t revision = 0;
   /** A range that goes on behind its last key. */
   bool more = false;
+  /** Key of the last item that came, read here or not; empty: none came. */
+  std::string last_key;
+  /** Items that came, read here or not. */
+  std::size_t received = 0;
 };
 
-/** Which part of the store a watch is told of. */
+/** A part of the store. */
 enum class store_scope : std::uint8_t {
   everything,
   /** What the operators write: seldom, and to be in force soon. */
-  operators
+  operators,
+  /** The entries of targets. */
+  targets
 };
 
 /** How far an instance knows the store. */
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -36,8 +36,9 @@
 
   // gateway_store.cc
   void on(event::store_read&& e);
-  void note_store_failure(int status);
+  void note_store_failure(reading call, int status);
   void note_store_answer();
+  void note_missing_configuration();
   void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
   void on(event::peer_changes&& e);
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -76,6 +76,9 @@
   enum class reading : std::uint8_t { idle, range, watch };
   reading reading_ = reading::idle;
   store_changes range_;
+  /** Its pages so far, and the key behind which it goes on. */
+  std::uint32_t range_pages_ = 0;
+  std::string range_after_;
   /** When its first page was asked for. */
   time_point range_sent_{};
   bool needs_range_ = true;
@@ -93,6 +96,8 @@
   time_point last_answer_{};
   bool ever_answered_ = false;
   bool store_failing_ = false;
+  /** HTTP status of the last failed call; 0: no answer. */
+  int store_status_ = 0;
   duration after_failure_{};
   time_point range_not_before_{};
   bool range_spread_ = false;
@@ -253,6 +258,8 @@
   time_point placed_at_{};
   /** Requests wait for the first configuration. */
   bool has_unrouted_ = false;
+  /** The log was last told why there is none. */
+  time_point missing_told_{};
   /** Copies asked for by demand, and until when. */
   std::map<std::pair<target_id, adapter_name>, time_point> copies_wanted_;
 };
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -224,6 +224,7 @@
     return;
   }
   if (x.way == nullptr) {
+    note_missing_configuration();
     refuse(x, kUnavailable, kComeBackSoon, "no_configuration");
   } else if (x.runs > 0) {
     refuse(x, kGatewayTimeout, {}, "no_answer_in_time");
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -159,7 +159,7 @@
 
 void gateway_shell::carry_out(action::range_store&& a) {
   read_store(a.call, gateway::store_scope::everything,
-             platform_->range_path(a.after_key), kStoreTimeout,
+             platform_->range_path(a.scope, a.after_key), kStoreTimeout,
              a.on_new_connection);
 }
 
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -35,6 +35,9 @@
 constexpr duration kFetchAgain = 300ms;
 /** Who has read the whole store within this time tells others of its news. */
 constexpr duration kTellerContact = 2s;
+/** Bytes of a key that the log tells. */
+constexpr std::size_t kLoggedKey = 64;
+constexpr duration kMissingToldAgain = 1s;
 
 }  // namespace
 
@@ -115,6 +118,8 @@
   if (needs_range_) {
     reading_ = reading::range;
     range_ = {};
+    range_pages_ = 0;
+    range_after_.clear();
     range_sent_ = now_;
     read_wait_ = {};
   } else {
@@ -131,9 +136,8 @@
   read_call_ = next_store_call_++;
   read_sent_ = now_;
   if (reading_ == reading::range) {
-    const auto& items = range_.items;
-    const auto after = items.empty() ? std::string() : items.back().key;
-    do_act(action::range_store{read_call_, after, on_new_connection});
+    do_act(action::range_store{read_call_, store_scope::everything,
+                               range_after_, on_new_connection});
     return;
   }
   do_act(action::watch_store{read_call_, store_scope::everything,
@@ -161,7 +165,7 @@
     return;
   }
   if (e.how == outcome::failed) {
-    note_store_failure(e.status);
+    note_store_failure(was, e.status);
     return;
   }
   note_store_answer();
@@ -176,14 +180,53 @@
   }
 }
 
-void gateway_core::impl::note_store_failure(int status) {
-  if (!store_failing_) log("store_lost", {{"status", status}}, true);
+std::vector<log_field> gateway_view::range_progress() const {
+  return {{"page", static_cast<std::int64_t>(range_pages_) + 1},
+          {"after", range_after_.substr(0, kLoggedKey)},
+          {"items", static_cast<std::int64_t>(range_.items.size())}};
+}
+
+void gateway_core::impl::note_store_failure(reading call, int status) {
+  if (!store_failing_) {
+    std::vector<log_field> fields{{"status", status}};
+    if (call == reading::range) {
+      fields.push_back({"call", std::string("range")});
+      const auto progress = range_progress();
+      fields.insert(fields.end(), progress.begin(), progress.end());
+    } else {
+      fields.push_back({"call", std::string("watch")});
+      fields.push_back(
+          {"revision", static_cast<std::int64_t>(mirror_.revision())});
+    }
+    log("store_lost", std::move(fields), true);
+  }
   store_failing_ = true;
+  store_status_ = status;
   after_failure_ =
       roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
   next_read_ = now_ + spread(after_failure_);
 }
 
+std::string_view gateway_view::why_no_configuration() const {
+  if (config_) return "keys_unconfirmed";
+  if (store_failing_) return "store_failed";
+  if (reading_ == reading::range) return "store_read";
+  return needs_range_ ? "awaits_copy" : "not_in_copy";
+}
+
+void gateway_core::impl::note_missing_configuration() {
+  if (now_ - missing_told_ < kMissingToldAgain) return;
+  missing_told_ = now_;
+  std::vector<log_field> fields{
+      {"reason", std::string(why_no_configuration())},
+      {"since_ms", to_ms(now_ - started_)},
+      {"status", store_status_},
+      {"revision", static_cast<std::int64_t>(mirror_.revision())}};
+  const auto progress = range_progress();
+  fields.insert(fields.end(), progress.begin(), progress.end());
+  log("configuration_missing", std::move(fields), true);
+}
+
 void gateway_core::impl::note_store_answer() {
   if (store_failing_) log("store_regained", {}, true);
   store_failing_ = false;
@@ -216,6 +259,8 @@
     next_read_ = now_;
     return;
   }
+  ++range_pages_;
+  if (!answer.last_key.empty()) range_after_ = answer.last_key;
   for (auto& item : answer.items) range_.items.push_back(std::move(item));
   if (answer.more && !range_.items.empty()) {
     reading_ = reading::range;
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -47,6 +47,10 @@
   duration store_age() const;
   duration copy_age() const;
   bool was_store_away() const;
+  /** Tells how far a read of the whole store has come. */
+  std::vector<log_field> range_progress() const;
+  /** Tells why requests that come can't be routed. */
+  std::string_view why_no_configuration() const;
 
   // gateway_epochs.cc
   /** Returns whether a whole read of an epoch may replace the copy. */
