Stand-ins of the store page; plays with other writers' keys, which fail

Both stand-ins gave all items in one page under any name, and read no query: nothing had read a second page. They now page (500 items or 1 MB, or as a test says), read the query strictly (400 for what is none), refuse pages, give empty ones with more to come, or the first one for ever. The stand-in's store holds items of other writers from its start, keys that a query treats specially among them.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -298,7 +298,7 @@
       lose_store_call(from, asked);
       return;
     }
-    serve_range(from, range->call);
+    serve_range(from, *range);
   } else if (const auto* fetch = std::get_if<action::fetch_changes>(&any)) {
     serve_fetch(from, *fetch);
   } else if (auto* datagram = std::get_if<action::send_datagram>(&any)) {
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -244,6 +244,7 @@
   /** Orders that asked whether an earlier one of their series has ended. */
   std::size_t questions() const { return questions_; }
   std::size_t store_calls() const { return store_calls_; }
+  std::size_t range_calls() const { return range_calls_; }
   /** Returns how many calls to the store opened a connection for that alone. */
   std::size_t repeated_store_calls() const { return repeated_store_calls_; }
   std::size_t holder_changes(const std::string& id) const;
@@ -304,7 +305,7 @@
     duration wait;
     friend bool operator==(const store_watch&, const store_watch&) = default;
   };
-  void serve_range(instance& from, gateway::store_call_id call);
+  void serve_range(instance& from, const gateway::action::range_store& asked);
   void serve_watch(instance& from, const store_watch& watch);
   void publish_workspaces();
   std::string workspaces_text() const;
@@ -488,6 +489,7 @@
   unheeded_words unheeded_;
   std::size_t most_while_cold_ = 0;
   std::size_t store_calls_ = 0;
+  std::size_t range_calls_ = 0;
   std::size_t repeated_store_calls_ = 0;
   std::map<gateway::proximity, fake_traffic> traffic_;
   std::map<std::string, peer_traffic> traffic_by_kind_;
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -7,6 +7,22 @@
 
 namespace seamglade::fakes {
 
+namespace {
+
+std::string_view prefix_of(store_scope scope) {
+  switch (scope) {
+    case store_scope::everything:
+      return {};
+    case store_scope::operators:
+      return "op/";
+    case store_scope::targets:
+      return "servers/";
+  }
+  return {};
+}
+
+}  // namespace
+
 void gateway_world::put(const std::string& key,
                         std::optional<std::string> value) {
   store_[key] = {key, ++revision_, std::move(value)};
@@ -56,19 +72,38 @@
   });
 }
 
-void gateway_world::serve_range(instance& from, store_call_id call) {
+void gateway_world::serve_range(instance& from,
+                                const action::range_store& asked) {
   ++store_calls_;
+  ++range_calls_;
+  const auto is_due = [this](std::size_t each) {
+    return each > 0 && range_calls_ % each == 0;
+  };
   event::store_read read;
-  read.call = call;
+  read.call = asked.call;
+  if (is_due(options_.refused_page)) {
+    constexpr int kUnavailable = 503;
+    read.status = kUnavailable;
+    answer_store(from, std::move(read));
+    return;
+  }
   read.how = event::store_read::outcome::answered;
   read.epoch = name_epoch();
   read.answer.revision = revision_;
-  for (const auto& [key, item] : store_) {
-    if (item.value) read.answer.items.push_back(item);
-  }
-  read.answer.received = read.answer.items.size();
-  if (!read.answer.items.empty()) {
-    read.answer.last_key = read.answer.items.back().key;
+  const auto prefix = prefix_of(asked.scope);
+  const bool is_empty = is_due(options_.empty_page);
+  read.answer.more = is_empty;
+  auto at = store_.upper_bound(asked.after_key);
+  for (; at != store_.end() && !is_empty; ++at) {
+    const auto& [key, item] = *at;
+    if (!item.value || !key.starts_with(prefix)) continue;
+    if (read.answer.received == options_.store_page) {
+      read.answer.more = true;
+      break;
+    }
+    ++read.answer.received;
+    read.answer.last_key = key;
+    read.answer.items.push_back(item);
   }
   answer_store(from, std::move(read));
 }
@@ -85,8 +120,7 @@
   const bool is_known = after >= history_from_ && after <= revision_;
   if (!is_known) read.how = outcome::history_gone;
   for (const auto& [key, item] : store_) {
-    const bool in_scope =
-        watch.scope == store_scope::everything || key.starts_with("op/");
+    const bool in_scope = key.starts_with(prefix_of(watch.scope));
     if (in_scope && item.revision > after) read.answer.items.push_back(item);
   }
   const bool has_to_wait = !from.store_denied &&
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -77,6 +77,12 @@
   double cold_rate = 0;
   duration cold_time = 3s;
   gateway::cold_bounds cold = {1.5, 5};
+  /** Most items of a page of the store. */
+  std::size_t store_page = 500;
+  /** Each so many pages one is refused; 0: none. */
+  std::size_t refused_page = 0;
+  /** Each so many pages one is empty, with more to come; 0: none. */
+  std::size_t empty_page = 0;
 };
 
 /** One request of a caller and what became of it. */
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -39,6 +39,7 @@
 /** Behind a relay a target is back so soon, and its former entry stays on. */
 constexpr duration kSoonBack = 300ms;
 constexpr duration kFormerEntry = 2s;
+constexpr std::size_t kMostKeyBytes = 200;
 
 /** How an engine sends its streams. */
 struct stream_plan {
@@ -137,6 +138,7 @@
     const auto where = server_->listen({"127.0.0.1", port_}).value();
     if (relay_) relay_->connect_to(where);
     address_ = relay_ ? relay_->address() : where.str();
+    std::cout << "target " << id_ << " " << address_ << std::endl;
     publish();
   }
 
@@ -201,6 +203,10 @@
   }
 
   void serve(caller_id caller, const caller_message& m) {
+    if (!header_of(m, "X-Injected").empty()) {
+      std::cout << "BROKEN " << id_ << " a header that nobody sent"
+                << std::endl;
+    }
     if (header_of(m, "X-Expect-Replica") != id_) {
       refuse_misdirected(caller, m);
       return;
@@ -416,6 +422,25 @@
             {"idle_timeout_ms", 5000}}}};
 }
 
+/**
+ * Keys of other writers: all that a query treats specially, in the range of
+ * the operators' and the targets' keys and outside of both.
+ */
+void put_foreign_items(store& s) {
+  const std::vector<std::string> names{
+      "a00%#",      "a01%#zz",         "a02&b=",
+      "a03+",       "a04%C3%A9",       "a05%2500",
+      "a06\u00e9",  "a07 b",           "a08\r\nX-Expect: 1",
+      "a09?after=", "a10=/;:@,!$'()*", "%",
+      "#",          "a11\t",           std::string(200, '~')};
+  for (const std::string prefix : {"", "op/", "servers/"}) {
+    for (const auto& name : names) {
+      const auto key = prefix + name;
+      if (key.size() <= kMostKeyBytes) s.put_bytes(key, "of another writer");
+    }
+  }
+}
+
 }  // namespace
 
 /**
@@ -429,6 +454,7 @@
   world w;
   store s(w);
   const auto where = s.listen({"127.0.0.1", 0});
+  put_foreign_items(s);
   s.put("op/config", configuration(1));
   std::vector<std::unique_ptr<target>> all;
   for (unsigned i = 1; i <= engines + plain; ++i) {
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -1,5 +1,8 @@
 // seamglade - the store of the platform's stand-in: range, watch, restore
 //
+// Pages hold what the platform's do. Tests may have them smaller, refused,
+// empty or without end.
+//
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
@@ -15,6 +18,7 @@
 #include <optional>
 
 #include "platform_world.h"
+#include "store_query.h"
 
 namespace seamglade::standin {
 
@@ -26,6 +30,20 @@
 /** An answer has left by then. */
 inline constexpr duration kAnswered = 5ms;
 
+/** Most that a page of a range holds, one item at least. */
+struct page_bounds {
+  std::size_t items = 500;
+  std::size_t bytes = 1UL << 20U;
+};
+
+/** Calls of the store so far. */
+struct call_counts {
+  std::uint64_t range = 0;
+  std::uint64_t watch = 0;
+  /** Answered with 400. */
+  std::uint64_t unreadable = 0;
+};
+
 inline std::string encode_base64(const std::string& text) {
   using namespace boost::archive::iterators;
   using encoder =
@@ -55,7 +73,11 @@
   std::function<void(std::size_t, const json&)> on_word;
 
   void put(const std::string& key, const json& value) {
-    items_[key] = {++revision_, value.dump()};
+    put_bytes(key, value.dump());
+  }
+
+  void put_bytes(const std::string& key, std::string value) {
+    items_[key] = {++revision_, std::move(value)};
     for (const auto& [caller, after] : std::exchange(watches_, {})) {
       answer_watch(caller, after);
     }
@@ -124,22 +146,96 @@
         reply(*server_, caller, 200, "");
         return;
       }
-      // The operator of the tests: PUT /put/KEY writes a body.
-      put(m.target.substr(std::string("/put/").size()),
-          json::parse(*m.body, nullptr, false));
-      reply(*server_, caller, 200, "");
+      take_command(caller, m);
+      return;
+    }
+    if (m.target == "/calls") {
+      reply(*server_, caller, 200, count_text());
+      return;
+    }
+    const auto query = read_query(m.target);
+    if (!query) {
+      ++counts_.unreadable;
+      answer(caller, 400, "");
+      return;
+    }
+    if (query->path == "/kv-range") {
+      ++counts_.range;
+      serve_range(caller, *query);
+      return;
+    }
+    ++counts_.watch;
+    serve_watch(caller, *query);
+  }
+
+  /** The operator of the tests; keys and values are any bytes. */
+  void take_command(caller_id caller, const caller_message& m) {
+    const auto query = read_query(m.target);
+    if (!query) {
+      reply(*server_, caller, 400, "");
       return;
     }
-    if (m.target.starts_with("/kv-range")) {
-      json items = json::array();
-      for (auto& i : list(0)) {
-        if (!i.contains("gone")) items.push_back(i);
+    constexpr std::string_view kPut = "/put/";
+    constexpr std::string_view kErase = "/erase/";
+    if (query->path == "/pages") {
+      pages_.items = query->number("items");
+      if (query->number("bytes") > 0) pages_.bytes = query->number("bytes");
+      refused_page_ = query->number("refuse_each");
+      empty_page_ = query->number("empty_each");
+      is_stuck_ = query->number("stuck") > 0;
+    } else if (query->path.starts_with(kErase)) {
+      erase(query->path.substr(kErase.size()));
+    } else if (query->number("copies") > 0) {
+      // Many items at once, their keys numbered: one watch bears them all.
+      const auto key = query->path.substr(kPut.size());
+      for (std::uint64_t i = 1; i < query->number("copies"); ++i) {
+        items_[key + std::to_string(i)] = {++revision_, *m.body};
       }
-      json out{{"items", items}, {"more", false}, {"at", revision_}};
-      answer(caller, 200, out.dump());
+      put_bytes(key, *m.body);
+    } else {
+      put_bytes(query->path.substr(kPut.size()), *m.body);
+    }
+    reply(*server_, caller, 200, "");
+  }
+
+  std::string count_text() const {
+    return fmt::format("range {} watch {} unreadable {}\n", counts_.range,
+                       counts_.watch, counts_.unreadable);
+  }
+
+  void serve_range(caller_id caller, const store_query& query) {
+    const auto is_due = [this](std::uint64_t each) {
+      return each > 0 && counts_.range % each == 0;
+    };
+    if (is_due(refused_page_)) {
+      answer(caller, 503, "");
       return;
     }
-    const auto after = query_number(m.target, "after");
+    const bool is_empty = is_due(empty_page_);
+    const auto prefix = query.text("prefix");
+    const auto after = is_stuck_ ? std::string() : query.text("after");
+    json page = json::array();
+    std::size_t bytes = 0;
+    bool more = is_empty || is_stuck_;
+    for (auto at = items_.upper_bound(after); at != items_.end(); ++at) {
+      const auto& [key, i] = *at;
+      if (is_empty) break;
+      if (!i.value || !key.starts_with(prefix)) continue;
+      const bool is_full =
+          page.size() >= pages_.items || bytes + i.value->size() > pages_.bytes;
+      if (is_full && !page.empty()) {
+        more = true;
+        break;
+      }
+      bytes += i.value->size();
+      page.push_back(item_json(key, i));
+    }
+    answer(caller, 200,
+           json{{"items", page}, {"more", more}, {"at", revision_}}.dump());
+  }
+
+  void serve_watch(caller_id caller, const store_query& query) {
+    const auto after = query.number("after");
     if (after > revision_) {
       answer(caller, 410, "");
       return;
@@ -149,8 +245,7 @@
       return;
     }
     watches_[caller] = after;
-    const duration wait =
-        std::chrono::milliseconds(query_number(m.target, "wait_ms"));
+    const duration wait = std::chrono::milliseconds(query.number("wait_ms"));
     world_.after(wait, [this, caller] {
       const auto found = watches_.find(caller);
       if (found == watches_.end()) return;
@@ -206,19 +301,21 @@
     json out = json::array();
     for (const auto& [key, i] : items_) {
       if (i.revision <= after) continue;
-      if (!i.value) {
-        out.push_back({{"tls_key", key}, {"rev", i.revision}, {"gone", true}});
-        continue;
-      }
-      out.push_back({{"tls_key", key},
-                     {"value", encode_base64(*i.value)},
-                     {"rev", i.revision},
-                     {"made", i.revision},
-                     {"lease", 0}});
+      out.push_back(item_json(key, i));
     }
     return out;
   }
 
+  static json item_json(const std::string& key, const item& i) {
+    if (!i.value)
+      return {{"tls_key", key}, {"rev", i.revision}, {"gone", true}};
+    return {{"tls_key", key},
+            {"value", encode_base64(*i.value)},
+            {"rev", i.revision},
+            {"made", i.revision},
+            {"lease", 0}};
+  }
+
   void answer_watch(caller_id caller, std::uint64_t after) {
     answer(caller, 200,
            json{{"events", list(after)}, {"at", revision_}}.dump());
@@ -233,6 +330,13 @@
   std::map<caller_id, std::uint64_t> watches_;
   std::uint64_t revision_ = 1;
   std::uint64_t epoch_ = 1;
+  page_bounds pages_;
+  /** Each so many range calls one is refused, or empty with more; 0: none. */
+  std::uint64_t refused_page_ = 0;
+  std::uint64_t empty_page_ = 0;
+  /** Every page is the first one. */
+  bool is_stuck_ = false;
+  call_counts counts_;
   std::map<std::string, item> copy_;
   std::uint64_t copied_revision_ = 0;
 };
