The soak of real instances has pages of changing sizes and foreign items

Steps of the soak change the size of the store's pages, have some refused, and write items of other writers under keys of any bytes.

--- a/test/process_soak-test.sh
+++ b/test/process_soak-test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Real instances amid kills, stops, signals, changes of their settings, logs
-# that are full and targets that start again, in series that overlap. Callers
+# that are full, targets that start again, and a store whose pages grow, shrink
+# and are refused while others write to it, in series that overlap. Callers
 # keep their connections and come back. None ends by itself; a stop ends in
 # order; afterwards all serve.
 # Usage: process_soak-test.sh BUILD_DIR SEED SECONDS
@@ -106,12 +107,40 @@
   pids+=($!)
 }
 
+# change_pages: has the store answer in pages of another size, some refused.
+change_pages() {
+  local items
+  draw 20
+  items=$((drawn + 1))
+  draw 3
+  what="pages of $items, each $((drawn * 3)). refused"
+  curl -sf -X PUT "http://$store/pages?items=$items&refuse_each=$((drawn * 3))" \
+    >/dev/null
+}
+
+# write_foreign: writes items of another writer, under a key of drawn bytes.
+write_foreign() {
+  local key='' prefix prefixes=('' op%2F servers%2F) i
+  draw ${#prefixes[@]}
+  prefix=${prefixes[drawn]}
+  for i in 1 2 3 4; do
+    # Any byte of ASCII, as an escape.
+    draw 127
+    key+=$(printf '%%%02X' $((drawn + 1)))
+  done
+  draw 60
+  what="foreign $prefix$key of $((drawn * 1000)) bytes"
+  head -c $((drawn * 1000)) /dev/zero |
+    curl -sf -X PUT --data-binary @- "http://$store/put/$prefix$key?copies=9" \
+      >/dev/null
+}
+
 act() {
   local n signals=(USR1 USR2 ALRM XCPU XFSZ PIPE HUP VTALRM)
   local stops=(TERM INT QUIT)
   draw ${#instances[@]}
   n=${instances[drawn]}
-  draw 10
+  draw 13
   case $drawn in
     0) what="kill $n" && kill_some "$n" ;;
     1) what='kill all' && kill_some "${instances[@]}" ;;
@@ -127,6 +156,8 @@
       ;;
     8) what="log of $n emptied" && : >"$work/g$n.log" ;;
     9) what="one id at $n" && repeat_id "$n" ;;
+    10) change_pages ;;
+    11 | 12) write_foreign ;;
   esac
 }
 
