The stand-in's store holds a key that reads as one behind all others

A page whose last key is %7E, put into a query as it stands, is read as ~: the next page is empty, and the copy is taken as whole without what lies between.

--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -427,12 +427,22 @@
  * the operators' and the targets' keys and outside of both.
  */
 void put_foreign_items(store& s) {
-  const std::vector<std::string> names{
-      "a00%#",      "a01%#zz",         "a02&b=",
-      "a03+",       "a04%C3%A9",       "a05%2500",
-      "a06\u00e9",  "a07 b",           "a08\r\nX-Expect: 1",
-      "a09?after=", "a10=/;:@,!$'()*", "%",
-      "#",          "a11\t",           std::string(200, '~')};
+  const std::vector<std::string> names{"a00%#",
+                                       "a01%#zz",
+                                       "a02&b=",
+                                       "a03+",
+                                       "a04%C3%A9",
+                                       "a05%2500",
+                                       "a06\u00e9",
+                                       "a07 b",
+                                       "a08\r\nX-Expect: 1",
+                                       "a09?after=",
+                                       "a10=/;:@,!$'()*",
+                                       "%",
+                                       "#",
+                                       "a11\t",
+                                       "%7E",
+                                       std::string(200, '~')};
   for (const std::string prefix : {"", "op/", "servers/"}) {
     for (const auto& name : names) {
       const auto key = prefix + name;
