--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "seamglade/dialect.h"
+#include "store_query.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -23,6 +24,36 @@
   }
 };
 
+TEST_F(platform, asks_behind_any_key_of_the_store) {
+  std::string all;
+  for (int i = 0; i < 256; ++i) all += static_cast<char>(i);
+  const std::vector<std::string> keys{"a00%#",
+                                      "a01%#zz",
+                                      "a02&b=",
+                                      "a03+",
+                                      "a04\xC3\xA9",
+                                      "a 05",
+                                      "a\r\n06: 7",
+                                      "%41",
+                                      "a?b=c",
+                                      "op/key",
+                                      all,
+                                      "é&after=x",
+                                      std::string(200, '%')};
+  for (const auto& key : keys) {
+    for (const auto scope : {store_scope::everything, store_scope::operators}) {
+      const auto path = d_->range_path(scope, key);
+      const auto read = standin::read_query(path);
+      ASSERT_TRUE(read) << path;
+      EXPECT_EQ(read->path, "/kv-range");
+      EXPECT_EQ(read->text("after"), key) << path;
+      const std::string prefix = scope == store_scope::operators ? "op/" : "";
+      EXPECT_EQ(read->text("prefix"), prefix);
+      EXPECT_EQ(read->parameters.size(), 2U) << path;
+    }
+  }
+}
+
 TEST_F(platform, reads_a_request) {
   const auto facts =
       d_->read_request({{"X-Request-Id", "9c41"},
