A model's name that is no UTF-8 ends no instance

A caller's X-Model may hold any byte that a header may, such as 0xff. The adapter's name went as it stood into the order for its load. The library that writes the order's JSON throws on text that is no UTF-8 (type_error.316), nobody catches it within the loop's callbacks, and the instance that holds the target ends. The wish is told to holders in datagrams, so one request can end instances that it never came to, and the next holder after them.

By reading and by a trial, not by a play of real processes: the reader of heads takes "X-Model: m/\xff" and the dialect gives the adapter "\xff"; src/ has no catch but those for the command line and for the last words.

Ruled out: names from the store and from reports; they are parsed as JSON, which refuses such text.

A request for an engine whose model is no UTF-8 is now refused with 400, bad_model, before anything is told or ordered.

--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -3,6 +3,8 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
+#include <flatbuffers/util.h>
+
 #include <algorithm>
 
 #include "process/gateway_impl.h"
@@ -40,6 +42,16 @@
          std::to_string(1000 + ms % 1000).substr(1);
 }
 
+/** Whether JSON can bear a text, as orders to targets must. */
+bool is_utf8(const std::string& text) {
+  const char* at = text.c_str();
+  const char* const end = at + text.size();
+  while (at < end) {
+    if (flatbuffers::FromUTF8(&at) < 0) return false;
+  }
+  return true;
+}
+
 /** Returns how long a request may wait for a place. */
 duration longest_wait(const route& way, duration allowed) {
   const auto wait = std::min(kLongestWait, allowed / kWaitPart);
@@ -155,6 +167,10 @@
     refuse(x, kUnavailable, kComeBackLater, "no_service");
     return;
   }
+  if (x.service->engine && !is_utf8(x.facts.adapter.str())) {
+    refuse(x, kBadRequest, {}, "bad_model");
+    return;
+  }
   if (x.way->stream && x.way->resumable) return follow_stream(x);
   admit(x);
 }
