The read of the store is a module that proves that it gets on

Callers saw: instances that are not ready after a kill of all, where the store refuses pages, gives the same page again or answers an empty one. Cause: a failed page began the whole read anew, so that a store that refuses some pages was never read to its end; a page that leads nowhere was asked behind without end and all it held was kept; an empty page with more to come ended the read as whole once items had come; all of other writers' items were asked for and kept.

Change: version/store_range decides for each answer. It reads by part, first what operators write, then targets' entries, so that others' items are never asked for. A page with more whose last key does not rise is stuck: `store_read_stuck` in the log, a growing pause, the same page again. A failed page goes on behind the last key read, unless the partial copy has not grown for 10 s. A copy is whole only where the last part has no more. What a read gathers is bounded (kMostCopyBytes); values beyond are empty, keys stay. A peer's copy ends a read of no later epoch. The copy is confirmed for the time its first page was asked for. An epoch is believed that all pages of a read name, two at least; before, two answers or a peer. An answer goes to the operators' watch by its call.

config_silence-test, one_asked_for_before_the_store_was_restored: it gave one answer to the second read and expected the new epoch; a read now takes a call for each of two parts, so it gives two. What it expects is unchanged.

Not in this change: a watch whose answer is too large, and watches that are answered at once without a change.

--- a/src/process/gateway_common.h
+++ b/src/process/gateway_common.h
@@ -28,6 +28,8 @@
 /** A copy so fresh says that the store answers somebody. */
 inline constexpr duration kStoreBack = 1500ms;
 
+/** After an answer of another history than the copy's. */
+inline constexpr duration kOtherEpochPause = 100ms;
 /** A copy of the store so fresh lacks no version that already writes. */
 inline constexpr duration kFreshCopy = 2s;
 /** In a large fleet, members that keep word of a stream beside its instance. */
--- a/src/process/gateway_epochs.cc
+++ b/src/process/gateway_epochs.cc
@@ -17,8 +17,6 @@
 namespace seamglade::gateway {
 namespace {
 
-/** After an answer of another history than the copy's. */
-constexpr duration kOtherEpochPause = 100ms;
 /** What a restored store has lost is written again within this time. */
 constexpr duration kWrittenAgain = 2s;
 /** ... and what operators write at the latest within this one. */
@@ -28,7 +26,6 @@
 
 bool gateway_core::impl::is_of_epoch(const event::store_read& e) {
   if (e.how == event::store_read::outcome::failed) return true;
-  named_epoch_ = e.epoch;
   if (e.epoch == 0 || e.epoch == mirror_.epoch()) return true;
   if (e.epoch > mirror_.epoch()) {
     needs_range_ = true;
@@ -45,16 +42,6 @@
   return false;
 }
 
-bool gateway_view::may_replace_copy(store_epoch epoch,
-                                    store_epoch named_before) const {
-  if (epoch < mirror_.epoch()) return false;
-  // A single answer may be broken: another is to name the same.
-  return epoch == named_before ||
-         std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
-           return peer.second.position.epoch == epoch;
-         });
-}
-
 void gateway_core::impl::begin_epoch(store_position before,
                                      std::string_view source,
                                      std::vector<store_item> lost) {
@@ -106,7 +93,7 @@
   if (reading_ != reading::idle) next_read_ = now_;
   reading_ = reading::idle;
   forget_read_call();
-  range_ = {};
+  range_.end();
   operator_watch_.call = 0;
   operator_watch_.next = now_;
 }
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -37,10 +37,15 @@
   // gateway_store.cc
   void on(event::store_read&& e);
   void note_store_failure(reading call, int status);
+  /** A page led no further: it is asked for again after a pause. */
+  void note_stuck_range(const std::string& last_key);
   void note_store_answer();
   void note_missing_configuration();
   void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
+  void take_whole_range();
+  /** A peer's copy of an epoch makes a read of the store needless. */
+  void end_range_by(store_epoch epoch);
   void on(event::peer_changes&& e);
   void apply(const store_changes& changes, std::string_view source);
   /** Tells others of items that are not to wait for the next copy. */
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -38,6 +38,7 @@
 #include "request/exchange.h"
 #include "seamglade/gateway.h"
 #include "version/store_mirror.h"
+#include "version/store_range.h"
 
 namespace seamglade::gateway {
 
@@ -75,12 +76,9 @@
   std::map<adapter_name, std::uint32_t> versions_;
   enum class reading : std::uint8_t { idle, range, watch };
   reading reading_ = reading::idle;
-  store_changes range_;
-  /** Its pages so far, and the key behind which it goes on. */
-  std::uint32_t range_pages_ = 0;
-  std::string range_after_;
-  /** When its first page was asked for. */
-  time_point range_sent_{};
+  store_range range_;
+  /** Pause after its last page, which led no further; 0: it did. */
+  duration range_stuck_pause_{};
   bool needs_range_ = true;
   time_point next_read_{};
   store_call_id next_store_call_ = 1;
@@ -101,8 +99,6 @@
   duration after_failure_{};
   time_point range_not_before_{};
   bool range_spread_ = false;
-  /** What the store's last answer named. */
-  store_epoch named_epoch_ = 0;
   /** Version of the configuration that the store holds. */
   std::uint64_t store_configuration_ = 0;
   /** The highest version of a configuration that is in force at a peer. */
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "version/copy_bounds.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -117,10 +118,7 @@
 void gateway_core::impl::read_store() {
   if (needs_range_) {
     reading_ = reading::range;
-    range_ = {};
-    range_pages_ = 0;
-    range_after_.clear();
-    range_sent_ = now_;
+    if (!range_.may_go_on(now_)) range_.begin(now_);
     read_wait_ = {};
   } else {
     reading_ = reading::watch;
@@ -136,8 +134,8 @@
   read_call_ = next_store_call_++;
   read_sent_ = now_;
   if (reading_ == reading::range) {
-    do_act(action::range_store{read_call_, store_scope::everything,
-                               range_after_, on_new_connection});
+    do_act(action::range_store{read_call_, range_.scope(), range_.after_key(),
+                               on_new_connection});
     return;
   }
   do_act(action::watch_store{read_call_, store_scope::everything,
@@ -147,20 +145,20 @@
 
 void gateway_core::impl::on(event::store_read&& e) {
   using outcome = event::store_read::outcome;
-  if (e.scope == store_scope::operators) {
+  if (e.call != 0 && e.call == operator_watch_.call) {
     take_operator_watch(std::move(e));
     return;
   }
   const bool is_repeat = overdue_read_.id != 0 && e.call == read_call_;
   if (!take_read_call(e)) return;
   const auto was = std::exchange(reading_, reading::idle);
-  const auto named_before = named_epoch_;
   const bool is_of_copy = is_of_epoch(e);
   if (!is_of_copy && was == reading::watch) return;
   if (e.how == outcome::history_gone) {
     log("store_history_gone",
         {{"revision", static_cast<std::int64_t>(mirror_.revision())}}, true);
     needs_range_ = true;
+    range_.end();
     next_read_ = now_;
     return;
   }
@@ -175,15 +173,15 @@
     return;
   }
   const auto epoch = e.epoch == 0 ? mirror_.epoch() : e.epoch;
-  if (is_of_copy || may_replace_copy(epoch, named_before)) {
-    take_range(std::move(e.answer), epoch);
-  }
+  if (epoch >= mirror_.epoch()) take_range(std::move(e.answer), epoch);
 }
 
 std::vector<log_field> gateway_view::range_progress() const {
-  return {{"page", static_cast<std::int64_t>(range_pages_) + 1},
-          {"after", range_after_.substr(0, kLoggedKey)},
-          {"items", static_cast<std::int64_t>(range_.items.size())}};
+  const bool is_of_targets = range_.scope() == store_scope::targets;
+  return {{"part", std::string(is_of_targets ? "targets" : "operators")},
+          {"page", static_cast<std::int64_t>(range_.pages()) + 1},
+          {"after", range_.after_key().substr(0, kLoggedKey)},
+          {"items", static_cast<std::int64_t>(range_.items())}};
 }
 
 void gateway_core::impl::note_store_failure(reading call, int status) {
@@ -202,11 +200,20 @@
   }
   store_failing_ = true;
   store_status_ = status;
-  after_failure_ =
-      roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
+  const bool is_growing = roster_.is_large() || call == reading::range;
+  after_failure_ = is_growing ? next_pause(after_failure_) : kAfterFailure;
   next_read_ = now_ + spread(after_failure_);
 }
 
+void gateway_core::impl::note_stuck_range(const std::string& last_key) {
+  auto fields = range_progress();
+  fields.push_back({"last_key", last_key.substr(0, kLoggedKey)});
+  log("store_read_stuck", std::move(fields), true);
+  // Answers that lead nowhere come as fast as they are asked for.
+  range_stuck_pause_ = next_pause(range_stuck_pause_);
+  next_read_ = now_ + spread(range_stuck_pause_);
+}
+
 std::string_view gateway_view::why_no_configuration() const {
   if (config_) return "keys_unconfirmed";
   if (store_failing_) return "store_failed";
@@ -250,37 +257,56 @@
 }
 
 void gateway_core::impl::take_range(store_answer&& answer, store_epoch epoch) {
-  if (range_.revision == 0) {
-    range_.revision = answer.revision;
-    range_.epoch = epoch;
-  }
-  if (range_.epoch != epoch) {
-    // The pages are of two histories.
-    next_read_ = now_;
+  const auto last_key = answer.last_key.substr(0, kLoggedKey);
+  const auto got = range_.take(std::move(answer), epoch, now_);
+  if (got == store_range::step::stuck) {
+    note_stuck_range(last_key);
     return;
   }
-  ++range_pages_;
-  if (!answer.last_key.empty()) range_after_ = answer.last_key;
-  for (auto& item : answer.items) range_.items.push_back(std::move(item));
-  if (answer.more && !range_.items.empty()) {
-    reading_ = reading::range;
-    send_read(false);
-    return;
+  range_stuck_pause_ = {};
+  switch (got) {
+    case store_range::step::whole:
+      take_whole_range();
+      break;
+    case store_range::step::goes_on:
+      // A peer's copy may have come meanwhile.
+      if (!needs_range_) {
+        range_.end();
+        next_read_ = now_;
+        break;
+      }
+      reading_ = reading::range;
+      send_read(false);
+      break;
+    default:
+      range_.end();
+      next_read_ = now_ + kOtherEpochPause;
+      break;
   }
-  range_.whole = true;
+}
+
+void gateway_core::impl::take_whole_range() {
   needs_range_ = false;
-  if (store_position{epoch, range_.revision} < mirror_.position()) {
+  const auto begun = range_.begun();
+  if (range_.left_out() > 0) {
+    log("store_values_left_out",
+        {{"items", static_cast<std::int64_t>(range_.left_out())},
+         {"bound", static_cast<std::int64_t>(kMostCopyBytes)}},
+        true);
+  }
+  const auto copy = range_.finish();
+  if (store_position{copy.epoch, copy.revision} < mirror_.position()) {
     log("store_behind",
-        {{"epoch", static_cast<std::int64_t>(epoch)},
-         {"at", static_cast<std::int64_t>(range_.revision)},
+        {{"epoch", static_cast<std::int64_t>(copy.epoch)},
+         {"at", static_cast<std::int64_t>(copy.revision)},
          {"revision", static_cast<std::int64_t>(mirror_.revision())},
-         {"outdated", static_cast<std::int64_t>(mirror_.outdated(range_))}},
+         {"outdated", static_cast<std::int64_t>(mirror_.outdated(copy))}},
         true);
   }
-  apply(std::exchange(range_, {}), kFromStore);
+  apply(copy, kFromStore);
   begin_watching("whole_copy");
-  confirm_copy(now_);
-  confirm_keys_by_store(range_sent_);
+  confirm_copy(begun);
+  confirm_keys_by_store(begun);
   next_read_ = now_;
 }
 
@@ -302,11 +328,18 @@
   if (e.changes->whole) begin_watching("peer_copy");
   apply(*e.changes, "peer");
   take_kept(e.changes->kept);
-  needs_range_ = false;
+  end_range_by(e.changes->epoch);
   take_operators_word(e.changes->operators);
   confirm_copy(fetch_confirms_);
 }
 
+void gateway_core::impl::end_range_by(store_epoch epoch) {
+  // A peer may not have heard yet that the store was restored.
+  if (range_.epoch() > epoch) return;
+  needs_range_ = false;
+  if (reading_ != reading::range) range_.end();
+}
+
 store_changes gateway_core::impl::changes_after(copy_extent known) const {
   // A large configuration that each of a fleet had from the store, and then
   // again from a peer, made an instance of 3 MB peak at 71 MB.
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -53,8 +53,6 @@
   std::string_view why_no_configuration() const;
 
   // gateway_epochs.cc
-  /** Returns whether a whole read of an epoch may replace the copy. */
-  bool may_replace_copy(store_epoch epoch, store_epoch named_before) const;
   /** Returns whether an item is the configuration or version in force. */
   bool is_version_in_force(const store_item& item) const;
   /** Returns the version of the configuration in force; 0: none. */
--- a/test/config_silence-test.cc
+++ b/test/config_silence-test.cc
@@ -185,7 +185,7 @@
   using gateway::action::watch_store;
   lone_instance one;
   one.take(gateway::event::tick{});
-  // An epoch counts once two answers name it.
+  // An epoch counts once two answers name it, those to both parts of a read.
   one.answer<range_store>(1, 10);
   one.answer<range_store>(1, 10);
   gateway::heartbeat beat;
@@ -195,6 +195,8 @@
   const auto fetch = one.last<gateway::action::fetch_changes>();
   ASSERT_NE(fetch.call, 0U);
   one.answer<watch_store>(2, 3);
+  // A read takes a call for each of its two parts.
+  one.answer<range_store>(2, 3);
   one.answer<range_store>(2, 3);
   ASSERT_EQ(one.status().store_epoch, 2U);
 
