Items that the gateway has no use for are not kept

What callers saw: instances that read a store with much of other writers in it kept all of it, told it to each other, and grew past their memory.

Cause: read_store decoded and returned each item; the copy kept it, and peers got it. A document was built of each page, and values were copied before they were decoded.

Ruled out: to leave items out by an empty list alone. A watch that brings only such items would count as held to its end (which confirms keys too late a time) and be asked again without a pause, and a first page of such items would end a read as whole. So `received` and `last_key` decide there (store_answer::is_quiet).

`apply` drops them from what a peer of another build tells. The virtual-time store does as the dialect does.

Two tests of platform-test used keys that nobody reads; they now use keys that are read, and check more.

Peaks of memory were not measured.

--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -103,7 +103,7 @@
     }
     ++read.answer.received;
     read.answer.last_key = key;
-    read.answer.items.push_back(item);
+    if (platform_->is_read(key)) read.answer.items.push_back(item);
   }
   answer_store(from, std::move(read));
 }
@@ -121,11 +121,13 @@
   if (!is_known) read.how = outcome::history_gone;
   for (const auto& [key, item] : store_) {
     const bool in_scope = key.starts_with(prefix_of(watch.scope));
-    if (in_scope && item.revision > after) read.answer.items.push_back(item);
+    if (!in_scope || item.revision <= after) continue;
+    ++read.answer.received;
+    if (platform_->is_read(key)) read.answer.items.push_back(item);
   }
   const bool has_to_wait = !from.store_denied &&
                            read.how == outcome::answered &&
-                           read.answer.items.empty();
+                           read.answer.is_quiet();
   if (!has_to_wait) {
     read.epoch = name_epoch();
     answer_store(from, std::move(read));
--- a/include/seamglade/dialect.h
+++ b/include/seamglade/dialect.h
@@ -64,8 +64,13 @@
   /** Returns the epoch that an answer of the store names; 0: none. */
   virtual store_epoch read_store_epoch(
       const std::vector<http_header>& headers) const = 0;
-  /** Reads an answer of the store; fails with bad_value. */
+  /**
+   * Reads an answer of the store, without the items that the gateway has no use
+   * for; fails with bad_value.
+   */
   virtual result<store_answer> read_store(std::string_view body) const = 0;
+  /** Tells whether the gateway has a use for the item of a key. */
+  virtual bool is_read(std::string_view key) const = 0;
   /** Returns what an item means; fails with bad_value. */
   virtual result<item_content> read_item(const store_item& item) const = 0;
   /** Returns the target that a key stands for; none: no target. */
--- a/include/seamglade/gateway_types.h
+++ b/include/seamglade/gateway_types.h
@@ -311,6 +311,9 @@
   std::string last_key;
   /** Items that came, read here or not. */
   std::size_t received = 0;
+
+  /** Nothing has changed, not even an item that is not read here. */
+  bool is_quiet() const { return received == 0 && items.empty(); }
 };
 
 /** A part of the store. */
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -42,7 +42,7 @@
   void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
   void on(event::peer_changes&& e);
-  void apply(const store_changes& changes, std::string_view source);
+  void apply(store_changes changes, std::string_view source);
   /** Tells others of items that are not to wait for the next copy. */
   void tell_urgent(std::vector<store_item> news, std::string_view source);
   /** Returns whether the item is not to wait for the next copy. */
--- a/src/process/gateway_operators.cc
+++ b/src/process/gateway_operators.cc
@@ -134,14 +134,15 @@
     const auto known_before = operators_known();
     watch.after = std::max(watch.after, e.answer.revision);
     watch.after_failure = {};
-    watch.next = e.answer.items.empty() ? now_ : now_ + kOperatorGather;
+    const bool is_quiet = e.answer.is_quiet();
+    watch.next = is_quiet ? now_ : now_ + kOperatorGather;
     store_changes changes;
     changes.epoch = mirror_.epoch();
     changes.items = std::move(e.answer.items);
     const bool changed = !changes.items.empty();
     apply(changes, kFromStore);
     if (changed) tell_operators_word(changes.items, known_before);
-    confirm_keys_by_store(known_at(watch.sent, watch.wait, changed));
+    confirm_keys_by_store(known_at(watch.sent, watch.wait, !is_quiet));
     return;
   }
   // What is missed meanwhile comes with the copy of the whole.
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -236,12 +236,12 @@
 }
 
 void gateway_core::impl::take_watch(store_answer&& answer) {
-  const bool changed = !answer.items.empty();
+  const bool changed = !answer.is_quiet();
   store_changes changes;
   changes.epoch = mirror_.epoch();
   changes.revision = answer.revision;
   changes.items = std::move(answer.items);
-  apply(changes, kFromStore);
+  apply(std::move(changes), kFromStore);
   confirm_copy(now_);
   confirm_keys_by_store(known_at(read_sent_, read_wait_, changed));
   const auto gather = roster_.is_large() ? kLargeGather : kGather;
@@ -262,7 +262,7 @@
   ++range_pages_;
   if (!answer.last_key.empty()) range_after_ = answer.last_key;
   for (auto& item : answer.items) range_.items.push_back(std::move(item));
-  if (answer.more && !range_.items.empty()) {
+  if (answer.more && !range_after_.empty()) {
     reading_ = reading::range;
     send_read(false);
     return;
@@ -300,10 +300,12 @@
       (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
   if (e.changes->whole) begin_watching("peer_copy");
-  apply(*e.changes, "peer");
-  take_kept(e.changes->kept);
+  const auto kept = std::move(e.changes->kept);
+  const auto operators = e.changes->operators;
+  apply(std::move(*e.changes), "peer");
+  take_kept(kept);
   needs_range_ = false;
-  take_operators_word(e.changes->operators);
+  take_operators_word(operators);
   confirm_copy(fetch_confirms_);
 }
 
@@ -321,8 +323,11 @@
   return out;
 }
 
-void gateway_core::impl::apply(const store_changes& changes,
-                               std::string_view source) {
+void gateway_core::impl::apply(store_changes changes, std::string_view source) {
+  // A peer of another build may keep what nobody here reads.
+  std::erase_if(changes.items, [this](const store_item& item) {
+    return !platform_.is_read(item.key);
+  });
   const auto before = mirror_.position();
   const bool had_copy = before.revision > 0;
   const bool is_replaced = changes.epoch != before.epoch;
--- a/test/peer_bytes-test.cc
+++ b/test/peer_bytes-test.cc
@@ -112,6 +112,24 @@
   EXPECT_TRUE(answered_claims(core, start + 1010ms, beat).empty());
 }
 
+// An instance of another build may keep and tell all that the store holds.
+TEST(peer_bytes, other_writers_items_from_a_peer_are_not_kept_or_told) {
+  const auto platform = gateway::make_platform_dialect();
+  gateway::gateway_options options;
+  options.self = 1;
+  gateway::gateway_core core(options, *platform);
+  gateway::news_message news;
+  news.items = {{"a00%#", 5, "foreign"},
+                {"op/evacuate/z", 6, "{}"},
+                {"zz", 7, std::nullopt}};
+  core.handle(time_point{1000s}, gateway::event::datagram{2, news});
+  std::vector<std::string> told;
+  for (const auto& item : core.changes_after({}).items) {
+    told.push_back(item.key);
+  }
+  EXPECT_EQ(told, std::vector<std::string>{"op/evacuate/z"});
+}
+
 TEST(peer_bytes, who_missed_a_change_of_holders_learns_of_it) {
   gateway_world w(three_domains());
   w.run_for(kLargeSettled);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -272,20 +272,44 @@
 
 TEST_F(platform, reads_the_stores_answers) {
   const auto read = d_->read_store(
-      R"({"events":[{"tls_key":"my/leader","value":"bm9kZS0x","rev":412,)"
-      R"("made":412,"lease":77120},{"tls_key":"my/old","rev":413,)"
+      R"({"events":[{"tls_key":"servers/n","value":"bm9kZS0x","rev":412,)"
+      R"("made":412,"lease":77120},{"tls_key":"servers/o","rev":413,)"
       R"("gone":true}],"at":413})");
   ASSERT_TRUE(read);
   EXPECT_EQ(read.value().revision, 413U);
+  EXPECT_EQ(read.value().received, 2U);
+  ASSERT_EQ(read.value().items.size(), 2U);
   EXPECT_EQ(read.value().items[0].value, "node-1");
+  EXPECT_EQ(read.value().items[0].revision, 412U);
   EXPECT_FALSE(read.value().items[1].value);
   EXPECT_FALSE(d_->read_store("{\"events\":3}"));
   EXPECT_FALSE(d_->read_store("no json"));
 }
 
+TEST_F(platform, keeps_no_items_of_other_writers_but_counts_them) {
+  const auto read = d_->read_store(
+      R"({"items":[{"value":"bm9kZS0x","tls_key":"a00%#","rev":1},)"
+      R"({"tls_key":"op/config","value":"e30=","rev":2},)"
+      R"({"tls_key":"op/evacuate/z","value":"e30=","rev":3},)"
+      R"({"tls_key":"op/version/m.a","value":"e30=","rev":4},)"
+      R"({"tls_key":"op/notes","value":"e30=","rev":5},)"
+      R"({"tls_key":"servers/a","gone":true,"rev":6},)"
+      R"({"tls_key":"zz","gone":true,"rev":7}],"at":9,"more":true})");
+  ASSERT_TRUE(read);
+  std::vector<std::string> keys;
+  for (const auto& item : read.value().items) keys.push_back(item.key);
+  EXPECT_EQ(keys, (std::vector<std::string>{"op/config", "op/evacuate/z",
+                                            "op/version/m.a", "servers/a"}));
+  EXPECT_EQ(read.value().received, 7U);
+  EXPECT_EQ(read.value().last_key, "zz");
+  EXPECT_EQ(read.value().revision, 9U);
+  EXPECT_TRUE(read.value().more);
+}
+
 TEST_F(platform, decodes_values_with_every_padding) {
   const auto value = [&](const std::string& text) {
-    const auto read = d_->read_store(R"({"items":[{"tls_key":"k","value":")" +
+    const auto read = d_->read_store(R"({"items":[{"tls_key":"op/config",)"
+                                     R"("value":")" +
                                      text + R"(","rev":1}],"at":1})");
     return read ? *read.value().items[0].value : "failed";
   };
