--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -243,12 +243,12 @@
 }
 
 void gateway_core::impl::take_watch(store_answer&& answer) {
-  const bool changed = !answer.items.empty();
+  const bool changed = !answer.is_quiet();
   store_changes changes;
   changes.epoch = mirror_.epoch();
   changes.revision = answer.revision;
   changes.items = std::move(answer.items);
-  apply(changes, kFromStore);
+  apply(std::move(changes), kFromStore);
   confirm_copy(now_);
   confirm_keys_by_store(known_at(read_sent_, read_wait_, changed));
   const auto gather = roster_.is_large() ? kLargeGather : kGather;
@@ -294,7 +294,7 @@
          {"bound", static_cast<std::int64_t>(kMostCopyBytes)}},
         true);
   }
-  const auto copy = range_.finish();
+  auto copy = range_.finish();
   if (store_position{copy.epoch, copy.revision} < mirror_.position()) {
     log("store_behind",
         {{"epoch", static_cast<std::int64_t>(copy.epoch)},
@@ -303,7 +303,7 @@
          {"outdated", static_cast<std::int64_t>(mirror_.outdated(copy))}},
         true);
   }
-  apply(copy, kFromStore);
+  apply(std::move(copy), kFromStore);
   begin_watching("whole_copy");
   confirm_copy(begun);
   confirm_keys_by_store(begun);
@@ -326,10 +326,13 @@
       (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
   if (e.changes->whole) begin_watching("peer_copy");
-  apply(*e.changes, "peer");
-  take_kept(e.changes->kept);
-  end_range_by(e.changes->epoch);
-  take_operators_word(e.changes->operators);
+  const auto kept = std::move(e.changes->kept);
+  const auto operators = e.changes->operators;
+  const auto epoch = e.changes->epoch;
+  apply(std::move(*e.changes), "peer");
+  take_kept(kept);
+  end_range_by(epoch);
+  take_operators_word(operators);
   confirm_copy(fetch_confirms_);
 }
 
@@ -354,8 +357,11 @@
   return out;
 }
 
-void gateway_core::impl::apply(const store_changes& changes,
-                               std::string_view source) {
+void gateway_core::impl::apply(store_changes changes, std::string_view source) {
+  // A peer of another build may keep what nobody here reads.
+  std::erase_if(changes.items, [this](const store_item& item) {
+    return !platform_.is_read(item.key);
+  });
   const auto before = mirror_.position();
   const bool had_copy = before.revision > 0;
   const bool is_replaced = changes.epoch != before.epoch;
--- a/src/version/copy_bounds.h
+++ b/src/version/copy_bounds.h
@@ -11,10 +11,11 @@
 namespace seamglade::gateway {
 
 /**
- * Bytes of keys and values. While a read is taken in there are a few times as
- * many, in the read, the copy and what is news.
+ * Bytes of keys and values: more than 36,000 adapters' versions, a large
+ * configuration and 780 targets' entries take. While a read is taken in there
+ * are a few times as many, in the read, the copy and what is news.
  */
-inline constexpr std::size_t kMostCopyBytes = 8UL << 20U;
+inline constexpr std::size_t kMostCopyBytes = 16UL << 20U;
 
 }  // namespace seamglade::gateway
 
