Watches that lead nowhere are replaced by pages, and pages are paced

Callers: a configuration that is never in force, where one answer to a watch holds more than is read of one: it was refused and asked for again from the same revision. Such an answer, one whose time ends after its head, and a 200 that can't be read now have the store read by pages, and the next watch goes on from there. Beside it, found by review and by reading: - a watch that is answered at once without a change was asked for again at once, without end; it waits for the pause of a change now; - a store without history had its pages read without end; a second read within 2 s waits 0.4 s; - a peer's copy that is no further than one's own ended a read of pages between two of them; - a failed page in a small fleet paused longer than before; 0.4 s again; - a page whose revision is below the first one's is of another history.

--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -99,7 +99,13 @@
 struct store_read {
   store_call_id call = 0;
   store_scope scope = store_scope::everything;
-  enum class outcome : std::uint8_t { answered, history_gone, failed };
+  enum class outcome : std::uint8_t {
+    answered,
+    history_gone,
+    /** An answer began that takes more bytes or time than one may. */
+    too_large,
+    failed
+  };
   outcome how = outcome::failed;
   /** HTTP status; 0: no answer. */
   int status = 0;
--- a/src/connection/answer_collector.cc
+++ b/src/connection/answer_collector.cc
@@ -19,11 +19,13 @@
   std::function<void(collected_answer)> done;
 
   /** Ends the call, which frees this. */
-  void give_up() {
+  void give_up(bool is_beyond_bounds = false) {
     const auto finished = std::exchange(done, {});
     timer.reset();
     client->cancel(token);
-    finished({});
+    collected_answer none;
+    none.is_beyond_bounds = is_beyond_bounds;
+    finished(std::move(none));
   }
 };
 
@@ -45,7 +47,7 @@
                 const std::shared_ptr<const std::string>& data) {
     pending->answer.body += *data;
     // The client keeps the handlers of a call until they return.
-    if (pending->answer.body.size() > most) pending->give_up();
+    if (pending->answer.body.size() > most) pending->give_up(true);
   };
   on.defect = [pending](const answer_defect& why) {
     pending->answer.defect = why;
@@ -59,7 +61,8 @@
     finished(std::move(none));
   };
   const auto late = [](evutil_socket_t, short, void* arg) {
-    static_cast<pending_answer*>(arg)->give_up();
+    auto* waiting = static_cast<pending_answer*>(arg);
+    waiting->give_up(waiting->answer.status.has_value());
   };
   pending->timer.reset(event_new(base, -1, 0, late, pending.get()));
   const auto wait = to_timeval(bounds.time);
--- a/src/connection/answer_collector.h
+++ b/src/connection/answer_collector.h
@@ -24,6 +24,8 @@
   answer_carrier carrier;
   /** Why what came is no answer. */
   answer_defect defect;
+  /** One had begun that took more bytes or time than it may. */
+  bool is_beyond_bounds = false;
 };
 
 /** What an answer may take. */
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -41,6 +41,8 @@
   void note_stuck_range(const std::string& last_key);
   void note_store_answer();
   void note_missing_configuration();
+  /** The next read is of all, page by page. */
+  void read_by_pages(std::string_view reason);
   void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
   void take_whole_range();
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -81,6 +81,8 @@
   duration range_stuck_pause_{};
   bool needs_range_ = true;
   time_point next_read_{};
+  /** The last watch was replaced by a read of pages then. */
+  time_point pages_since_{};
   store_call_id next_store_call_ = 1;
   /** The call under way; an answer to another was given up. */
   store_call_id read_call_ = 0;
--- a/src/process/gateway_operators.cc
+++ b/src/process/gateway_operators.cc
@@ -135,18 +135,20 @@
     watch.after = std::max(watch.after, e.answer.revision);
     watch.after_failure = {};
     const bool is_quiet = e.answer.is_quiet();
-    watch.next = is_quiet ? now_ : now_ + kOperatorGather;
+    const bool was_held = now_ - watch.sent >= watch.wait / 2;
+    watch.next = is_quiet && was_held ? now_ : now_ + kOperatorGather;
     store_changes changes;
     changes.epoch = mirror_.epoch();
     changes.items = std::move(e.answer.items);
-    const bool changed = !changes.items.empty();
     apply(changes, kFromStore);
-    if (changed) tell_operators_word(changes.items, known_before);
+    if (!is_quiet) tell_operators_word(changes.items, known_before);
     confirm_keys_by_store(known_at(watch.sent, watch.wait, !is_quiet));
     return;
   }
   // What is missed meanwhile comes with the copy of the whole.
-  if (e.how == outcome::history_gone) watch.after = mirror_.revision();
+  const bool is_behind =
+      e.how == outcome::history_gone || e.how == outcome::too_large;
+  if (is_behind) watch.after = mirror_.revision();
   watch.after_failure = next_pause(watch.after_failure);
   watch.next = now_ + spread(watch.after_failure);
 }
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -141,6 +141,7 @@
         read.scope = scope;
         read.status = got.status.value_or(0);
         read.epoch = platform_->read_store_epoch(got.headers);
+        if (got.is_beyond_bounds) read.how = outcome::too_large;
         if (got.status == kGone) read.how = outcome::history_gone;
         if (got.status == kOk) {
           if (auto answer = platform_->read_store(got.body)) {
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/status_codes.h"
 #include "version/copy_bounds.h"
 
 namespace seamglade::gateway {
@@ -39,6 +40,8 @@
 /** Bytes of a key that the log tells. */
 constexpr std::size_t kLoggedKey = 64;
 constexpr duration kMissingToldAgain = 1s;
+/** A second read by pages within this time waits first. */
+constexpr duration kPagesAgain = 2s;
 
 }  // namespace
 
@@ -155,14 +158,20 @@
   const bool is_of_copy = is_of_epoch(e);
   if (!is_of_copy && was == reading::watch) return;
   if (e.how == outcome::history_gone) {
-    log("store_history_gone",
-        {{"revision", static_cast<std::int64_t>(mirror_.revision())}}, true);
-    needs_range_ = true;
-    range_.end();
-    next_read_ = now_;
+    read_by_pages("store_history_gone");
     return;
   }
-  if (e.how == outcome::failed) {
+  if (e.how == outcome::too_large && was == reading::watch) {
+    // The next watch would bear the same and more; pages are bounded.
+    read_by_pages("store_answer_too_large");
+    return;
+  }
+  if (e.how == outcome::failed && e.status == kOk && was == reading::watch) {
+    read_by_pages("store_answer_unreadable");
+    return;
+  }
+  if (e.how != outcome::answered) {
+    if (!needs_range_) range_.end();
     note_store_failure(was, e.status);
     return;
   }
@@ -176,6 +185,17 @@
   if (epoch >= mirror_.epoch()) take_range(std::move(e.answer), epoch);
 }
 
+void gateway_core::impl::read_by_pages(std::string_view reason) {
+  log(reason, {{"revision", static_cast<std::int64_t>(mirror_.revision())}},
+      true);
+  needs_range_ = true;
+  range_.end();
+  // A store that keeps no history, or is written to a lot, asks for it again.
+  const bool is_soon = now_ - pages_since_ < kPagesAgain;
+  pages_since_ = now_;
+  next_read_ = is_soon ? now_ + kAfterFailure : now_;
+}
+
 std::vector<log_field> gateway_view::range_progress() const {
   const bool is_of_targets = range_.scope() == store_scope::targets;
   return {{"part", std::string(is_of_targets ? "targets" : "operators")},
@@ -200,8 +220,8 @@
   }
   store_failing_ = true;
   store_status_ = status;
-  const bool is_growing = roster_.is_large() || call == reading::range;
-  after_failure_ = is_growing ? next_pause(after_failure_) : kAfterFailure;
+  after_failure_ =
+      roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
   next_read_ = now_ + spread(after_failure_);
 }
 
@@ -252,7 +272,9 @@
   confirm_copy(now_);
   confirm_keys_by_store(known_at(read_sent_, read_wait_, changed));
   const auto gather = roster_.is_large() ? kLargeGather : kGather;
-  next_read_ = changed ? now_ + gather : now_;
+  // One that was not held would be answered at once again.
+  const bool was_held = now_ - read_sent_ >= read_wait_ / 2;
+  next_read_ = changed || !was_held ? now_ + gather : now_;
   if (changed) next_beat_ = now_;
 }
 
@@ -328,10 +350,12 @@
   if (e.changes->whole) begin_watching("peer_copy");
   const auto kept = std::move(e.changes->kept);
   const auto operators = e.changes->operators;
-  const auto epoch = e.changes->epoch;
+  const store_position position{e.changes->epoch, e.changes->revision};
+  // One that is no further than this copy leaves it as far behind the store.
+  const bool is_ahead = position > mirror_.position();
   apply(std::move(*e.changes), "peer");
   take_kept(kept);
-  end_range_by(epoch);
+  if (is_ahead) end_range_by(position.epoch);
   take_operators_word(operators);
   confirm_copy(fetch_confirms_);
 }
--- a/src/version/store_range.cc
+++ b/src/version/store_range.cc
@@ -47,7 +47,9 @@
 
 store_range::step store_range::take(store_answer&& answer, store_epoch epoch,
                                     time_point now) {
-  if (pages_ > 0 && epoch != gathered_.epoch) return step::other_epoch;
+  const bool is_of_other =
+      epoch != gathered_.epoch || answer.revision < gathered_.revision;
+  if (pages_ > 0 && is_of_other) return step::other_epoch;
   if (!leads_on(answer)) return step::stuck;
   if (pages_ == 0) {
     gathered_.epoch = epoch;
--- a/test/config_silence-test.cc
+++ b/test/config_silence-test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "gateway_checks.h"
@@ -210,6 +211,97 @@
   EXPECT_EQ(one.status().store_revision, 3U);
 }
 
+TEST(store_calls, a_watch_whose_answer_is_too_large_is_replaced_by_pages) {
+  using gateway::action::range_store;
+  using gateway::action::watch_store;
+  lone_instance one;
+  one.take(gateway::event::tick{});
+  one.answer<range_store>(1, 10);
+  one.answer<range_store>(1, 10);
+  const auto before = one.last<range_store>().call;
+  gateway::event::store_read large;
+  large.call = one.last<watch_store>().call;
+  large.how = gateway::event::store_read::outcome::too_large;
+  one.take(large);
+  one.wait(400ms);
+  ASSERT_NE(one.last<range_store>().call, before);
+  one.answer<range_store>(1, 20);
+  one.answer<range_store>(1, 21);
+  EXPECT_EQ(one.status().store_revision, 20U);
+  EXPECT_EQ(one.last<watch_store>().after, 20U);
+}
+
+TEST(store_calls, watches_that_are_answered_at_once_are_not_asked_without_end) {
+  using gateway::action::range_store;
+  using gateway::action::watch_store;
+  lone_instance one;
+  one.take(gateway::event::tick{});
+  one.answer<range_store>(1, 10);
+  one.answer<range_store>(1, 10);
+  std::set<gateway::store_call_id> calls;
+  for (auto spent = 0ms; spent < 2s; spent += 10ms) {
+    const auto watch = one.last<watch_store>();
+    calls.insert(watch.call);
+    one.answer(watch.call, 1, 10);
+    one.wait(10ms);
+  }
+  EXPECT_LE(calls.size(), 20U);
+}
+
+TEST(store_calls, a_store_without_history_is_not_read_without_end) {
+  using gateway::action::range_store;
+  using gateway::action::watch_store;
+  lone_instance one;
+  one.take(gateway::event::tick{});
+  std::set<gateway::store_call_id> pages;
+  for (auto spent = 0ms; spent < 2s; spent += 10ms) {
+    const auto page = one.last<range_store>();
+    pages.insert(page.call);
+    one.answer(page.call, 1, 10);
+    gateway::event::store_read gone;
+    gone.call = one.last<watch_store>().call;
+    gone.how = gateway::event::store_read::outcome::history_gone;
+    gone.epoch = 1;
+    one.take(gone);
+    one.wait(10ms);
+  }
+  EXPECT_LE(pages.size(), 40U);
+}
+
+// Its position is what the watch from there was refused for.
+TEST(store_copies, one_that_is_no_further_ends_no_read_of_pages) {
+  using gateway::action::range_store;
+  using gateway::action::watch_store;
+  lone_instance one;
+  one.take(gateway::event::tick{});
+  one.answer<range_store>(1, 10);
+  one.answer<range_store>(1, 10);
+  gateway::heartbeat beat;
+  beat.epoch = 1;
+  beat.store_revision = 12;
+  one.take(gateway::event::datagram{2, beat});
+  const auto fetch = one.last<gateway::action::fetch_changes>();
+  ASSERT_NE(fetch.call, 0U);
+  gateway::event::store_read gone;
+  gone.call = one.last<watch_store>().call;
+  gone.how = gateway::event::store_read::outcome::history_gone;
+  gone.epoch = 1;
+  one.take(gone);
+  one.wait(1ms);
+  gateway::event::peer_changes copy;
+  copy.call = fetch.call;
+  copy.from = fetch.from;
+  copy.changes.emplace();
+  copy.changes->epoch = 1;
+  copy.changes->revision = 10;
+  one.take(copy);
+  const auto watches = one.last<watch_store>().call;
+  one.answer<range_store>(1, 20);
+  one.answer<range_store>(1, 20);
+  EXPECT_EQ(one.status().store_revision, 20U);
+  EXPECT_GT(one.last<watch_store>().call, watches);
+}
+
 TEST(store_calls, a_late_answer_counts_where_no_new_connection_comes_up) {
   using gateway::action::range_store;
   using gateway::action::watch_store;
