--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -36,12 +36,20 @@
 
   // gateway_store.cc
   void on(event::store_read&& e);
-  void note_store_failure(int status);
+  void note_store_failure(reading call, int status);
+  /** A page led no further: it is asked for again after a pause. */
+  void note_stuck_range(const std::string& last_key);
   void note_store_answer();
+  void note_missing_configuration();
+  /** The next read is of all, page by page. */
+  void read_by_pages(std::string_view reason);
   void take_watch(store_answer&& answer);
   void take_range(store_answer&& answer, store_epoch epoch);
+  void take_whole_range();
+  /** A peer's copy of an epoch makes a read of the store needless. */
+  void end_range_by(store_epoch epoch);
   void on(event::peer_changes&& e);
-  void apply(const store_changes& changes, std::string_view source);
+  void apply(store_changes changes, std::string_view source);
   /** Tells others of items that are not to wait for the next copy. */
   void tell_urgent(std::vector<store_item> news, std::string_view source);
   /** Returns whether the item is not to wait for the next copy. */
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -38,6 +38,7 @@
 #include "request/exchange.h"
 #include "seamglade/gateway.h"
 #include "version/store_mirror.h"
+#include "version/store_range.h"
 
 namespace seamglade::gateway {
 
@@ -75,11 +76,13 @@
   std::map<adapter_name, std::uint32_t> versions_;
   enum class reading : std::uint8_t { idle, range, watch };
   reading reading_ = reading::idle;
-  store_changes range_;
-  /** When its first page was asked for. */
-  time_point range_sent_{};
+  store_range range_;
+  /** Pause after its last page, which led no further; 0: it did. */
+  duration range_stuck_pause_{};
   bool needs_range_ = true;
   time_point next_read_{};
+  /** The last watch was replaced by a read of pages then. */
+  time_point pages_since_{};
   store_call_id next_store_call_ = 1;
   /** The call under way; an answer to another was given up. */
   store_call_id read_call_ = 0;
@@ -93,11 +96,11 @@
   time_point last_answer_{};
   bool ever_answered_ = false;
   bool store_failing_ = false;
+  /** HTTP status of the last failed call; 0: no answer. */
+  int store_status_ = 0;
   duration after_failure_{};
   time_point range_not_before_{};
   bool range_spread_ = false;
-  /** What the store's last answer named. */
-  store_epoch named_epoch_ = 0;
   /** Version of the configuration that the store holds. */
   std::uint64_t store_configuration_ = 0;
   /** The highest version of a configuration that is in force at a peer. */
@@ -253,6 +256,8 @@
   time_point placed_at_{};
   /** Requests wait for the first configuration. */
   bool has_unrouted_ = false;
+  /** The log was last told why there is none. */
+  time_point missing_told_{};
   /** Copies asked for by demand, and until when. */
   std::map<std::pair<target_id, adapter_name>, time_point> copies_wanted_;
 };
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -141,6 +141,7 @@
         read.scope = scope;
         read.status = got.status.value_or(0);
         read.epoch = platform_->read_store_epoch(got.headers);
+        if (got.is_beyond_bounds) read.how = outcome::too_large;
         if (got.status == kGone) read.how = outcome::history_gone;
         if (got.status == kOk) {
           if (auto answer = platform_->read_store(got.body)) {
@@ -159,7 +160,7 @@
 
 void gateway_shell::carry_out(action::range_store&& a) {
   read_store(a.call, gateway::store_scope::everything,
-             platform_->range_path(a.after_key), kStoreTimeout,
+             platform_->range_path(a.scope, a.after_key), kStoreTimeout,
              a.on_new_connection);
 }
 
--- a/src/process/gateway_store.cc
+++ b/src/process/gateway_store.cc
@@ -11,6 +11,8 @@
 #include <algorithm>
 
 #include "process/gateway_impl.h"
+#include "process/status_codes.h"
+#include "version/copy_bounds.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -35,6 +37,11 @@
 constexpr duration kFetchAgain = 300ms;
 /** Who has read the whole store within this time tells others of its news. */
 constexpr duration kTellerContact = 2s;
+/** Bytes of a key that the log tells. */
+constexpr std::size_t kLoggedKey = 64;
+constexpr duration kMissingToldAgain = 1s;
+/** A second read by pages within this time waits first. */
+constexpr duration kPagesAgain = 2s;
 
 }  // namespace
 
@@ -114,8 +121,7 @@
 void gateway_core::impl::read_store() {
   if (needs_range_) {
     reading_ = reading::range;
-    range_ = {};
-    range_sent_ = now_;
+    if (!range_.may_go_on(now_)) range_.begin(now_);
     read_wait_ = {};
   } else {
     reading_ = reading::watch;
@@ -131,9 +137,8 @@
   read_call_ = next_store_call_++;
   read_sent_ = now_;
   if (reading_ == reading::range) {
-    const auto& items = range_.items;
-    const auto after = items.empty() ? std::string() : items.back().key;
-    do_act(action::range_store{read_call_, after, on_new_connection});
+    do_act(action::range_store{read_call_, range_.scope(), range_.after_key(),
+                               on_new_connection});
     return;
   }
   do_act(action::watch_store{read_call_, store_scope::everything,
@@ -143,25 +148,31 @@
 
 void gateway_core::impl::on(event::store_read&& e) {
   using outcome = event::store_read::outcome;
-  if (e.scope == store_scope::operators) {
+  if (e.call != 0 && e.call == operator_watch_.call) {
     take_operator_watch(std::move(e));
     return;
   }
   const bool is_repeat = overdue_read_.id != 0 && e.call == read_call_;
   if (!take_read_call(e)) return;
   const auto was = std::exchange(reading_, reading::idle);
-  const auto named_before = named_epoch_;
   const bool is_of_copy = is_of_epoch(e);
   if (!is_of_copy && was == reading::watch) return;
   if (e.how == outcome::history_gone) {
-    log("store_history_gone",
-        {{"revision", static_cast<std::int64_t>(mirror_.revision())}}, true);
-    needs_range_ = true;
-    next_read_ = now_;
+    read_by_pages("store_history_gone");
     return;
   }
-  if (e.how == outcome::failed) {
-    note_store_failure(e.status);
+  if (e.how == outcome::too_large && was == reading::watch) {
+    // The next watch would bear the same and more; pages are bounded.
+    read_by_pages("store_answer_too_large");
+    return;
+  }
+  if (e.how == outcome::failed && e.status == kOk && was == reading::watch) {
+    read_by_pages("store_answer_unreadable");
+    return;
+  }
+  if (e.how != outcome::answered) {
+    if (!needs_range_) range_.end();
+    note_store_failure(was, e.status);
     return;
   }
   note_store_answer();
@@ -171,19 +182,78 @@
     return;
   }
   const auto epoch = e.epoch == 0 ? mirror_.epoch() : e.epoch;
-  if (is_of_copy || may_replace_copy(epoch, named_before)) {
-    take_range(std::move(e.answer), epoch);
-  }
+  if (epoch >= mirror_.epoch()) take_range(std::move(e.answer), epoch);
+}
+
+void gateway_core::impl::read_by_pages(std::string_view reason) {
+  log(reason, {{"revision", static_cast<std::int64_t>(mirror_.revision())}},
+      true);
+  needs_range_ = true;
+  range_.end();
+  // A store that keeps no history, or is written to a lot, asks for it again.
+  const bool is_soon = now_ - pages_since_ < kPagesAgain;
+  pages_since_ = now_;
+  next_read_ = is_soon ? now_ + kAfterFailure : now_;
 }
 
-void gateway_core::impl::note_store_failure(int status) {
-  if (!store_failing_) log("store_lost", {{"status", status}}, true);
+std::vector<log_field> gateway_view::range_progress() const {
+  const bool is_of_targets = range_.scope() == store_scope::targets;
+  return {{"part", std::string(is_of_targets ? "targets" : "operators")},
+          {"page", static_cast<std::int64_t>(range_.pages()) + 1},
+          {"after", range_.after_key().substr(0, kLoggedKey)},
+          {"items", static_cast<std::int64_t>(range_.items())}};
+}
+
+void gateway_core::impl::note_store_failure(reading call, int status) {
+  if (!store_failing_) {
+    std::vector<log_field> fields{{"status", status}};
+    if (call == reading::range) {
+      fields.push_back({"call", std::string("range")});
+      const auto progress = range_progress();
+      fields.insert(fields.end(), progress.begin(), progress.end());
+    } else {
+      fields.push_back({"call", std::string("watch")});
+      fields.push_back(
+          {"revision", static_cast<std::int64_t>(mirror_.revision())});
+    }
+    log("store_lost", std::move(fields), true);
+  }
   store_failing_ = true;
+  store_status_ = status;
   after_failure_ =
       roster_.is_large() ? next_pause(after_failure_) : kAfterFailure;
   next_read_ = now_ + spread(after_failure_);
 }
 
+void gateway_core::impl::note_stuck_range(const std::string& last_key) {
+  auto fields = range_progress();
+  fields.push_back({"last_key", last_key.substr(0, kLoggedKey)});
+  log("store_read_stuck", std::move(fields), true);
+  // Answers that lead nowhere come as fast as they are asked for.
+  range_stuck_pause_ = next_pause(range_stuck_pause_);
+  next_read_ = now_ + spread(range_stuck_pause_);
+}
+
+std::string_view gateway_view::why_no_configuration() const {
+  if (config_) return "keys_unconfirmed";
+  if (store_failing_) return "store_failed";
+  if (reading_ == reading::range) return "store_read";
+  return needs_range_ ? "awaits_copy" : "not_in_copy";
+}
+
+void gateway_core::impl::note_missing_configuration() {
+  if (now_ - missing_told_ < kMissingToldAgain) return;
+  missing_told_ = now_;
+  std::vector<log_field> fields{
+      {"reason", std::string(why_no_configuration())},
+      {"since_ms", to_ms(now_ - started_)},
+      {"status", store_status_},
+      {"revision", static_cast<std::int64_t>(mirror_.revision())}};
+  const auto progress = range_progress();
+  fields.insert(fields.end(), progress.begin(), progress.end());
+  log("configuration_missing", std::move(fields), true);
+}
+
 void gateway_core::impl::note_store_answer() {
   if (store_failing_) log("store_regained", {}, true);
   store_failing_ = false;
@@ -193,49 +263,72 @@
 }
 
 void gateway_core::impl::take_watch(store_answer&& answer) {
-  const bool changed = !answer.items.empty();
+  const bool changed = !answer.is_quiet();
   store_changes changes;
   changes.epoch = mirror_.epoch();
   changes.revision = answer.revision;
   changes.items = std::move(answer.items);
-  apply(changes, kFromStore);
+  apply(std::move(changes), kFromStore);
   confirm_copy(now_);
   confirm_keys_by_store(known_at(read_sent_, read_wait_, changed));
   const auto gather = roster_.is_large() ? kLargeGather : kGather;
-  next_read_ = changed ? now_ + gather : now_;
+  // One that was not held would be answered at once again.
+  const bool was_held = now_ - read_sent_ >= read_wait_ / 2;
+  next_read_ = changed || !was_held ? now_ + gather : now_;
   if (changed) next_beat_ = now_;
 }
 
 void gateway_core::impl::take_range(store_answer&& answer, store_epoch epoch) {
-  if (range_.revision == 0) {
-    range_.revision = answer.revision;
-    range_.epoch = epoch;
-  }
-  if (range_.epoch != epoch) {
-    // The pages are of two histories.
-    next_read_ = now_;
+  const auto last_key = answer.last_key.substr(0, kLoggedKey);
+  const auto got = range_.take(std::move(answer), epoch, now_);
+  if (got == store_range::step::stuck) {
+    note_stuck_range(last_key);
     return;
   }
-  for (auto& item : answer.items) range_.items.push_back(std::move(item));
-  if (answer.more && !range_.items.empty()) {
-    reading_ = reading::range;
-    send_read(false);
-    return;
+  range_stuck_pause_ = {};
+  switch (got) {
+    case store_range::step::whole:
+      take_whole_range();
+      break;
+    case store_range::step::goes_on:
+      // A peer's copy may have come meanwhile.
+      if (!needs_range_) {
+        range_.end();
+        next_read_ = now_;
+        break;
+      }
+      reading_ = reading::range;
+      send_read(false);
+      break;
+    default:
+      range_.end();
+      next_read_ = now_ + kOtherEpochPause;
+      break;
   }
-  range_.whole = true;
+}
+
+void gateway_core::impl::take_whole_range() {
   needs_range_ = false;
-  if (store_position{epoch, range_.revision} < mirror_.position()) {
+  const auto begun = range_.begun();
+  if (range_.left_out() > 0) {
+    log("store_values_left_out",
+        {{"items", static_cast<std::int64_t>(range_.left_out())},
+         {"bound", static_cast<std::int64_t>(kMostCopyBytes)}},
+        true);
+  }
+  auto copy = range_.finish();
+  if (store_position{copy.epoch, copy.revision} < mirror_.position()) {
     log("store_behind",
-        {{"epoch", static_cast<std::int64_t>(epoch)},
-         {"at", static_cast<std::int64_t>(range_.revision)},
+        {{"epoch", static_cast<std::int64_t>(copy.epoch)},
+         {"at", static_cast<std::int64_t>(copy.revision)},
          {"revision", static_cast<std::int64_t>(mirror_.revision())},
-         {"outdated", static_cast<std::int64_t>(mirror_.outdated(range_))}},
+         {"outdated", static_cast<std::int64_t>(mirror_.outdated(copy))}},
         true);
   }
-  apply(std::exchange(range_, {}), kFromStore);
+  apply(std::move(copy), kFromStore);
   begin_watching("whole_copy");
-  confirm_copy(now_);
-  confirm_keys_by_store(range_sent_);
+  confirm_copy(begun);
+  confirm_keys_by_store(begun);
   next_read_ = now_;
 }
 
@@ -255,13 +348,25 @@
       (e.changes->epoch == mirror_.epoch() && fetch_.epoch == mirror_.epoch());
   if (!is_usable) return;
   if (e.changes->whole) begin_watching("peer_copy");
-  apply(*e.changes, "peer");
-  take_kept(e.changes->kept);
-  needs_range_ = false;
-  take_operators_word(e.changes->operators);
+  const auto kept = std::move(e.changes->kept);
+  const auto operators = e.changes->operators;
+  const store_position position{e.changes->epoch, e.changes->revision};
+  // One that is no further than this copy leaves it as far behind the store.
+  const bool is_ahead = position > mirror_.position();
+  apply(std::move(*e.changes), "peer");
+  take_kept(kept);
+  if (is_ahead) end_range_by(position.epoch);
+  take_operators_word(operators);
   confirm_copy(fetch_confirms_);
 }
 
+void gateway_core::impl::end_range_by(store_epoch epoch) {
+  // A peer may not have heard yet that the store was restored.
+  if (range_.epoch() > epoch) return;
+  needs_range_ = false;
+  if (reading_ != reading::range) range_.end();
+}
+
 store_changes gateway_core::impl::changes_after(copy_extent known) const {
   // A large configuration that each of a fleet had from the store, and then
   // again from a peer, made an instance of 3 MB peak at 71 MB.
@@ -276,8 +381,11 @@
   return out;
 }
 
-void gateway_core::impl::apply(const store_changes& changes,
-                               std::string_view source) {
+void gateway_core::impl::apply(store_changes changes, std::string_view source) {
+  // A peer of another build may keep what nobody here reads.
+  std::erase_if(changes.items, [this](const store_item& item) {
+    return !platform_.is_read(item.key);
+  });
   const auto before = mirror_.position();
   const bool had_copy = before.revision > 0;
   const bool is_replaced = changes.epoch != before.epoch;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "seamglade/dialect.h"
+#include "store_query.h"
 
 namespace seamglade::gateway {
 namespace {
@@ -23,6 +24,54 @@
   }
 };
 
+TEST_F(platform, takes_no_target_whose_id_or_address_no_head_carries) {
+  const auto read = [&](const std::string& id, const std::string& address) {
+    const auto body = R"({"svc":"s","addr":")" + address + R"("})";
+    return bool(d_->read_item({"servers/" + id, 1, body}));
+  };
+  EXPECT_TRUE(read("s-1", "127.0.0.1:1"));
+  EXPECT_TRUE(read("s \xC3\xA9", "127.0.0.1:1"));
+  for (const std::string id :
+       {"", "s-1\r\nX-Injected: 1", "s-1\n", "s-1 ", "\ts-1", "s\x7f"}) {
+    EXPECT_FALSE(read(id, "127.0.0.1:1")) << id;
+  }
+  EXPECT_FALSE(read(std::string("s\0", 2), "127.0.0.1:1"));
+  for (const std::string address :
+       {"", R"(127.0.0.1:1\r\nX-Injected: 1)", R"(127.0.0.1:1\u0000)"}) {
+    EXPECT_FALSE(read("s-1", address)) << address;
+  }
+}
+
+TEST_F(platform, asks_behind_any_key_of_the_store) {
+  std::string all;
+  for (int i = 0; i < 256; ++i) all += static_cast<char>(i);
+  const std::vector<std::string> keys{"a00%#",
+                                      "a01%#zz",
+                                      "a02&b=",
+                                      "a03+",
+                                      "a04\xC3\xA9",
+                                      "a 05",
+                                      "a\r\n06: 7",
+                                      "%41",
+                                      "a?b=c",
+                                      "op/key",
+                                      all,
+                                      "é&after=x",
+                                      std::string(200, '%')};
+  for (const auto& key : keys) {
+    for (const auto scope : {store_scope::everything, store_scope::operators}) {
+      const auto path = d_->range_path(scope, key);
+      const auto read = standin::read_query(path);
+      ASSERT_TRUE(read) << path;
+      EXPECT_EQ(read->path, "/kv-range");
+      EXPECT_EQ(read->text("after"), key) << path;
+      const std::string prefix = scope == store_scope::operators ? "op/" : "";
+      EXPECT_EQ(read->text("prefix"), prefix);
+      EXPECT_EQ(read->parameters.size(), 2U) << path;
+    }
+  }
+}
+
 TEST_F(platform, reads_a_request) {
   const auto facts =
       d_->read_request({{"X-Request-Id", "9c41"},
@@ -272,20 +321,59 @@
 
 TEST_F(platform, reads_the_stores_answers) {
   const auto read = d_->read_store(
-      R"({"events":[{"tls_key":"my/leader","value":"bm9kZS0x","rev":412,)"
-      R"("made":412,"lease":77120},{"tls_key":"my/old","rev":413,)"
+      R"({"events":[{"tls_key":"servers/n","value":"bm9kZS0x","rev":412,)"
+      R"("made":412,"lease":77120},{"tls_key":"servers/o","rev":413,)"
       R"("gone":true}],"at":413})");
   ASSERT_TRUE(read);
   EXPECT_EQ(read.value().revision, 413U);
+  EXPECT_EQ(read.value().received, 2U);
+  ASSERT_EQ(read.value().items.size(), 2U);
   EXPECT_EQ(read.value().items[0].value, "node-1");
+  EXPECT_EQ(read.value().items[0].revision, 412U);
   EXPECT_FALSE(read.value().items[1].value);
   EXPECT_FALSE(d_->read_store("{\"events\":3}"));
   EXPECT_FALSE(d_->read_store("no json"));
 }
 
+TEST_F(platform, keeps_no_items_of_other_writers_but_counts_them) {
+  const auto read = d_->read_store(
+      R"({"items":[{"value":"bm9kZS0x","tls_key":"a00%#","rev":1},)"
+      R"({"tls_key":"op/config","value":"e30=","rev":2},)"
+      R"({"tls_key":"op/evacuate/z","value":"e30=","rev":3},)"
+      R"({"tls_key":"op/version/m.a","value":"e30=","rev":4},)"
+      R"({"tls_key":"op/notes","value":"e30=","rev":5},)"
+      R"({"tls_key":"servers/a","gone":true,"rev":6},)"
+      R"({"tls_key":"zz","gone":true,"rev":7}],"at":9,"more":true})");
+  ASSERT_TRUE(read);
+  std::vector<std::string> keys;
+  for (const auto& item : read.value().items) keys.push_back(item.key);
+  EXPECT_EQ(keys, (std::vector<std::string>{"op/config", "op/evacuate/z",
+                                            "op/version/m.a", "servers/a"}));
+  EXPECT_EQ(read.value().received, 7U);
+  EXPECT_EQ(read.value().last_key, "zz");
+  EXPECT_EQ(read.value().revision, 9U);
+  EXPECT_TRUE(read.value().more);
+}
+
+TEST_F(platform, a_large_value_of_another_writer_is_an_empty_one) {
+  const auto value_of = [&](const std::string& key, std::size_t bytes) {
+    const auto read = d_->read_store(
+        R"({"items":[{"tls_key":")" + key + R"(","value":")" +
+        std::string((bytes + 2) / 3 * 4, 'A') + R"(","rev":1}],"at":1})");
+    return read ? read.value().items[0].value->size() : 1;
+  };
+  constexpr std::size_t kLarge = 240000;
+  EXPECT_EQ(value_of("servers/a", kLarge), 0U);
+  EXPECT_EQ(value_of("op/version/a", kLarge), 0U);
+  EXPECT_EQ(value_of("op/evacuate/a", kLarge), 0U);
+  EXPECT_EQ(value_of("op/config", kLarge), kLarge);
+  EXPECT_EQ(value_of("servers/a", 60000), 60000U);
+}
+
 TEST_F(platform, decodes_values_with_every_padding) {
   const auto value = [&](const std::string& text) {
-    const auto read = d_->read_store(R"({"items":[{"tls_key":"k","value":")" +
+    const auto read = d_->read_store(R"({"items":[{"tls_key":"op/config",)"
+                                     R"("value":")" +
                                      text + R"(","rev":1}],"at":1})");
     return read ? *read.value().items[0].value : "failed";
   };
