--- a/include/seamglade/message_head.h
+++ b/include/seamglade/message_head.h
@@ -1,4 +1,4 @@
-// seamglade - heads of HTTP/1.1 messages, which nothing in them can break
+// seamglade - heads of HTTP/1.1 messages, refused where text can't be carried
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
