--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -34,12 +34,8 @@
 store=$net.250:$port
 echo "TROUBLE=$trouble port $port" >"$record"
 
-# The steady clock in milliseconds, which the stand-ins use too.
-now_ms() {
-  local up
-  read -r up _ </proc/uptime
-  echo $((10#${up/./} * 10))
-}
+# The steady clock in milliseconds, as the stand-ins read it.
+now_ms() { "$standin" now; }
 
 note() { echo "$(now_ms) $*" >>"$record"; }
 
--- a/review/standin-2.cc
+++ b/review/standin-2.cc
@@ -17,6 +17,9 @@
 //     ingress does, and sends each request over a connection of its own. Prints
 //     a line for each request.
 //
+//   standin-2 now
+//     Prints the time.
+//
 // Times are milliseconds of the steady clock, which all processes share.
 
 #include <arpa/inet.h>
@@ -605,6 +608,10 @@
 int main(int count, char** words) {
   std::signal(SIGPIPE, SIG_IGN);
   const std::string role = count > 1 ? words[1] : "";
+  if (role == "now") {
+    say(std::to_string(now_ms()));
+    return 0;
+  }
   if (role == "store" && count == 4) return store(words);
   if (role == "replica" && count > 2) return replicas(count, words);
   if (role == "clients" && count > 3) return clients(count, words);
