--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -130,6 +130,8 @@
 struct tick {};
 /** Stop: finish what runs, take nothing new. */
 struct drain {};
+/** The stop is over: the process ends after this event. */
+struct stop_over {};
 
 }  // namespace event
 
@@ -138,7 +140,8 @@
                  event::answer_data, event::answer_end, event::order_answer,
                  event::report_answer, event::contents_answer,
                  event::target_probed, event::store_read, event::peer_changes,
-                 event::datagram, event::new_seeds, event::tick, event::drain>;
+                 event::datagram, event::new_seeds, event::tick, event::drain,
+                 event::stop_over>;
 
 /** One field of a line of the log. */
 struct log_field {
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -202,6 +202,9 @@
   void on(event::answer_head&& e);
   void on(event::answer_data&& e);
   void on(event::answer_end&& e);
+  // gateway_stop.cc
+  /** Tells of each request that the end of the process cuts off. */
+  void on(event::stop_over&& e);
   // gateway_workspaces.cc
   /** Returns whether this instance is to ask the store itself about keys. */
   bool is_key_word_old();
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -345,6 +345,7 @@
   const bool over = passed > config_.grace - kStopMargin;
   const bool is_busy = callers_.connection_count() > 0 || !relayed_.empty();
   if (is_busy && !over) return;
+  post(event::stop_over{});
   say_stopped();
   event_base_loopbreak(base_.get());
 }
