A planned stop begins only what ends before it, and cuts off nothing

Cause: fixed spans in place of the time that is left. Plain requests were taken for 6 s and streams for 2.5 s, whatever time they need and whatever `grace` is; only the end of the process read the setting. Evidence: `stop_cut` names r47, r51 and r54, taken 4.9, 5.7 and 5.3 s into the stop, calling since then, with 2.2 to 3.0 s of their own left. Ruled out: a wait for a place (run_ms is after_ms), a target that is slower in the stop (3.0 s as ever).

Change: all times of a stop come from `grace` in one place (stop_schedule), for the shell and the decisions. planned_stop decides what may begin: what ends before the stop by the longest of the last 32 runs of its route, or by its own whole time where none was seen. The rest is refused at once, as not run. The same question is asked before a request that waited is placed, and before one is repeated, resumed or handed on. No request, and no target's deadline, reaches beyond the stop; what still runs 0.1 s before the end gets 504 or has its stream broken off. Requests that are not whole are refused then, unsent answers are left to the system, and a grace that changes during a stop counts.

Why this works: the time that a request may take is compared with the time that is left when it would begin, and has an end that its caller sees if it takes longer than any before.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -201,9 +201,29 @@
 }
 
 void gateway_world::stop(member_address who) {
+  constexpr duration kGrace = 8s;
+  begin_stop(who, make_stop_schedule(now_, kGrace));
+}
+
+void gateway_world::begin_stop(member_address who, const stop_schedule& times) {
   auto& i = *instances_.at(who);
   i.stopping = true;
-  if (i.core) post(i, event::drain{});
+  if (i.core) post(i, event::drain{times});
+}
+
+void gateway_world::stop_and_end(member_address who, duration grace) {
+  const auto times = make_stop_schedule(now_, grace);
+  begin_stop(who, times);
+  at(times.end, [this, who, life = instances_.at(who)->life] {
+    auto& i = *instances_.at(who);
+    if (i.life != life) return;
+    post(i, event::stop_over{});
+    kill(who);
+  });
+}
+
+bool gateway_world::is_running(member_address who) const {
+  return instances_.at(who)->core != nullptr;
 }
 
 gateway_status gateway_world::status(member_address who) {
@@ -352,7 +372,7 @@
   }
   made.sent = now_;
   headers.push_back({"X-Request-Id", made.id});
-  headers.push_back({"X-Deadline-Ms", "8000"});
+  headers.push_back({"X-Deadline-Ms", std::to_string(options_.deadline / 1ms)});
   caller_message message;
   message.method = "POST";
   message.target = path;
--- a/fakes/gateway_world.h
+++ b/fakes/gateway_world.h
@@ -111,7 +111,11 @@
   void silence_connections();
   /** The store answers nobody, also nobody that waits already; or again. */
   void silence_store(bool silent);
+  /** It is told to stop, and goes on until it is killed. */
   void stop(gateway::member_address who);
+  /** It is told to stop, and ends by itself before its grace is over. */
+  void stop_and_end(gateway::member_address who, duration grace);
+  bool is_running(gateway::member_address who) const;
   gateway::gateway_status status(gateway::member_address who);
 
   std::vector<std::string> engines() const;
@@ -234,6 +238,8 @@
   std::set<std::string> domains_of_runs(const std::string& request) const;
   /** Returns the targets where a request ran. */
   std::set<std::string> targets_of_runs(const std::string& request) const;
+  /** Returns by when targets were to have answered a request at the latest. */
+  time_point handed_until(const std::string& request) const;
   /** Returns how often a request was run. */
   std::size_t runs_of(const std::string& request) const;
   /** Returns how many requests plain targets rejected since they were full. */
@@ -276,6 +282,7 @@
                        const caller_content& content = {});
   void post(instance& to, gateway::any_event event);
   void tick(gateway::member_address who, std::uint64_t life);
+  void begin_stop(gateway::member_address who, const stop_schedule& times);
   void carry_out(instance& from, gateway::any_action action);
   void count_traffic(const gateway::peer_message& message, std::size_t bytes);
   void count_word_age(const gateway::action::log_line& line);
@@ -464,6 +471,7 @@
   std::map<std::string, std::size_t> runs_;
   std::map<std::string, std::set<std::string>> run_domains_;
   std::map<std::string, std::set<std::string>> run_targets_;
+  std::map<std::string, time_point> handed_until_;
   std::vector<asked_list> lists_;
   std::set<std::string> cut_unseen_;
   /** Since when a failure domain has been evacuated. */
--- a/fakes/gateway_world_store.cc
+++ b/fakes/gateway_world_store.cc
@@ -210,6 +210,7 @@
                         static_cast<double>(options_.cold_time / 1ms) / 1000,
                         options_.cold_rate)
           : std::string();
+  const auto timeout = options_.plain_timeout / 1ms;
   std::string routes;
   for (std::size_t i = 0; i < further; ++i) {
     routes += fmt::format(
@@ -225,15 +226,15 @@
           R"({{"host":"h","prefix":"/llm2/","type":"stream","resumable":true,)"
           R"("timeout_ms":8000,"svc":"llm","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/get/","type":"idempotent",)"
-          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2{}}},)"
+          R"("timeout_ms":{},"slo_ms":120,"svc":"plain","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/set/","type":"mutating",)"
-          R"("timeout_ms":1500,"slo_ms":120,"svc":"plain","attempts":2{}}},)"
+          R"("timeout_ms":{},"slo_ms":120,"svc":"plain","attempts":2{}}},)"
           R"({{"host":"h","prefix":"/open/","type":"idempotent",)"
           R"("public":true,"timeout_ms":1500,"svc":"plain"{}}}{}],)"
           R"("svcs":[{{"name":"llm","engine":{}{}}},{{"name":"plain"{}}}])"
           R"({}}})",
-          version, routes, engine_prefix, llm, llm, plain, plain, plain, feed,
-          engine, cold, cold, workspaces_text()));
+          version, routes, engine_prefix, llm, llm, timeout, plain, timeout,
+          plain, plain, feed, engine, cold, cold, workspaces_text()));
 }
 
 std::string gateway_world::workspaces_text() const {
--- a/fakes/gateway_world_targets.cc
+++ b/fakes/gateway_world_targets.cc
@@ -104,6 +104,9 @@
   ++runs_[call.request_id];
   run_domains_[call.request_id].insert(at.domain);
   run_targets_[call.request_id].insert(at.id);
+  const auto left = std::stoll("0" + header_of(call.headers, "X-Deadline-Ms"));
+  auto& until = handed_until_[call.request_id];
+  until = std::max(until, now_ + duration(left * 1ms));
   keep_contents(at, adapter, header_of(call.headers, "X-Prefix-Hash"));
   judge_evacuation(from, at, "a request");
   judge_key(call);
@@ -445,6 +448,11 @@
   return found == run_targets_.end() ? std::set<std::string>() : found->second;
 }
 
+time_point gateway_world::handed_until(const std::string& request) const {
+  const auto found = handed_until_.find(request);
+  return found == handed_until_.end() ? time_point() : found->second;
+}
+
 std::size_t gateway_world::runs_of(const std::string& request) const {
   const auto found = runs_.find(request);
   return found == runs_.end() ? 0 : found->second;
--- a/fakes/gateway_world_types.h
+++ b/fakes/gateway_world_types.h
@@ -83,6 +83,10 @@
   std::size_t refused_page = 0;
   /** Each so many pages one is empty, with more to come; 0: none. */
   std::size_t empty_page = 0;
+  /** The longest that requests of the plain routes may be held. */
+  duration plain_timeout = 1500ms;
+  /** How long callers wait. */
+  duration deadline = 8s;
 };
 
 /** One request of a caller and what became of it. */
--- a/include/seamglade/gateway.h
+++ b/include/seamglade/gateway.h
@@ -17,6 +17,7 @@
 #include "seamglade/controller.h"
 #include "seamglade/dialect.h"
 #include "seamglade/gateway_peers.h"
+#include "seamglade/stop_schedule.h"
 
 namespace seamglade::gateway {
 
@@ -128,8 +129,13 @@
   std::vector<member_address> seeds;
 };
 struct tick {};
-/** Stop: finish what runs, take nothing new. */
-struct drain {};
+/**
+ * Stop: finish what runs, and begin only what ends in time. Again: the times of
+ * the stop have changed.
+ */
+struct drain {
+  stop_schedule times;
+};
 /** The stop is over: the process ends after this event. */
 struct stop_over {};
 
--- a/include/seamglade/gateway_config.h
+++ b/include/seamglade/gateway_config.h
@@ -49,7 +49,7 @@
   double cold_slack = 0;
   /** Whether plain targets get only what they can serve in time. */
   bool admission = true;
-  /** How long the platform waits for a planned stop. */
+  /** From the signal of a planned stop until the platform kills the process. */
   duration grace = 8s;
   /** Bytes of memory that the process may use; 0: its own limit. */
   std::size_t memory_limit = 0;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -144,8 +144,9 @@
   port=$((20000 + $$ % 20000))
 }
 
-# start_gateway N: starts instance N of the direct path, with the further lines
-# of settings in `gateway_settings`, by the command in `gateway_prefix`.
+# start_gateway N: starts instance N of the direct path, with the grace in
+# `gateway_grace` (default 4s) and the further lines of settings in
+# `gateway_settings`, by the command in `gateway_prefix`.
 start_gateway() {
   local ip=$net.$1
   cat >"$work/g$1.ini" <<INI
@@ -158,7 +159,7 @@
 metrics_address = $ip:$((port + 3))
 store_address = $store
 seeds = $net.1:1,$net.2:1
-grace = 4s
+grace = ${gateway_grace:-4s}
 ${gateway_settings:-}
 [end]
 INI
--- a/src/connection/event_handles.cc
+++ b/src/connection/event_handles.cc
@@ -148,6 +148,16 @@
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 }
 
+bool write_at_once(evbuffer* from, evutil_socket_t fd) {
+  // A bufferevent keeps others from taking bytes out of its output.
+  evbuffer_unfreeze(from, 1);
+  while (evbuffer_get_length(from) > 0) {
+    if (evbuffer_write(from, fd) <= 0) break;
+  }
+  evbuffer_freeze(from, 1);
+  return evbuffer_get_length(from) == 0;
+}
+
 std::size_t unread_bytes(evutil_socket_t fd) {
   int bytes = 0;
   if (ioctl(fd, FIONREAD, &bytes) != 0 || bytes < 0) return 0;
--- a/src/connection/event_handles.h
+++ b/src/connection/event_handles.h
@@ -99,6 +99,12 @@
  */
 void set_receive_buffer(evutil_socket_t fd, int bytes);
 
+/**
+ * Writes from a bufferevent's output what the system takes at once; returns
+ * whether nothing is left.
+ */
+bool write_at_once(evbuffer* from, evutil_socket_t fd);
+
 /** Returns the bytes that have arrived and were not read. */
 std::size_t unread_bytes(evutil_socket_t fd);
 
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -133,6 +133,11 @@
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
+void gateway_server::stop_listening() {
+  event_del(rest_timer_.get());
+  listener_.reset();
+}
+
 void gateway_server::accept(evutil_socket_t fd, std::uint32_t from) {
   if (connections_.size() >= bounds_.connections && !make_place()) {
     ++counts_.closed_unread;
@@ -517,4 +522,23 @@
   for (auto* c : idle) erase(*c);
 }
 
+void gateway_server::hand_over_unsent() {
+  for (const auto& [number, c] : connections_) {
+    auto* out = bufferevent_get_output(c->io.get());
+    if (evbuffer_get_length(out) == 0) continue;
+    const bool is_done = write_at_once(out, bufferevent_getfd(c->io.get()));
+    if (is_done && c->now == phase::closing) end_output(*c);
+  }
+}
+
+void gateway_server::refuse_unread() {
+  std::vector<connection*> unread;
+  for (const auto& [number, c] : connections_) {
+    if (c->now == phase::reading && c->reader->started()) {
+      unread.push_back(c.get());
+    }
+  }
+  for (auto* c : unread) refuse(*c, kUnavailable, kRetryAfter);
+}
+
 }  // namespace seamglade::detail
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -95,11 +95,18 @@
   /** Callers that leave more bytes unread than this are cut off. */
   void set_max_unsent(std::size_t bytes) { max_unsent_ = bytes; }
   /** Takes no new connections. */
-  void stop_listening() { listener_.reset(); }
+  void stop_listening();
   /** From now on every answer ends its connection. */
   void drain() { draining_ = true; }
   /** Closes the connections on which no request is under way. */
   void close_idle();
+  /** Refuses the requests that have begun to come and are not whole. */
+  void refuse_unread();
+  /**
+   * Gives the system what it takes of unsent answers, which it goes on sending
+   * when the process has ended.
+   */
+  void hand_over_unsent();
   std::size_t connection_count() const { return connections_.size(); }
   /** Returns the bytes of answers that no caller has taken yet. */
   std::size_t unsent_bytes() const;
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -52,18 +52,6 @@
         using type = std::decay_t<decltype(e)>;
         if constexpr (std::is_same_v<type, event::tick>) {
           tick();
-        } else if constexpr (std::is_same_v<type, event::drain>) {
-          if (draining_) return;
-          draining_ = true;
-          drain_started_ = now_;
-          roster_.leave();
-          next_beat_ = now_;
-          close_accounts();
-          close_grants();
-          hand_origins_over();
-          log("drain_started",
-              {{"requests", static_cast<std::int64_t>(exchanges_.size())}},
-              true);
         } else {
           on(std::forward<decltype(e)>(e));
         }
@@ -152,6 +140,10 @@
     if (x.grant.again_at > now_) next = std::min(next, x.grant.again_at);
     if (asks && *x.asked_until > now_) next = std::min(next, *x.asked_until);
   }
+  if (stop_.has_begun()) {
+    const auto last = stop_.times().answer_by - kAnswerMargin;
+    if (last > now_) next = std::min(next, last);
+  }
   if (!may_give_orders()) return next;
   for (const auto& [id, keeper] : keepers_) {
     if (resting_.contains(id)) continue;
@@ -166,13 +158,13 @@
 }
 
 bool gateway_view::is_ready() const {
-  return !draining_ && config_ != nullptr && targets_.size() > 0;
+  return !stop_.has_begun() && config_ != nullptr && targets_.size() > 0;
 }
 
 gateway_status gateway_core::impl::status(time_point now) const {
   auto out = counts_;
   out.ready = is_ready();
-  out.draining = draining_;
+  out.draining = stop_.has_begun();
   out.configuration = config_ ? config_->version : 0;
   out.store_revision = mirror_.revision();
   out.store_epoch = mirror_.epoch();
--- a/src/process/gateway_admission.cc
+++ b/src/process/gateway_admission.cc
@@ -117,7 +117,7 @@
       x.way->objective > duration{} ? x.way->objective : x.way->timeout;
   const admission_request request{x.admission.request, target.hash,
                                   x.started + objective - now_, x.rank(),
-                                  x.until - now_};
+                                  time_left(x)};
   const auto admitter = admitter_of(target);
   x.admission.admitter = admitter;
   if (admitter == options_.self) {
--- a/src/process/gateway_answers.cc
+++ b/src/process/gateway_answers.cc
@@ -246,7 +246,7 @@
 }
 
 void gateway_core::impl::retry_unsent(exchange& x) {
-  if (x.unsent_tries < kUnsentTries && x.until - now_ > kAnswerMargin) {
+  if (x.unsent_tries < kUnsentTries && time_left(x) > kAnswerMargin) {
     retry(x, "not_sent");
   } else if (!relay(x)) {
     give_up(x);
@@ -254,6 +254,7 @@
 }
 
 void gateway_core::impl::whole_answer(exchange& x) {
+  learn_run_time(x);
   clear_blame(x);
   if (x.relay == 0) clear_parts(x, x.first_event.value_or(now_));
   if (auto* target = target_of(x)) targets_.succeeded(*target);
@@ -380,10 +381,11 @@
 }
 
 bool gateway_core::impl::may_retry(exchange& x, bool ran) {
-  if (x.until - now_ <= kAnswerMargin) return false;
+  if (time_left(x) <= kAnswerMargin) return false;
   if (ran && !x.way->repeatable) return false;
   if (x.runs >= x.way->attempts) return false;
   if (refused_content(x)) return false;
+  if (!ends_before_stop(x)) return false;
   return budgets_[x.service->name].take(now_);
 }
 
--- a/src/process/gateway_dispatch.cc
+++ b/src/process/gateway_dispatch.cc
@@ -89,7 +89,7 @@
   facts.target = x.target;
   facts.is_keyed = x.config->is_keyed();
   if (x.owner != nullptr) facts.workspace = x.owner->name;
-  facts.remaining = x.until - now_;
+  facts.remaining = time_left(x);
   const auto version = version_of(x.facts.adapter);
   if (version > 0) facts.adapter_version = version;
   if (x.service->engine) facts.priority = std::min(kLowestRank, x.rank());
--- a/src/process/gateway_grants.cc
+++ b/src/process/gateway_grants.cc
@@ -184,7 +184,7 @@
 
 grant_answer gateway_core::impl::answer_grant(const grant_request& request) {
   // Who may be cut off knows too little of what others give.
-  if (was_isolated_ || draining_) close_grants();
+  if (was_isolated_ || stop_.has_begun()) close_grants();
   metered_target which{request.target, 0, request.is_cold};
   if (auto* target = targets_.find(request.target)) {
     if (request.limit.rate > 0) take_limit(*target, request.limit);
@@ -204,7 +204,7 @@
   std::erase_if(grant_asks_,
                 [&](const auto& pair) { return now_ >= pair.second.until; });
   if (!config_) return;
-  if (was_isolated_ || draining_) return close_grants();
+  if (was_isolated_ || stop_.has_begun()) return close_grants();
   if (now_ < next_grant_update_) return;
   next_grant_update_ = now_ + kLedgerPeriod;
   std::vector<metered_target> candidates;
--- a/src/process/gateway_impl.h
+++ b/src/process/gateway_impl.h
@@ -203,6 +203,14 @@
   void on(event::answer_data&& e);
   void on(event::answer_end&& e);
   // gateway_stop.cc
+  void on(event::drain&& e);
+  /**
+   * Refuses or ends a request that would not end before a planned stop does;
+   * returns whether it did.
+   */
+  bool refuse_late(exchange& x);
+  /** Learns from a call that ends how long runs of its route take. */
+  void learn_run_time(const exchange& x);
   /** Tells of each request that the end of the process cuts off. */
   void on(event::stop_over&& e);
   // gateway_workspaces.cc
--- a/src/process/gateway_items.cc
+++ b/src/process/gateway_items.cc
@@ -155,6 +155,7 @@
   configuration_since_ = now_;
   config_ = std::make_shared<const configuration>(std::move(news));
   do_act(action::set_limits{config_->limits});
+  stop_.keep_routes_of(*config_);
   for (auto& [id, keeper] : keepers_) {
     const auto* target = targets_.find(id);
     if (target == nullptr) continue;
--- a/src/process/gateway_memory.h
+++ b/src/process/gateway_memory.h
@@ -24,6 +24,7 @@
 #include "process/grant_ledger.h"
 #include "process/life_checks.h"
 #include "process/origin_table.h"
+#include "process/planned_stop.h"
 #include "process/prompt_memory.h"
 #include "process/quarantine.h"
 #include "process/quota_accounts.h"
@@ -62,8 +63,7 @@
   time_point now_{};
   time_point started_{};
   bool is_started_ = false;
-  bool draining_ = false;
-  time_point drain_started_{};
+  planned_stop stop_;
   std::vector<any_action> actions_;
   std::mt19937_64 random_;
   gateway_status counts_;
--- a/src/process/gateway_operators.cc
+++ b/src/process/gateway_operators.cc
@@ -110,7 +110,7 @@
       watch.overdue_since && now_ - *watch.overdue_since > kReadPatience;
   if (is_lost || is_overdue) watch.call = 0;
   const bool due = roster_.is_large() && !needs_range_ && now_ >= watch.next;
-  if (!due || watch.call != 0 || draining_) return;
+  if (!due || watch.call != 0 || stop_.has_begun()) return;
   if (!should_watch_operators()) return;
   const bool on_new_connection = is_overdue || watch.after_failure > duration{};
   watch.overdue_since.reset();
--- a/src/process/gateway_orders.cc
+++ b/src/process/gateway_orders.cc
@@ -47,8 +47,8 @@
 }  // namespace
 
 bool gateway_view::may_give_orders() const {
-  return !draining_ && now_ >= orders_suspended_until_ && !was_isolated_ &&
-         !reach_.is_cut_off();
+  return !stop_.has_begun() && now_ >= orders_suspended_until_ &&
+         !was_isolated_ && !reach_.is_cut_off();
 }
 
 bool gateway_view::has_live_holder(target_hash target) const {
@@ -169,7 +169,7 @@
     }
   }
   for (const auto& id : lost) release(id, "target_left");
-  if (draining_) {
+  if (stop_.has_begun()) {
     while (!keepers_.empty()) release(keepers_.begin()->first, kDrainingReason);
     return;
   }
--- a/src/process/gateway_placement.cc
+++ b/src/process/gateway_placement.cc
@@ -46,7 +46,7 @@
 }  // namespace
 
 void gateway_core::impl::place(exchange& x) {
-  if (refuse_quarantined(x)) return;
+  if (refuse_quarantined(x) || refuse_late(x)) return;
   if (takes_up(x) && !x.origin) return hand_on_unknown(x);
   const auto& answer_until = x.admission.answer_until;
   if (answer_until && now_ < *answer_until) return;
--- a/src/process/gateway_relay.cc
+++ b/src/process/gateway_relay.cc
@@ -64,7 +64,7 @@
 }
 
 bool gateway_core::impl::relay(exchange& x) {
-  if (x.relayed || x.until - now_ <= kAnswerMargin) return false;
+  if (x.relayed || time_left(x) <= kAnswerMargin) return false;
   if (x.relays_tried.size() >= kMostRelays) return false;
   const auto to = relay_for(x);
   if (to == 0) return false;
@@ -82,7 +82,7 @@
                 {"cut_off", static_cast<std::int64_t>(reach_.is_cut_off())},
                 {"runs", x.runs - 1},
                 {"waited_ms", to_ms(now_ - x.started)},
-                {"left_ms", to_ms(x.until - now_)}});
+                {"left_ms", to_ms(time_left(x))}});
   do_act(relay_call_of(x));
   return true;
 }
@@ -96,7 +96,7 @@
   call.target = x.message.target;
   call.host = x.message.host;
   call.headers =
-      platform_.relay_headers(x.message.headers, x.until - now_, last_event);
+      platform_.relay_headers(x.message.headers, time_left(x), last_event);
   call.body = x.message.body;
   // This call is counted already.
   call.runs = x.runs - 1;
--- a/src/process/gateway_requests.cc
+++ b/src/process/gateway_requests.cc
@@ -25,14 +25,13 @@
  */
 constexpr duration kAwaitConfiguration = 800ms;
 /** When a request that was not run is worth another try. */
-constexpr duration kComeBackAtOnce = 50ms;
 constexpr duration kComeBackLater = 1000ms;
 /** Callers are asked back over this time, the more urgent ones first. */
 constexpr duration kReturnSpread = 600ms;
 constexpr std::uint32_t kMostRank = 3;
-/** In a planned stop, later requests might not be finished in time. */
-constexpr duration kTakeStreamsWhileDraining = 2500ms;
-constexpr duration kTakeWhileDraining = 6000ms;
+/** Why a request was given up: its own time was over, or a planned stop. */
+constexpr std::string_view kTimeIsUp = "no_answer_in_time";
+constexpr std::string_view kStopEnds = "stop_ends";
 /** Bytes of a caller's text in a line of the log. */
 constexpr std::size_t kMostLoggedText = 200;
 
@@ -139,12 +138,6 @@
   x.config = config_;
   x.way = config_->find_route(x.message.host, x.message.target);
   if (x.way == nullptr) return refuse_unrouted(x);
-  const auto take_until =
-      x.way->stream ? kTakeStreamsWhileDraining : kTakeWhileDraining;
-  if (draining_ && now_ - drain_started_ > take_until) {
-    refuse(x, kUnavailable, kComeBackAtOnce, "draining");
-    return;
-  }
   auto facts = platform_.read_request(x.message.headers);
   if (!facts) {
     refuse(x, kBadRequest, {}, "bad_header");
@@ -162,6 +155,7 @@
   if (x.facts.deadline) allowed = std::min(allowed, *x.facts.deadline);
   x.until = x.started + allowed;
   x.refuse_at = x.started + longest_wait(*x.way, allowed);
+  if (refuse_late(x)) return;
   x.service = usual_service(x);
   if (x.service == nullptr) {
     refuse(x, kUnavailable, kComeBackLater, "no_service");
@@ -230,12 +224,19 @@
 }
 
 void gateway_core::impl::give_up(exchange& x) {
+  const bool is_stopped = is_ended_by_stop(x);
   if (x.now == exchange::phase::calling && calls_.contains(x.call)) {
+    if (!is_stopped) learn_run_time(x);
     do_act(action::cancel_call{x.call});
     end_call(x, false, false);
   }
   if (x.head_sent) {
-    log("cut", {{"request", x.facts.id}, {"target", x.target}}, true);
+    log("cut",
+        {{"request", x.facts.id},
+         {"target", x.target},
+         {"reason", std::string(is_stopped ? kStopEnds : kTimeIsUp)},
+         {"after_ms", to_ms(now_ - x.started)}},
+        true);
     abort_answer(x);
     return;
   }
@@ -243,7 +244,9 @@
     note_missing_configuration();
     refuse(x, kUnavailable, kComeBackSoon, "no_configuration");
   } else if (x.runs > 0) {
-    refuse(x, kGatewayTimeout, {}, "no_answer_in_time");
+    refuse(x, kGatewayTimeout, {}, is_stopped ? kStopEnds : kTimeIsUp);
+  } else if (is_stopped) {
+    refuse(x, kUnavailable, come_back_in_stop(), kStopEnds);
   } else {
     refuse(x, kUnavailable, come_back(x, kComeBackSoon), "no_place_in_time");
   }
@@ -283,10 +286,10 @@
   std::vector<caller_id> late;
   for (auto& [caller, x] : exchanges_) {
     const bool waits = x.now != exchange::phase::calling;
-    const auto limit = waits ? std::min(x.refuse_at, x.until - kAnswerMargin)
-                             : x.until - kAnswerMargin;
+    const auto last = answer_by(x) - kAnswerMargin;
+    const auto limit = waits ? std::min(x.refuse_at, last) : last;
     // A stream that goes on after its first call waits as long as it may.
-    if (now_ >= (x.head_sent ? x.until - kAnswerMargin : limit)) {
+    if (now_ >= (x.head_sent ? last : limit)) {
       late.push_back(caller);
     }
   }
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -47,10 +47,6 @@
 constexpr duration kPeerConnect = 250ms;
 
 constexpr duration kFileLook = 1s;
-/** After a stop began: callers' idle connections are closed from then on. */
-constexpr duration kCloseIdle = 2500ms;
-/** Kept of the time for a stop. */
-constexpr duration kStopMargin = 400ms;
 
 gateway_options options_of(const gateway_config& from) {
   gateway_options out;
@@ -260,8 +256,15 @@
 }
 
 void gateway_shell::arm_timer() {
-  const auto wait = to_timeval(
-      std::max<duration>(decisions_.next_wakeup() - boot_now(), 1ms));
+  const auto now = boot_now();
+  auto next = decisions_.next_wakeup();
+  if (stop_) {
+    for (const auto due :
+         {stop_->close_idle_from, stop_->answer_by, stop_->end}) {
+      if (due > now) next = std::min(next, due);
+    }
+  }
+  const auto wait = to_timeval(std::max<duration>(next - now, 1ms));
   event_add(timer_.get(), &wait);
 }
 
@@ -313,6 +316,7 @@
   }
   config_ = checked.config;
   post(event::new_seeds{options_of(config_).seeds});
+  change_drain();
 }
 
 void gateway_shell::on_unfinished_settings(const failure& why) {
@@ -324,9 +328,8 @@
 }
 
 void gateway_shell::begin_drain() {
-  if (draining_) return;
-  draining_ = true;
-  drain_started_ = boot_now();
+  if (stop_) return;
+  stop_ = make_stop_schedule(boot_now(), config_.grace);
   addresses_.stop();
   if (!has_joined_) {
     say_stopped();
@@ -334,27 +337,46 @@
     return;
   }
   callers_.drain();
-  post(event::drain{});
+  post(event::drain{*stop_});
+  arm_timer();
+}
+
+void gateway_shell::change_drain() {
+  if (!stop_ || !has_joined_) return;
+  const auto changed = make_stop_schedule(stop_->began, config_.grace);
+  if (changed == *stop_) return;
+  stop_ = changed;
+  post(event::drain{changed});
 }
 
 void gateway_shell::tick_drain() {
-  if (!draining_) return;
-  const auto passed = boot_now() - drain_started_;
-  if (passed < kCloseIdle) return;
+  if (!stop_) return;
+  const auto now = boot_now();
+  if (now < stop_->close_idle_from) return;
   callers_.close_idle();
-  const bool over = passed > config_.grace - kStopMargin;
+  if (now >= stop_->answer_by) {
+    // Whoever connects from now on is refused, not closed unread.
+    callers_.stop_listening();
+    callers_.refuse_unread();
+    peers_.refuse_unread();
+  }
   const bool is_busy = callers_.connection_count() > 0 || !relayed_.empty();
-  if (is_busy && !over) return;
+  if (is_busy && now < stop_->end) return;
   post(event::stop_over{});
+  callers_.hand_over_unsent();
+  peers_.hand_over_unsent();
   say_stopped();
   event_base_loopbreak(base_.get());
 }
 
 void gateway_shell::say_stopped() {
-  log_.write(boot_now(), {"stopped",
-                          {{"connections", static_cast<std::int64_t>(
-                                               callers_.connection_count())}},
-                          true});
+  log_.write(
+      boot_now(),
+      {"stopped",
+       {{"connections", static_cast<std::int64_t>(callers_.connection_count())},
+        {"stop_ms", (boot_now() - stop_->began) / 1ms},
+        {"grace_ms", config_.grace / 1ms}},
+       true});
 }
 
 gateway_server& gateway_shell::server_of(caller_id caller) {
--- a/src/process/gateway_shell.h
+++ b/src/process/gateway_shell.h
@@ -26,6 +26,7 @@
 #include "process/settings_file.h"
 #include "seamglade/gateway.h"
 #include "seamglade/gateway_config.h"
+#include "seamglade/stop_schedule.h"
 
 namespace seamglade::detail {
 
@@ -66,6 +67,8 @@
   void on_signal(const signal_rule& rule);
   void begin_drain();
   void tick_drain();
+  /** A new grace counts in a stop that is under way, too. */
+  void change_drain();
   void say_stopped();
   void reload();
   void on_unfinished_settings(const failure& why);
@@ -149,8 +152,8 @@
   bool said_listening_ = false;
   bool said_unfinished_ = false;
   std::optional<failure> ended_by_;
-  bool draining_ = false;
-  time_point drain_started_{};
+  /** None: nobody has told it to stop. */
+  std::optional<stop_schedule> stop_;
   time_point next_file_look_{};
   std::uint16_t peer_port_ = 0;
   std::map<int, std::uint64_t> refused_unread_;
--- a/src/process/gateway_view.h
+++ b/src/process/gateway_view.h
@@ -29,6 +29,17 @@
   // gateway.cc
   bool is_ready() const;
 
+  // gateway_stop.cc
+  /** Returns by when a request has its answer, also in a planned stop. */
+  time_point answer_by(const exchange& x) const;
+  duration time_left(const exchange& x) const;
+  /** Returns whether a run of a request that begins now ends in time. */
+  bool ends_before_stop(const exchange& x) const;
+  /** Returns whether the stop, and not its own time, is what ends it. */
+  bool is_ended_by_stop(const exchange& x) const;
+  /** Returns when a caller is to come back that this instance can't serve. */
+  duration come_back_in_stop() const;
+
   // gateway_dispatch.cc
   /**
    * Returns how many idle connections this instance may keep to each target of
--- a/src/process/gateway_workspaces.cc
+++ b/src/process/gateway_workspaces.cc
@@ -255,7 +255,7 @@
   next_accounts_ = now_ + kAccountsPeriod;
   std::erase_if(empty_until_,
                 [&](const auto& pair) { return now_ >= pair.second; });
-  if (draining_) return;
+  if (stop_.has_begun()) return;
   accounts_.update(now_, *config_, view_of_fleet());
 }
 
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -30,6 +30,8 @@
 constexpr std::size_t kAdapterSlots = 3;
 constexpr std::string_view kModel = "base";
 constexpr std::string_view kPlainStreams = "/feed/";
+/** In a plain request's query: how many milliseconds it runs. */
+constexpr std::string_view kRunTime = "run_ms=";
 /** A body that begins so ends the target that begins to run it. */
 constexpr std::string_view kDeadly = "deadly";
 /** What was written before a target ends has left by then. */
@@ -238,6 +240,25 @@
     run(caller, m);
   }
 
+  void answer_after(duration run, caller_id caller, std::string body,
+                    std::vector<http_header> headers) {
+    if (run == duration{}) {
+      reply(*server_, caller, 200, body, std::move(headers));
+      return;
+    }
+    while_alive(run, [this, caller, body = std::move(body),
+                      headers = std::move(headers)] {
+      reply(*server_, caller, 200, body, headers);
+    });
+  }
+
+  static duration run_time(std::string_view path) {
+    const auto at = path.find(kRunTime);
+    if (at == std::string_view::npos) return {};
+    const std::string digits(path.substr(at + kRunTime.size()));
+    return std::chrono::milliseconds(std::stoll(digits));
+  }
+
   void refuse_misdirected(caller_id caller, const caller_message& m) {
     std::vector<http_header> headers{{"X-Not-Executed", "1"}};
     const auto request = header_of(m, "X-Request-Id");
@@ -304,7 +325,8 @@
     headers.push_back({"X-Request-Id", request});
     headers.push_back({"X-Server-Stamp", id_});
     if (!engine_ && !m.target.starts_with(kPlainStreams)) {
-      reply(*server_, caller, 200, "answer to " + request, headers);
+      answer_after(run_time(m.target), caller, "answer to " + request,
+                   std::move(headers));
       return;
     }
     if (engine_) kept_.add(model, header_of(m, "X-Prefix-Hash"));
@@ -382,9 +404,15 @@
   std::string software_;
 };
 
-json route(std::string_view prefix, const char* type, const char* service) {
-  return {{"host", "desk.example"}, {"prefix", prefix}, {"type", type},
-          {"timeout_ms", 5000},     {"slo_ms", 800},    {"prio", 0},
+/** How long requests may be held, in ms: as a rule, and where they run long. */
+constexpr int kHeld = 5000;
+constexpr int kLongHeld = 25000;
+
+json route(std::string_view prefix, const char* type, const char* service,
+           int held_ms = kHeld) {
+  const int objective_ms = held_ms == kHeld ? 800 : held_ms;
+  return {{"host", "desk.example"}, {"prefix", prefix},       {"type", type},
+          {"timeout_ms", held_ms},  {"slo_ms", objective_ms}, {"prio", 0},
           {"svc", service},         {"attempts", 2}};
 }
 
@@ -407,7 +435,9 @@
                              resumable(route("/chat/", "stream", "llm")),
                              resumable(route(kPlainStreams, "stream", "desk")),
                              route("/get/", "idempotent", "desk"),
-                             route("/set/", "mutating", "desk")});
+                             route("/set/", "mutating", "desk"),
+                             route("/order/", "mutating", "desk", kLongHeld),
+                             route("/look/", "idempotent", "desk", kLongHeld)});
   for (std::uint64_t i = 0; i < more; ++i) {
     routes.push_back(route(fmt::format("/more/{}/", i), "idempotent", "desk"));
   }
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -510,5 +510,51 @@
   EXPECT_EQ(client_.counts().opened, 2U);
 }
 
+// The last answers of a process that ended at once were dropped.
+TEST_F(gateway_http, a_stop_leaves_unsent_answers_to_the_system) {
+  const std::string body(16384, 'x');
+  std::unique_ptr<gateway_server> ending;
+  ending = std::make_unique<gateway_server>(
+      base_.get(), gateway_server::handlers{
+                       [&](caller_id caller, const gateway::caller_message&) {
+                         ending->drain();
+                         ending->begin(caller, {200, "", {}, body.size()});
+                         ending->write(
+                             caller, std::make_shared<const std::string>(body));
+                         ending->finish(caller);
+                         stop();
+                       },
+                       [](caller_id) {}, [](int) {}});
+  auto where = to_socket_address(ending->listen({"127.0.0.1", 0}).value());
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)), 0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  ASSERT_EQ(send(fd, request.data(), request.size(), 0),
+            static_cast<ssize_t>(request.size()));
+  run();
+  EXPECT_GT(ending->unsent_bytes(), body.size());
+  ending->hand_over_unsent();
+  ending.reset();
+  std::size_t got = 0;
+  std::array<char, 4096> piece{};
+  auto size = recv(fd, piece.data(), piece.size(), 0);
+  for (; size > 0; size = recv(fd, piece.data(), piece.size(), 0)) {
+    got += static_cast<std::size_t>(size);
+  }
+  close(fd);
+  EXPECT_EQ(size, 0);
+  EXPECT_GT(got, body.size());
+}
+
+// What a caller had begun to send was closed without a word at a stop's end.
+TEST_F(gateway_http, a_stop_refuses_a_request_that_is_not_whole) {
+  run_after(base_.get(), 50ms, [&] { server_.refuse_unread(); });
+  const auto back =
+      raw("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+  EXPECT_TRUE(back.starts_with("HTTP/1.1 503")) << back;
+  EXPECT_NE(back.find("Retry-After: "), std::string::npos) << back;
+  EXPECT_TRUE(seen_.empty());
+}
+
 }  // namespace
 }  // namespace seamglade::detail
--- a/test/process_soak-test.sh
+++ b/test/process_soak-test.sh
@@ -20,6 +20,7 @@
 readonly stop_patience_s=30
 net=127.0.16
 draws=$seed
+orders=0
 
 # draw N: sets `drawn` to a number below N; the seed decides.
 draw() {
@@ -58,11 +59,45 @@
   fail "seed $seed: g$1 takes no signals"
 }
 
-# stop N SIGNAL: has an instance stop in order and starts it again.
+# order N: has a target run for a drawn time, up to the grace of a stop, and
+# notes the id and how its connection ended, in the background.
+order() {
+  local id=order-$seed-$((orders += 1))
+  draw 4000
+  (
+    code=0
+    curl -s -m 20 -o /dev/null -X POST -d order -H 'Host: desk.example' \
+      -H "X-Request-Id: $id" -H 'X-Deadline-Ms: 15000' \
+      "http://$net.$1:$port/order/x?run_ms=$drawn" || code=$?
+    echo "$id $code" >>"$work/orders"
+  ) &
+  order_pids+=($!)
+}
+
+# expect_none_cut N: no order that ran at a target lost its answer.
+expect_none_cut() {
+  local id code
+  wait "${order_pids[@]}"
+  while read -r id code; do
+    [ "$code" != 0 ] && grep -q "^run $id " "$work/platform.out" || continue
+    fail "seed $seed: the stop of g$1 cut off $id (curl $code)"
+  done <"$work/orders"
+}
+
+# stop N SIGNAL: has an instance stop in order, amid orders that run long, and
+# starts it again.
 stop() {
-  local code=0 end=$((SECONDS + stop_patience_s))
+  local code=0 end=$((SECONDS + stop_patience_s)) i
+  order_pids=()
+  : >"$work/orders"
   until_taken "$1"
+  for i in 1 2 3; do order "$1"; done
   kill -"$2" "${pid_of[g$1]}"
+  for i in 1 2 3 4; do
+    order "$1"
+    draw 9
+    sleep "0.$drawn"
+  done
   while kill -0 "${pid_of[g$1]}" 2>/dev/null; do
     [ "$SECONDS" -lt "$end" ] || fail "seed $seed: g$1 does not stop on $2"
     sleep 0.05
@@ -72,6 +107,7 @@
     cat "$work"/sanitizer.* >&2 || true
     fail "seed $seed: SIG$2 ended g$1 with $code"
   fi
+  expect_none_cut "$1"
   start "$1"
 }
 
