Connections that have just come up are not closed unread in a stop

A connection that was accepted in a planned stop, 2.5 s after the signal or later, was closed by the next look at idle ones, up to 50 ms later, where its request had not come by then: its caller saw a close without an answer. One that is idle for less than a second is left now, as for the bound of connections. The test gateway_http.a_stop_closes_no_connection_that_is_about_ to_ask fails without the change (count 0).

--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -514,10 +514,12 @@
 }
 
 void gateway_server::close_idle() {
+  const auto latest = boot_now() - kLeastIdle;
   std::vector<connection*> idle;
   for (const auto& [number, c] : connections_) {
     const bool is_between = c->now == phase::reading && !c->reader->started();
-    if (is_between && is_idle(*c)) idle.push_back(c.get());
+    const bool is_old = c->since <= latest;
+    if (is_between && is_old && is_idle(*c)) idle.push_back(c.get());
   }
   for (auto* c : idle) erase(*c);
 }
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -98,7 +98,8 @@
   void stop_listening();
   /** From now on every answer ends its connection. */
   void drain() { draining_ = true; }
-  /** Closes the connections on which no request is under way. */
+  /** Closes the connections on which no request is under way or about to come.
+   */
   void close_idle();
   /** Refuses the requests that have begun to come and are not whole. */
   void refuse_unread();
--- a/src/process/gateway_stop.cc
+++ b/src/process/gateway_stop.cc
@@ -58,6 +58,7 @@
 }
 
 bool gateway_view::is_ended_by_stop(const exchange& x) const {
+  if (x.way != nullptr && !ends_before_stop(x)) return true;
   const auto last = answer_by(x);
   return last < x.until && now_ >= last - kAnswerMargin;
 }
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -510,6 +510,27 @@
   EXPECT_EQ(client_.counts().opened, 2U);
 }
 
+// A connection that had just come up was closed before its request was read.
+TEST_F(gateway_http, a_stop_closes_no_connection_that_is_about_to_ask) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  auto where = to_socket_address(address_);
+  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)), 0);
+  const auto began = boot_now();
+  run(50ms);
+  ASSERT_EQ(server_.connection_count(), 1U);
+  server_.drain();
+  server_.close_idle();
+  const auto open = server_.connection_count();
+  // On a machine that stood still meanwhile it is no new connection.
+  if (boot_now() - began < 1s) {
+    EXPECT_EQ(open, 1U);
+  }
+  run(1100ms);
+  server_.close_idle();
+  EXPECT_EQ(server_.connection_count(), 0U);
+  close(fd);
+}
+
 // The last answers of a process that ended at once were dropped.
 TEST_F(gateway_http, a_stop_leaves_unsent_answers_to_the_system) {
   const std::string body(16384, 'x');
--- a/test/planned_stop-test.cc
+++ b/test/planned_stop-test.cc
@@ -292,5 +292,66 @@
   EXPECT_EQ(w.runs_of(call.id), 1U);
 }
 
+/** Streams of a plain service, one event each 100 ms, and an instance. */
+class stream_stops : public testing::Test {
+ protected:
+  stream_stops() : world_(options()), who_(world_.instances()[0]) {
+    send_events(30);
+    world_.run_for(kSettled);
+    world_.stream_plain(who_);
+    world_.run_for(4s);
+  }
+
+  void send_events(std::size_t count) {
+    fakes::fake_stream how;
+    how.events = count;
+    how.sends_whole_events = true;
+    how.gap = 100ms;
+    for (const auto& id : world_.plain_targets()) {
+      world_.send_streams(id, how);
+    }
+  }
+
+  gateway_world world_;
+  gateway::member_address who_;
+
+ private:
+  static gateway_world_options options() {
+    gateway_world_options out;
+    out.plain_streams = true;
+    return out;
+  }
+};
+
+TEST_F(stream_stops, take_a_stream_that_ends_in_time_and_refuse_a_later_one) {
+  world_.stop_and_end(who_, 8s);
+  world_.run_for(3500ms);
+  const auto& early = world_.stream_plain(who_);
+  world_.run_for(1s);
+  const auto& late = world_.stream_plain(who_);
+  world_.run_for(6s);
+  EXPECT_TRUE(early.complete);
+  EXPECT_EQ(early.status, kOk);
+  EXPECT_EQ(late.status, kUnavailable);
+  expect_rules_kept(world_);
+}
+
+TEST_F(stream_stops, break_off_a_stream_that_outlasts_them_and_others_go_on) {
+  send_events(75);
+  const auto end = make_stop_schedule(world_.now(), 8s).end;
+  world_.stop_and_end(who_, 8s);
+  world_.run_for(2s);
+  const auto& cut = world_.stream_plain(who_);
+  world_.run_for(7s);
+  EXPECT_TRUE(cut.aborted);
+  EXPECT_LT(cut.ended, end);
+  const auto& taken_up = world_.take_up(world_.instances()[1], cut);
+  world_.run_for(8s);
+  EXPECT_TRUE(taken_up.complete);
+  EXPECT_EQ(taken_up.status, kOk);
+  EXPECT_EQ(cut.body.find("id: 75"), std::string::npos);
+  EXPECT_NE(taken_up.body.find("id: 75"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace seamglade
