--- a/test/reused_port-test.cc
+++ b/test/reused_port-test.cc
@@ -98,6 +98,9 @@
 
 class reused_port : public testing::Test {
  protected:
+  // Callbacks that are due hold their connections.
+  ~reused_port() override { event_base_loop(base_.get(), EVLOOP_NONBLOCK); }
+
   /**
    * Opens connections until one has a port that no socket of another process
    * has too: those need not let others listen.
