Runs are told apart by their route's host and prefix, not by its name

What callers would have seen: a request of 30 ms refused in a planned stop since another route's runs take 3 s. Cause: configurations need not name their routes, so that all nameless ones shared the longest run of any. Host and prefix tell routes apart. Evidence: the unit test with two prefixes, and planned_stop.refuses_nothing_for_the_long_runs_of_another_route, fail with the name as the key and pass now.

--- a/src/process/gateway_stop.cc
+++ b/src/process/gateway_stop.cc
@@ -74,7 +74,7 @@
   if (ends_before_stop(x)) return false;
   log("too_late_in_stop",
       {{"request", x.facts.id},
-       {"route", x.way->name},
+       {"route", x.way->host + x.way->prefix},
        {"runs", x.runs},
        {"expected_ms", to_ms(stop_.expected(*x.way, x.until - now_))},
        {"has_run_ms", to_ms(has_run(x, now_))},
--- a/src/process/planned_stop.cc
+++ b/src/process/planned_stop.cc
@@ -10,14 +10,14 @@
 namespace seamglade::gateway {
 
 void planned_stop::learn(const route& way, duration took) {
-  runs_[way.name].learn(took);
+  runs_[key_of(way)].learn(took);
 }
 
 void planned_stop::keep_routes_of(const configuration& config) {
   std::erase_if(runs_, [&](const auto& pair) {
     return std::none_of(
         config.routes.begin(), config.routes.end(),
-        [&](const route& way) { return way.name == pair.first; });
+        [&](const route& way) { return key_of(way) == pair.first; });
   });
 }
 
@@ -26,7 +26,7 @@
 }
 
 duration planned_stop::expected(const route& way, duration left) const {
-  const auto found = runs_.find(way.name);
+  const auto found = runs_.find(key_of(way));
   const auto seen = found == runs_.end() ? std::nullopt : found->second.bound();
   return std::min(left, seen.value_or(left));
 }
--- a/src/process/planned_stop.h
+++ b/src/process/planned_stop.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "process/run_times.h"
 #include "seamglade/gateway_types.h"
@@ -47,9 +48,14 @@
   duration expected(const route& way, duration left) const;
 
  private:
+  /** A route's host and prefix, which no other route of a configuration has. */
+  using route_key = std::pair<std::string, std::string>;
+
+  static route_key key_of(const route& way) { return {way.host, way.prefix}; }
+
   std::optional<stop_schedule> times_;
-  /** By the route's name; at most those of a configuration. */
-  std::map<std::string, run_times, std::less<>> runs_;
+  /** Of routes of the configuration in force. */
+  std::map<route_key, run_times> runs_;
 };
 
 }  // namespace seamglade::gateway
--- a/test/planned_stop-test.cc
+++ b/test/planned_stop-test.cc
@@ -46,7 +46,7 @@
 
 class stopping : public testing::Test {
  protected:
-  stopping() { way_.name = "orders"; }
+  stopping() { way_.prefix = "/orders/"; }
 
   time_point now_{100s};
   gateway::route way_;
@@ -72,7 +72,7 @@
   EXPECT_TRUE(stop_.may_begin(last, way_, 25s));
   EXPECT_FALSE(stop_.may_begin(last + 1ms, way_, 25s));
   gateway::route other;
-  other.name = "other";
+  other.prefix = "/other/";
   EXPECT_FALSE(stop_.may_begin(last, other, 25s));
 }
 
@@ -177,8 +177,10 @@
     const auto gap = std::max<duration>(50ms, how_.work / 8);
     for (duration when{}; when < time; when += gap) {
       world_.at(world_.now() + when, [this] {
+        // Each instance sees both routes.
+        const bool is_repeatable = ++rounds_ % 2 == 0;
         for (const auto who : world_.instances()) {
-          if (world_.is_running(who)) world_.call_plain(who, ++made_ % 2 == 0);
+          if (world_.is_running(who)) world_.call_plain(who, is_repeatable);
         }
       });
     }
@@ -203,7 +205,7 @@
   stop_case how_;
   gateway_world world_;
   std::map<gateway::member_address, stop_schedule> times_;
-  unsigned made_ = 0;
+  unsigned rounds_ = 0;
 };
 
 class stop_cases : public testing::TestWithParam<stop_case> {};
@@ -292,6 +294,27 @@
   EXPECT_EQ(w.runs_of(call.id), 1U);
 }
 
+// All routes went by the longest runs of any.
+TEST(planned_stop, refuses_nothing_for_the_long_runs_of_another_route) {
+  gateway_world_options options;
+  options.plain_timeout = 8s;
+  gateway_world w(options);
+  const auto who = w.instances()[0];
+  for (const auto& id : w.engines()) w.slow_target(id, 3s);
+  w.run_for(kSettled);
+  const auto& first = w.call_engine(who, "a1");
+  w.call_plain(who, false);
+  w.run_for(6s);
+  EXPECT_EQ(first.status, kOk);
+  w.stop_and_end(who, 8s);
+  w.run_for(5s);
+  const auto& slow = w.call_engine(who, "a1");
+  const auto& quick = w.call_plain(who, false);
+  w.run_for(4s);
+  EXPECT_EQ(slow.status, kUnavailable);
+  EXPECT_EQ(quick.status, kOk);
+}
+
 /** Streams of a plain service, one event each 100 ms, and an instance. */
 class stream_stops : public testing::Test {
  protected:
