A stream begins late in a stop only with time to spare

What callers saw: streams that a stopping instance took were broken off at its end.

Cause: a run's time was taken from the longest of however few runs there were, with an eighth more, for streams as for plain requests. A plain request that takes too long gets a whole answer of ours; a stream is broken off.

--- a/include/seamglade/stop_schedule.h
+++ b/include/seamglade/stop_schedule.h
@@ -10,8 +10,7 @@
 
 namespace seamglade {
 
-/** When a process that was told to stop does what; each is later than the last.
- */
+/** When a process that was told to stop does what, in this order. */
 struct stop_schedule {
   time_point began;
   /** Connections without a request are closed from then on. */
--- a/src/process/planned_stop.cc
+++ b/src/process/planned_stop.cc
@@ -27,7 +27,10 @@
 
 duration planned_stop::expected(const route& way, duration left) const {
   const auto found = runs_.find(key_of(way));
-  const auto seen = found == runs_.end() ? std::nullopt : found->second.bound();
+  if (found == runs_.end()) return left;
+  // A stream that takes too long is broken off; other requests get an answer.
+  const auto& runs = found->second;
+  const auto seen = way.stream ? runs.cautious_bound() : runs.bound();
   return std::min(left, seen.value_or(left));
 }
 
--- a/src/process/planned_stop.h
+++ b/src/process/planned_stop.h
@@ -39,7 +39,7 @@
   time_point answer_by(time_point until) const;
   /**
    * Returns whether a run that begins now ends before the stop. `left`: the
-   * request's own time, which counts where no run of its route was seen.
+   * request's own time, which counts where too few runs of its route were seen.
    * `has_run`: how long a stream that goes on has lasted.
    */
   bool may_begin(time_point now, const route& way, duration left,
--- a/src/process/run_times.h
+++ b/src/process/run_times.h
@@ -21,8 +21,15 @@
   void learn(duration took);
   /** Returns a time within which nearly each run ends; none: none was seen. */
   std::optional<duration> bound() const;
+  /**
+   * Returns a time that a run takes longer than only if runs have changed, for
+   * where that does harm; none: too few were seen.
+   */
+  std::optional<duration> cautious_bound() const;
 
  private:
+  duration longest() const;
+
   static constexpr std::size_t kKept = 32;
 
   std::array<duration, kKept> last_{};
