Files of the stop's change split by job; a test shows that requests were handed on

Cause: a reading of the whole change. Seven files that it touched had grown beyond one job, two tests repeated each other, and the play of requests handed on could not tell whether any was.

Change, without a change of behaviour: the status of the decisions, the answers and the end of the callers' listener, the shell's readiness and metrics, its calls, the fakes' stops and judges, the stand-in's targets, and the tests of the listener's end have files of their own. cuts_off_nothing_that_was_handed_on asserts that requests are handed on before the stops. All assertions stay.

--- a/fakes/gateway_world.cc
+++ b/fakes/gateway_world.cc
@@ -187,11 +187,6 @@
   i.halted = now_ + time;
 }
 
-void gateway_world::cut(member_address who, bool is_cut) {
-  instances_.at(who)->cut = is_cut;
-  instances_.at(who)->disturbed = now_;
-}
-
 void gateway_world::deny_store(member_address who, bool denied) {
   instances_.at(who)->store_denied = denied;
 }
@@ -200,47 +195,10 @@
   instances_.at(who)->connections_denied = denied;
 }
 
-void gateway_world::stop(member_address who) {
-  constexpr duration kGrace = 8s;
-  begin_stop(who, make_stop_schedule(now_, kGrace));
-}
-
-void gateway_world::begin_stop(member_address who, const stop_schedule& times) {
-  auto& i = *instances_.at(who);
-  i.stopping = true;
-  if (i.core) post(i, event::drain{times});
-}
-
-void gateway_world::stop_and_end(member_address who, duration grace) {
-  const auto times = make_stop_schedule(now_, grace);
-  begin_stop(who, times);
-  at(times.end, [this, who, life = instances_.at(who)->life] {
-    auto& i = *instances_.at(who);
-    if (i.life != life) return;
-    post(i, event::stop_over{});
-    kill(who);
-  });
-}
-
-bool gateway_world::is_running(member_address who) const {
-  return instances_.at(who)->core != nullptr;
-}
-
 gateway_status gateway_world::status(member_address who) {
   return instances_.at(who)->core->status(now_);
 }
 
-bool gateway_world::reachable(member_address from, member_address to) {
-  const auto& a = *instances_.at(from);
-  const auto& b = *instances_.at(to);
-  return !a.cut && !b.cut && a.side == b.side;
-}
-
-void gateway_world::split(const std::vector<member_address>& side) {
-  for (auto& [address, i] : instances_) i->side = 0;
-  for (const auto who : side) instances_.at(who)->side = 1;
-}
-
 void gateway_world::post(instance& to, any_event event) {
   if (!to.core) return;
   if (now_ < to.frozen_until) {
--- a/fakes/gateway_world_reach.cc
+++ b/fakes/gateway_world_reach.cc
@@ -93,4 +93,20 @@
   });
 }
 
+void gateway_world::cut(member_address who, bool is_cut) {
+  instances_.at(who)->cut = is_cut;
+  instances_.at(who)->disturbed = now_;
+}
+
+bool gateway_world::reachable(member_address from, member_address to) {
+  const auto& a = *instances_.at(from);
+  const auto& b = *instances_.at(to);
+  return !a.cut && !b.cut && a.side == b.side;
+}
+
+void gateway_world::split(const std::vector<member_address>& side) {
+  for (auto& [address, i] : instances_) i->side = 0;
+  for (const auto who : side) instances_.at(who)->side = 1;
+}
+
 }  // namespace seamglade::fakes
--- a/src/connection/gateway_server.cc
+++ b/src/connection/gateway_server.cc
@@ -10,9 +10,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <boost/beast/http/status.hpp>
 #include <boost/outcome/try.hpp>
 
+#include "connection/answer_text.h"
 #include "connection/listening.h"
 
 namespace seamglade::detail {
@@ -24,9 +24,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
-constexpr int kUnavailable = 503;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 /** Bytes of a request that wait to be read. */
 constexpr std::size_t kReadAtOnce = 65536;
@@ -41,14 +38,10 @@
 constexpr int kBacklog = 512;
 /** Without a free descriptor no connection is accepted for so long. */
 constexpr duration kAcceptRest = 100ms;
-/** A connection that is idle for less is about to send its request. */
-constexpr duration kLeastIdle = 1s;
 /** A head that has come in pieces for less may still be whole soon. */
 constexpr duration kLeastHead = 1s;
 /** So many idle connections are looked at for one to close. */
 constexpr int kIdleLooks = 8;
-/** A large upload that takes up the room is over by then as a rule. */
-constexpr std::string_view kRetryAfter = "Retry-After: 1\r\n";
 
 int status_of(parse_fault fault) {
   switch (fault) {
@@ -61,31 +54,8 @@
   }
 }
 
-bool has_no_body(int status) {
-  return status == kNoContent || status == kNotModified;
-}
-
-void append(evbuffer* to, std::string_view text) {
-  evbuffer_add(to, text.data(), text.size());
-}
-
-void add_fields(std::string& to, const std::vector<http_header>& headers) {
-  for (const auto& header : headers) {
-    to += header.name;
-    to += ": ";
-    to += header.value;
-    to += "\r\n";
-  }
-}
-
 }  // namespace
 
-std::string_view reason_phrase(int status) {
-  const auto phrase = boost::beast::http::obsolete_reason(
-      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
-  return {phrase.data(), phrase.size()};
-}
-
 gateway_server::counters& gateway_server::counters::operator+=(
     const counters& other) {
   room_refusals += other.room_refusals;
@@ -133,11 +103,6 @@
   return bound_endpoint(evconnlistener_get_fd(listener_.get()));
 }
 
-void gateway_server::stop_listening() {
-  event_del(rest_timer_.get());
-  listener_.reset();
-}
-
 void gateway_server::accept(evutil_socket_t fd, std::uint32_t from) {
   if (connections_.size() >= bounds_.connections && !make_place()) {
     ++counts_.closed_unread;
@@ -306,7 +271,8 @@
   }
   if (c.reader->wants_continue() && !c.told_continue) {
     c.told_continue = true;
-    append(bufferevent_get_output(c.io.get()), "HTTP/1.1 100 Continue\r\n\r\n");
+    append_text(bufferevent_get_output(c.io.get()),
+                "HTTP/1.1 100 Continue\r\n\r\n");
   }
   // The head has one time limit as a whole, the body one for each piece.
   const bool in_body = c.reader->head_complete();
@@ -338,7 +304,7 @@
     add_fields(text, on_.refusal_headers(c.reader->headers()));
   }
   text += "Content-Length: 0\r\nConnection: close\r\n\r\n";
-  append(bufferevent_get_output(c.io.get()), text);
+  append_text(bufferevent_get_output(c.io.get()), text);
   close_after_flush(c);
 }
 
@@ -422,125 +388,4 @@
   return found == by_caller_.end() ? nullptr : found->second;
 }
 
-void gateway_server::begin(caller_id caller, const reply_head& head) {
-  auto* c = find(caller);
-  if (c == nullptr) return;
-  c->body = framing_of(*c, head);
-  if (draining_) c->keep = false;
-  if (c->body == body_framing::close_delimited) {
-    // Only finish() may end it in order: that is all that marks its end.
-    set_reset_on_close(bufferevent_getfd(c->io.get()), true);
-    c->keep = false;
-  }
-  append(bufferevent_get_output(c->io.get()), head_text(*c, head));
-}
-
-body_framing gateway_server::framing_of(const connection& c,
-                                        const reply_head& head) {
-  if (has_no_body(head.status) || head.length) return body_framing::length;
-  const bool has_chunks = !c.old_version && !head.close_delimited;
-  return has_chunks ? body_framing::chunked : body_framing::close_delimited;
-}
-
-std::string gateway_server::head_text(const connection& c,
-                                      const reply_head& head) {
-  const auto phrase =
-      head.reason.empty() ? reason_phrase(head.status) : head.reason;
-  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, phrase);
-  add_fields(text, head.headers);
-  if (!has_no_body(head.status) && head.length) {
-    text += fmt::format("Content-Length: {}\r\n", *head.length);
-  } else if (c.body == body_framing::chunked) {
-    text += "Transfer-Encoding: chunked\r\n";
-  }
-  if (!c.keep) {
-    text += "Connection: close\r\n";
-  } else if (c.old_version) {
-    text += "Connection: keep-alive\r\n";
-  }
-  return text + "\r\n";
-}
-
-void gateway_server::write(caller_id caller,
-                           const std::shared_ptr<const std::string>& data) {
-  auto* c = find(caller);
-  if (c == nullptr || !data || data->empty() || c->bodyless) return;
-  auto* out = bufferevent_get_output(c->io.get());
-  if (evbuffer_get_length(out) > max_unsent_) {
-    on_event(*c, BEV_EVENT_ERROR);
-    return;
-  }
-  if (c->body == body_framing::chunked) {
-    append(out, fmt::format("{:x}\r\n", data->size()));
-  }
-  add_text(out, data);
-  if (c->body == body_framing::chunked) append(out, "\r\n");
-  bounds_.bytes->relieve();
-}
-
-std::size_t gateway_server::unsent_bytes() const {
-  std::size_t total = 0;
-  for (const auto& [number, c] : connections_) {
-    total += evbuffer_get_length(bufferevent_get_output(c->io.get()));
-  }
-  return total;
-}
-
-void gateway_server::finish(caller_id caller) {
-  auto* c = find(caller);
-  if (c == nullptr) return;
-  if (c->body == body_framing::chunked && !c->bodyless) {
-    append(bufferevent_get_output(c->io.get()), "0\r\n\r\n");
-  }
-  if (!c->keep || draining_) {
-    close_after_flush(*c);
-    return;
-  }
-  by_caller_.erase(caller);
-  start_reading(*c);
-  // What the caller sent ahead is read in a turn of its own.
-  bufferevent_trigger(c->io.get(), EV_READ,
-                      BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
-}
-
-void gateway_server::abort(caller_id caller) {
-  auto* c = find(caller);
-  if (c == nullptr) return;
-  if (c->body == body_framing::close_delimited) {
-    erase(*c);
-    return;
-  }
-  close_after_flush(*c);
-}
-
-void gateway_server::close_idle() {
-  const auto latest = boot_now() - kLeastIdle;
-  std::vector<connection*> idle;
-  for (const auto& [number, c] : connections_) {
-    const bool is_between = c->now == phase::reading && !c->reader->started();
-    const bool is_old = c->since <= latest;
-    if (is_between && is_old && is_idle(*c)) idle.push_back(c.get());
-  }
-  for (auto* c : idle) erase(*c);
-}
-
-void gateway_server::hand_over_unsent() {
-  for (const auto& [number, c] : connections_) {
-    auto* out = bufferevent_get_output(c->io.get());
-    if (evbuffer_get_length(out) == 0) continue;
-    const bool is_done = write_at_once(out, bufferevent_getfd(c->io.get()));
-    if (is_done && c->now == phase::closing) end_output(*c);
-  }
-}
-
-void gateway_server::refuse_unread() {
-  std::vector<connection*> unread;
-  for (const auto& [number, c] : connections_) {
-    if (c->now == phase::reading && c->reader->started()) {
-      unread.push_back(c.get());
-    }
-  }
-  for (auto* c : unread) refuse(*c, kUnavailable, kRetryAfter);
-}
-
 }  // namespace seamglade::detail
--- a/src/connection/gateway_server.h
+++ b/src/connection/gateway_server.h
@@ -116,11 +116,18 @@
   void begin(caller_id caller, const reply_head& head);
   void write(caller_id caller, const std::shared_ptr<const std::string>& data);
   void finish(caller_id caller);
+  /** Answers with a body that is there whole, and no headers. */
+  void answer(caller_id caller, int status, std::string body);
   /** Ends the connection so that the answer is seen to be incomplete. */
   void abort(caller_id caller);
 
  private:
   static constexpr std::size_t kMaxUnsent = 4UL * 1024UL * 1024UL;
+  /** A connection that is idle for less is about to send its request. */
+  static constexpr duration kLeastIdle = 1s;
+  static constexpr int kUnavailable = 503;
+  /** Room, or another process, is there by then as a rule. */
+  static constexpr std::string_view kRetryAfter = "Retry-After: 1\r\n";
 
   enum class phase : std::uint8_t { reading, answering, closing };
 
--- a/src/process/gateway_shell.cc
+++ b/src/process/gateway_shell.cc
@@ -35,16 +35,11 @@
  * slow links that all asked for a large configuration took 71 MB.
  */
 constexpr std::size_t kMostUnsentCopies = 4U << 20U;
-constexpr std::string_view kMetricsPath = "/metrics";
-constexpr std::string_view kStatusPath = "/status";
 
 /** The first name of a caller on the peers' listener. */
 constexpr caller_id kFirstPeerCaller = caller_id{1} << 62U;
 /** What instances add to the headers of a request, at most. */
 constexpr std::uint32_t kRelayHeaderBytes = 1024;
-/** A connection to another instance is given up that has not come up by then.
- */
-constexpr duration kPeerConnect = 250ms;
 
 constexpr duration kFileLook = 1s;
 
@@ -356,80 +351,6 @@
   relayed_.erase(a.caller);
 }
 
-void gateway_shell::carry_out(action::call_target&& a) {
-  outgoing_call call;
-  call.address = std::move(a.address);
-  call.method = std::move(a.method);
-  call.target = std::move(a.target);
-  call.host = std::move(a.host);
-  call.headers = std::move(a.headers);
-  call.body = std::move(a.body);
-  call.connect_timeout = kTargetConnect;
-  call.name = std::move(a.request_id);
-  call.use = connection_use::requests;
-  if (a.most_idle > 0) call.most_idle = a.most_idle;
-  pass_on_answer(target_client_, a.call, std::move(call));
-}
-
-void gateway_shell::carry_out(action::call_peer&& a) {
-  outgoing_call call;
-  call.address = fmt::format("{}:{}", to_text(a.to), peer_port_);
-  call.method = std::move(a.method);
-  call.target = std::move(a.target);
-  call.host = std::move(a.host);
-  call.headers = std::move(a.headers);
-  drop_relay_headers(call.headers);
-  call.name = fmt::format("{:x}", a.call);
-  call.headers.push_back({std::string(kRelayCall), call.name});
-  call.headers.push_back({std::string(kRelayRuns), std::to_string(a.runs)});
-  if (a.origin) call.headers.push_back(origin_header(*a.origin));
-  call.body = std::move(a.body);
-  call.connect_timeout = kPeerConnect;
-  call.use = connection_use::requests;
-  pass_on_answer(relay_client_, a.call, std::move(call));
-}
-
-void gateway_shell::pass_on_answer(call_client& client, call_id id,
-                                   outgoing_call call) {
-  call_client::handlers on;
-  on.head = [this, id](const answer_head& head, const answer_carrier& carrier) {
-    event::answer_head answer{id,           head.status,  head.reason,
-                              head.headers, head.framing, carrier};
-    answer.is_no_help = has_header(answer.headers, kRelayNoHelp);
-    answer.origin = read_origin(answer.headers);
-    drop_relay_headers(answer.headers);
-    post(std::move(answer));
-  };
-  on.data = [this, id](std::shared_ptr<const std::string> data) {
-    post(event::answer_data{id, std::move(data)});
-  };
-  on.skipped = [this, address = call.address, name = call.name](
-                   const answer_head& head, const answer_carrier& carrier) {
-    log_.write(boot_now(),
-               {"answer_skipped",
-                {{"request", name},
-                 {"address", address},
-                 {"status", head.status},
-                 {"connection", static_cast<std::int64_t>(carrier.connection)},
-                 {"calls_before", carrier.calls_before}},
-                false});
-  };
-  auto defect = std::make_shared<answer_defect>();
-  on.defect = [defect](const answer_defect& why) { *defect = why; };
-  on.end = [this, id, defect](call_end end) {
-    open_calls_.erase(id);
-    post(event::answer_end{id, end, *defect});
-  };
-  open_calls_[id] = {&client, client.start(std::move(call), std::move(on))};
-}
-
-void gateway_shell::carry_out(action::cancel_call&& a) {
-  const auto found = open_calls_.find(a.call);
-  if (found == open_calls_.end()) return;
-  found->second.client->cancel(found->second.token);
-  open_calls_.erase(found);
-}
-
 void gateway_shell::carry_out(action::send_datagram&& a) {
   const auto bytes = gateway::encode_peer_message(a.message);
   datagram_bytes_.add(decisions_.distance_to(a.to), bytes.size());
@@ -449,86 +370,6 @@
   log_.write(boot_now(), a);
 }
 
-namespace {
-
-void reply_whole(gateway_server& server, caller_id caller, int status,
-                 std::string body) {
-  server.begin(caller, {status, "", {}, body.size()});
-  server.write(caller, std::make_shared<const std::string>(std::move(body)));
-  server.finish(caller);
-}
-
-}  // namespace
-
-void gateway_shell::answer_ready(caller_id caller) {
-  const bool ready = status().ready;
-  reply_whole(ready_, caller, ready ? kOk : kUnavailable, "");
-}
-
-void gateway_shell::answer_metrics(caller_id caller, std::string_view path) {
-  const auto now = status();
-  if (path == kMetricsPath) {
-    reply_whole(metrics_, caller, kOk,
-                metrics_page(now,
-                             {target_client_.counts(), fleet_client_.counts(),
-                              relay_client_.counts()},
-                             log_.dropped(), datagram_bytes_, resources(),
-                             {addresses_.counts(), config_file_.counts()}));
-  } else if (path == kStatusPath) {
-    reply_whole(metrics_, caller, kOk, status_page(now));
-  } else {
-    reply_whole(metrics_, caller, kNotFound, "");
-  }
-}
-
-resource_status gateway_shell::resources() const {
-  resource_status out;
-  out.reserved_bytes = bytes_->reserved();
-  out.unsent_bytes = bytes_->unsent();
-  out.held_bound = bytes_->bound();
-  out.descriptor_limit = limits_.descriptors;
-  out.connections = {
-      {"callers", callers_.connection_count(), descriptors_.callers},
-      {"ready", ready_.connection_count(), descriptors_.ready},
-      {"metrics", metrics_.connection_count(), descriptors_.metrics},
-      {"peers", peers_.connection_count(), descriptors_.peers},
-      {"calls", opened_->open(), opened_->bound()}};
-  out.idle_connections = opened_->idle();
-  out.opened = opened_->counts();
-  for (const auto* server : {&callers_, &ready_, &metrics_, &peers_}) {
-    out.counts += server->counts();
-  }
-  return out;
-}
-
-void gateway_shell::log_room() {
-  const auto now = boot_now();
-  auto counts = callers_.counts();
-  counts += peers_.counts();
-  const auto unopened = opened_->counts().refused;
-  const auto turned_away = counts.room_refusals + counts.broken_off +
-                           counts.closed_unread + counts.accept_rests +
-                           unopened;
-  const auto told = room_watch_.look(now, turned_away);
-  if (!told) return;
-  log_.write(
-      now, {told->has_ended ? "room_back" : "no_room",
-            {{"turned_away", static_cast<std::int64_t>(told->turned_away)},
-             {"for_ms", told->lasted / 1ms},
-             {"room_refusals", static_cast<std::int64_t>(counts.room_refusals)},
-             {"broken_off", static_cast<std::int64_t>(counts.broken_off)},
-             {"closed_unread", static_cast<std::int64_t>(counts.closed_unread)},
-             {"accept_rests", static_cast<std::int64_t>(counts.accept_rests)},
-             {"unopened", static_cast<std::int64_t>(unopened)},
-             {"opened", static_cast<std::int64_t>(opened_->open())},
-             {"idle", static_cast<std::int64_t>(opened_->idle())},
-             {"reserved", static_cast<std::int64_t>(bytes_->reserved())},
-             {"unsent", static_cast<std::int64_t>(bytes_->unsent())},
-             {"connections",
-              static_cast<std::int64_t>(callers_.connection_count())}},
-            true});
-}
-
 void gateway_shell::on_caller(caller_id caller, caller_message message) {
   if (has_joined_) {
     post(event::request{caller, std::move(message)});
@@ -545,7 +386,7 @@
 
 void gateway_shell::answer_peer(caller_id caller, caller_message message) {
   if (!has_joined_) {
-    reply_whole(peers_, caller, kUnavailable, "");
+    peers_.answer(caller, kUnavailable, "");
     return;
   }
   auto call = take_relay_call(message.headers, message.caller_address);
@@ -560,16 +401,17 @@
 void gateway_shell::answer_copy(caller_id caller, std::string_view target) {
   const auto known = read_changes_path(target);
   if (!known) {
-    reply_whole(peers_, caller, kNotFound, "");
+    peers_.answer(caller, kNotFound, "");
     return;
   }
   if (peers_.unsent_bytes() > kMostUnsentCopies) {
     log_.write(boot_now(), {"copy_refused", {}, false});
-    reply_whole(peers_, caller, kUnavailable, "");
+    peers_.answer(caller, kUnavailable, "");
     return;
   }
-  reply_whole(peers_, caller, kOk,
-              gateway::encode_store_changes(decisions_.changes_after(*known)));
+  peers_.answer(
+      caller, kOk,
+      gateway::encode_store_changes(decisions_.changes_after(*known)));
 }
 
 }  // namespace seamglade::detail
--- a/src/process/gateway_shell_calls.cc
+++ b/src/process/gateway_shell_calls.cc
@@ -1,4 +1,4 @@
-// seamglade - the shell of the direct path: calls for orders, store and peers
+// seamglade - the shell of the direct path: calls to targets, store and peers
 //
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "connection/peer_paths.h"
+#include "connection/relay_headers.h"
 #include "process/gateway_shell.h"
 #include "process/status_codes.h"
 
@@ -18,6 +19,9 @@
 using gateway::kGone;
 using gateway::kOk;
 
+/** A connection to another instance is given up that has not come up by then.
+ */
+constexpr duration kPeerConnect = 250ms;
 constexpr answer_bounds kOrderBounds{900ms, 64UL << 10U};
 constexpr answer_bounds kReportBounds{600ms, 1UL << 20U};
 constexpr answer_bounds kContentsBounds{600ms, 4UL << 20U};
@@ -39,6 +43,80 @@
 
 }  // namespace
 
+void gateway_shell::carry_out(action::call_target&& a) {
+  outgoing_call call;
+  call.address = std::move(a.address);
+  call.method = std::move(a.method);
+  call.target = std::move(a.target);
+  call.host = std::move(a.host);
+  call.headers = std::move(a.headers);
+  call.body = std::move(a.body);
+  call.connect_timeout = kTargetConnect;
+  call.name = std::move(a.request_id);
+  call.use = connection_use::requests;
+  if (a.most_idle > 0) call.most_idle = a.most_idle;
+  pass_on_answer(target_client_, a.call, std::move(call));
+}
+
+void gateway_shell::carry_out(action::call_peer&& a) {
+  outgoing_call call;
+  call.address = fmt::format("{}:{}", to_text(a.to), peer_port_);
+  call.method = std::move(a.method);
+  call.target = std::move(a.target);
+  call.host = std::move(a.host);
+  call.headers = std::move(a.headers);
+  drop_relay_headers(call.headers);
+  call.name = fmt::format("{:x}", a.call);
+  call.headers.push_back({std::string(kRelayCall), call.name});
+  call.headers.push_back({std::string(kRelayRuns), std::to_string(a.runs)});
+  if (a.origin) call.headers.push_back(origin_header(*a.origin));
+  call.body = std::move(a.body);
+  call.connect_timeout = kPeerConnect;
+  call.use = connection_use::requests;
+  pass_on_answer(relay_client_, a.call, std::move(call));
+}
+
+void gateway_shell::pass_on_answer(call_client& client, call_id id,
+                                   outgoing_call call) {
+  call_client::handlers on;
+  on.head = [this, id](const answer_head& head, const answer_carrier& carrier) {
+    event::answer_head answer{id,           head.status,  head.reason,
+                              head.headers, head.framing, carrier};
+    answer.is_no_help = has_header(answer.headers, kRelayNoHelp);
+    answer.origin = read_origin(answer.headers);
+    drop_relay_headers(answer.headers);
+    post(std::move(answer));
+  };
+  on.data = [this, id](std::shared_ptr<const std::string> data) {
+    post(event::answer_data{id, std::move(data)});
+  };
+  on.skipped = [this, address = call.address, name = call.name](
+                   const answer_head& head, const answer_carrier& carrier) {
+    log_.write(boot_now(),
+               {"answer_skipped",
+                {{"request", name},
+                 {"address", address},
+                 {"status", head.status},
+                 {"connection", static_cast<std::int64_t>(carrier.connection)},
+                 {"calls_before", carrier.calls_before}},
+                false});
+  };
+  auto defect = std::make_shared<answer_defect>();
+  on.defect = [defect](const answer_defect& why) { *defect = why; };
+  on.end = [this, id, defect](call_end end) {
+    open_calls_.erase(id);
+    post(event::answer_end{id, end, *defect});
+  };
+  open_calls_[id] = {&client, client.start(std::move(call), std::move(on))};
+}
+
+void gateway_shell::carry_out(action::cancel_call&& a) {
+  const auto found = open_calls_.find(a.call);
+  if (found == open_calls_.end()) return;
+  found->second.client->cancel(found->second.token);
+  open_calls_.erase(found);
+}
+
 void gateway_shell::ask(call_client& client, outgoing_call call,
                         const answer_bounds& bounds,
                         std::function<void(collected_answer)> done) {
--- a/test/gateway_http-test.cc
+++ b/test/gateway_http-test.cc
@@ -3,106 +3,17 @@
 // Copyright (c) 2026 seamglade contributors
 // SPDX-License-Identifier: MIT
 
-#include <gtest/gtest.h>
+#include "gateway_http.h"
+
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "connection/call_client.h"
 #include "connection/connect_probe.h"
-#include "connection/gateway_server.h"
-#include "loop_patience.h"
-#include "raw_caller.h"
 #include "raw_target.h"
 
 namespace seamglade::detail {
 namespace {
 
-constexpr duration kPatience = 3s;
-
-/** A server that answers by a rule, and a client, on one loop. */
-class gateway_http : public testing::Test {
- protected:
-  gateway_http()
-      : base_(event_base_new()),
-        server_(base_.get(),
-                {[this](caller_id caller, gateway::caller_message m) {
-                   seen_.push_back(std::move(m));
-                   on_request_(caller, seen_.back());
-                 },
-                 [this](caller_id) {
-                   ++gone_;
-                   stop();
-                 },
-                 [this](int status) { refused_.push_back(status); }}),
-        client_(base_.get(), {}) {
-    address_ = server_.listen({"127.0.0.1", 0}).value();
-    on_request_ = [this](caller_id caller, const gateway::caller_message& m) {
-      answer(caller, 200, "body of " + m.target);
-    };
-  }
-
-  void answer(caller_id caller, int status, const std::string& body) {
-    server_.begin(caller, {status, "", {{"X-Id", "1"}}, body.size()});
-    server_.write(caller, std::make_shared<const std::string>(body));
-    server_.finish(caller);
-  }
-
-  void stop() { event_base_loopbreak(base_.get()); }
-
-  /** Runs the loop until somebody stops it, or the test has failed. */
-  void run(duration most = kPatience) { run_loop(base_.get(), most); }
-
-  struct outcome_of_call {
-    int status = 0;
-    body_framing framing = body_framing::length;
-    std::string body;
-    std::optional<call_end> end;
-  };
-
-  std::shared_ptr<outcome_of_call> call(outgoing_call what) {
-    auto out = std::make_shared<outcome_of_call>();
-    client_.start(std::move(what),
-                  {[out](const answer_head& head, const answer_carrier&) {
-                     out->status = head.status;
-                     out->framing = head.framing;
-                   },
-                   [out](const std::shared_ptr<const std::string>& data) {
-                     out->body += *data;
-                   },
-                   [this, out](call_end end) {
-                     out->end = end;
-                     stop();
-                   }});
-    return out;
-  }
-
-  outgoing_call get(const std::string& target) {
-    outgoing_call what;
-    what.address = address_.str();
-    what.method = "GET";
-    what.target = target;
-    return what;
-  }
-
-  /** Sends raw bytes and returns all that comes back until the close. */
-  std::string raw(const std::string& bytes) {
-    const auto got = call_raw(base_.get(), address_, bytes);
-    raw_was_reset_ = got.was_reset;
-    return got.bytes;
-  }
-
-  base_handle base_;
-  std::vector<gateway::caller_message> seen_;
-  std::vector<int> refused_;
-  int gone_ = 0;
-  /** The connection of the last raw() ended by a reset. */
-  bool raw_was_reset_ = false;
-  std::function<void(caller_id, const gateway::caller_message&)> on_request_;
-  gateway_server server_;
-  call_client client_;
-  endpoint address_;
-};
-
 TEST_F(gateway_http, passes_a_request_and_its_answer) {
   auto what = get("/a?b=c");
   what.method = "POST";
@@ -424,20 +335,6 @@
   }
 }
 
-// What was unsent 1 s behind an answer that ends its connection was dropped.
-TEST_F(gateway_http, a_stop_cuts_no_answer_that_is_still_written) {
-  const std::string large(32UL << 20U, 'x');
-  on_request_ = [&](caller_id caller, const gateway::caller_message&) {
-    answer(caller, 200, large);
-    server_.drain();
-    server_.close_idle();
-  };
-  const auto out = call(get("/x"));
-  run();
-  EXPECT_EQ(out->end, call_end::complete);
-  EXPECT_EQ(out->body.size(), large.size());
-}
-
 TEST_F(gateway_http, an_idle_time_cuts_no_answer_that_is_still_written) {
   gateway::caller_limits limits;
   limits.idle_timeout = 1ms;
@@ -499,83 +396,5 @@
   EXPECT_EQ(names, (std::vector<std::string>{"Host", "X-Kept"}));
 }
 
-TEST_F(gateway_http, ends_connections_between_requests_when_stopping) {
-  server_.drain();
-  const auto out = call(get("/x"));
-  run();
-  EXPECT_EQ(out->end, call_end::complete);
-  run(100ms);
-  EXPECT_EQ(call(get("/y"))->end, std::nullopt);
-  run();
-  EXPECT_EQ(client_.counts().opened, 2U);
-}
-
-// A connection that had just come up was closed before its request was read.
-TEST_F(gateway_http, a_stop_closes_no_connection_that_is_about_to_ask) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  auto where = to_socket_address(address_);
-  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)), 0);
-  const auto began = boot_now();
-  run(50ms);
-  ASSERT_EQ(server_.connection_count(), 1U);
-  server_.drain();
-  server_.close_idle();
-  const auto open = server_.connection_count();
-  // On a machine that stood still meanwhile it is no new connection.
-  if (boot_now() - began < 1s) {
-    EXPECT_EQ(open, 1U);
-  }
-  run(1100ms);
-  server_.close_idle();
-  EXPECT_EQ(server_.connection_count(), 0U);
-  close(fd);
-}
-
-// The last answers of a process that ended at once were dropped.
-TEST_F(gateway_http, a_stop_leaves_unsent_answers_to_the_system) {
-  const std::string body(16384, 'x');
-  std::unique_ptr<gateway_server> ending;
-  ending = std::make_unique<gateway_server>(
-      base_.get(), gateway_server::handlers{
-                       [&](caller_id caller, const gateway::caller_message&) {
-                         ending->drain();
-                         ending->begin(caller, {200, "", {}, body.size()});
-                         ending->write(
-                             caller, std::make_shared<const std::string>(body));
-                         ending->finish(caller);
-                         stop();
-                       },
-                       [](caller_id) {}, [](int) {}});
-  auto where = to_socket_address(ending->listen({"127.0.0.1", 0}).value());
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)), 0);
-  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-  ASSERT_EQ(send(fd, request.data(), request.size(), 0),
-            static_cast<ssize_t>(request.size()));
-  run();
-  EXPECT_GT(ending->unsent_bytes(), body.size());
-  ending->hand_over_unsent();
-  ending.reset();
-  std::size_t got = 0;
-  std::array<char, 4096> piece{};
-  auto size = recv(fd, piece.data(), piece.size(), 0);
-  for (; size > 0; size = recv(fd, piece.data(), piece.size(), 0)) {
-    got += static_cast<std::size_t>(size);
-  }
-  close(fd);
-  EXPECT_EQ(size, 0);
-  EXPECT_GT(got, body.size());
-}
-
-// What a caller had begun to send was closed without a word at a stop's end.
-TEST_F(gateway_http, a_stop_refuses_a_request_that_is_not_whole) {
-  run_after(base_.get(), 50ms, [&] { server_.refuse_unread(); });
-  const auto back =
-      raw("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
-  EXPECT_TRUE(back.starts_with("HTTP/1.1 503")) << back;
-  EXPECT_NE(back.find("Retry-After: "), std::string::npos) << back;
-  EXPECT_TRUE(seen_.empty());
-}
-
 }  // namespace
 }  // namespace seamglade::detail
--- a/test/planned_stop-test.cc
+++ b/test/planned_stop-test.cc
@@ -248,8 +248,13 @@
 TEST(planned_stop, cuts_off_nothing_that_was_handed_on) {
   stop_play play({8s, 2s, 6s, 6s});
   auto& w = play.world();
-  w.cut_targets(w.instances()[0], fakes::target_cut::reset);
+  const auto cut = w.instances()[0];
+  w.cut_targets(cut, fakes::target_cut::reset);
+  for (int i = 0; i < 10; ++i) w.call_plain(cut, true);
   w.run_for(2s);
+  w.call_plain(cut, true);
+  w.run_for(100ms);
+  EXPECT_GT(w.status(cut).relayed_out, 0U);
   play.stop_in_turn();
   play.expect_kept();
 }
@@ -264,27 +269,26 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, drawn_stops, testing::Range(1U, 51U));
 
-TEST(planned_stop, asks_callers_back_at_once_while_others_stay) {
-  stop_play play({8s, 3s, 5s, 5s});
+/** Returns when a call is asked back that comes `late` into its stop. */
+duration asked_back(stop_play& play, duration late) {
   auto& w = play.world();
-  const auto who = w.instances()[0];
-  play.stop(who);
-  w.run_for(7s);
-  const auto& call = w.call_plain(who, false);
+  w.run_for(late);
+  const auto& call = w.call_plain(w.instances()[0], false);
   w.run_for(10ms);
   EXPECT_EQ(call.status, kUnavailable);
-  EXPECT_LE(call.retry_after, duration(100ms));
+  return call.retry_after;
+}
+
+TEST(planned_stop, asks_callers_back_at_once_while_others_stay) {
+  stop_play play({8s, 3s, 5s, 5s});
+  play.stop(play.world().instances()[0]);
+  EXPECT_LE(asked_back(play, 7s), duration(100ms));
 }
 
 TEST(planned_stop, asks_callers_back_later_where_nobody_stays) {
   stop_play play({8s, 3s, 5s, 5s});
-  auto& w = play.world();
-  for (const auto each : w.instances()) play.stop(each);
-  w.run_for(6s);
-  const auto& call = w.call_plain(w.instances()[0], false);
-  w.run_for(10ms);
-  EXPECT_EQ(call.status, kUnavailable);
-  EXPECT_GE(call.retry_after, duration(500ms));
+  for (const auto each : play.world().instances()) play.stop(each);
+  EXPECT_GE(asked_back(play, 6s), duration(500ms));
 }
 
 // A run that takes longer than any before has an end that its caller sees.
--- a/test/stop_processes-test.sh
+++ b/test/stop_processes-test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Real instances of one fleet are stopped in turn by SIGTERM and started again,
-# while callers send requests over connections of their own to those that still
-# run, also to stopping ones. Grace, run time and callers' patience are drawn.
+# Real instances of one fleet are stopped in turn by SIGTERM, while callers send
+# requests over connections of their own to those that still run, also to
+# stopping ones. Grace, run time and callers' patience are drawn.
 # Each request that is read gets a whole answer: what the target said, that it
 # did not run, or that nobody knows. Each instance ends by itself, with nothing
 # cut off.
