The test of a silent way starts until each instance has read its own store

Cause: the cut lies in the addresses that g1 reads from its own store. Who starts late takes another's copy of the store, with the real addresses, so that no cut meets it. Ruled out: the product, which is right to take a copy.

Change: the test looks at where each instance's first configuration came from, and starts all again where one is from a peer, ten times at most. Its checks are as they were.

--- a/test/silent_way_processes-test.sh
+++ b/test/silent_way_processes-test.sh
@@ -15,10 +15,32 @@
 "$bin/seamglade-way-standin" "$all_store" >"$work/way.out" 2>&1 &
 pids+=($!)
 way=$(wait_for "$work/way.out" '^listening' | cut -d' ' -f2)
-store=$way start_gateway 1
-store=$all_store
-for n in 2 3; do start_gateway "$n"; done
-for n in 1 2 3; do until_gateway_ready "$n"; done
+
+# has_own_entries N: whether an instance read its targets from its own store.
+has_own_entries() {
+  grep -m1 '"event":"configuration_accepted"' "$work/g$1.log" |
+    grep -q '"source":"store"'
+}
+
+# start_all: starts the instances so that each has the addresses of its own
+# store: one that starts late takes a copy of another's.
+start_all() {
+  local n try
+  for try in $(seq 10); do
+    for n in 1 2 3; do : >"$work/g$n.log"; done
+    store=$way start_gateway 1
+    for n in 2 3; do store=$all_store start_gateway "$n"; done
+    for n in 1 2 3; do until_gateway_ready "$n"; done
+    if has_own_entries 1 && has_own_entries 2 && has_own_entries 3; then
+      return
+    fi
+    echo "start $try: an instance has the entries of another"
+    kill_gateways 1 2 3
+  done
+  fail 'no start where each instance reads its own store'
+}
+
+start_all
 set_way() { curl -sf -o /dev/null -X PUT "http://$way/$1"; }
 
 # ask N ID I: sends the I-th request of a caller.
